--- /dev/null
+++ b/cmd/explain.go
@@ -0,0 +1,81 @@
+package cmd
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/url"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jaywheel/jaywheel/internal/operator"
+	"github.com/jaywheel/jaywheel/internal/trace"
+	"github.com/jaywheel/jaywheel/pkg/clock"
+)
+
+const explainLong = `Tells the story of one request: each backend server chosen, among how many, why, and what came of it. The id
+is the answer's Jaywheel-Request-Id header. An instance remembers its latest 4096 requests; ask the one that served it.`
+
+type explainCommand struct {
+	Operator string `long:"operator" value-name:"IP:PORT" required:"yes" description:"Operator address of the instance"`
+	JSON     bool   `long:"json" description:"Print the story as JSON"`
+	Argument struct {
+		ID string `positional-arg-name:"ID" required:"yes"`
+	} `positional-args:"yes"`
+	streams streams
+}
+
+// Execute implements flags.Commander.
+func (explainCommand *explainCommand) Execute([]string) error {
+	text, err := ask(explainCommand.Operator, operator.ExplainPath, url.Values{"id": {explainCommand.Argument.ID}})
+	if err != nil {
+		return err
+	}
+	if explainCommand.JSON {
+		fmt.Fprintf(explainCommand.streams.out, "%s", text)
+		return nil
+	}
+	var story trace.Request
+	if err := json.Unmarshal(text, &story); err != nil {
+		return errors.Wrapf(err, "answer of instance %s", explainCommand.Operator)
+	}
+	printStory(explainCommand.streams.out, story)
+	return nil
+}
+
+// round shortens a time for reading.
+func round(length clock.Milliseconds) string {
+	return fmt.Sprintf("%.2fms", float64(length))
+}
+
+func printStory(out io.Writer, story trace.Request) {
+	fmt.Fprintf(out, "request %s, %s %s/%s, settings revision %d, time allowed %s\n",
+		story.ID, story.Method, story.Service, story.Class, story.Revision, round(story.Timeout))
+	for number, attempt := range story.Attempts {
+		fmt.Fprintf(out, "%d. %s\n", number+1, whyChosen(attempt))
+		connection := "a new connection"
+		if attempt.Reused {
+			connection = "a kept connection"
+		}
+		fmt.Fprintf(out, "   sent on %s; after %s: %s", connection, round(attempt.Took), attempt.Result)
+		if attempt.Status != 0 {
+			fmt.Fprintf(out, ", status %d", attempt.Status)
+		}
+		if attempt.Error != "" {
+			fmt.Fprintf(out, " (%s)", attempt.Error)
+		}
+		fmt.Fprintln(out)
+	}
+	fmt.Fprintf(out, "outcome %s, reason %s, status %d, after %s\n", story.Outcome, story.Reason, story.Status, round(story.Whole))
+	if story.Error != "" {
+		fmt.Fprintf(out, "because: %s\n", story.Error)
+	}
+}
+
+func whyChosen(attempt trace.Attempt) string {
+	if attempt.Considered == 0 {
+		return fmt.Sprintf("no place was free; waited %s until %s in %s had one", round(attempt.Waited), attempt.Target, attempt.DataCentre)
+	}
+	return fmt.Sprintf("of %d targets with a free place, %s in %s had the smallest share taken (%d with this request)",
+		attempt.Considered, attempt.Target, attempt.DataCentre, attempt.Taken)
+}
--- /dev/null
+++ b/cmd/settings.go
@@ -0,0 +1,60 @@
+package cmd
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jaywheel/jaywheel/examples"
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
+// siteFlags name a site's files.
+type siteFlags struct {
+	Base    string `long:"base" value-name:"FILE" required:"yes" description:"Base file of settings"`
+	Overlay string `long:"overlay" value-name:"FILE" description:"Overlay for one site, a JSON merge patch (RFC 7396)"`
+}
+
+func (siteFlags *siteFlags) load() (*settings.Loaded, error) {
+	loaded, err := settings.LoadSite(siteFlags.Base, siteFlags.Overlay)
+	return loaded, invalidCode(err)
+}
+
+// invalidCode gives refused settings their exit code.
+func invalidCode(err error) error {
+	if settings.IsErrInvalid(err) {
+		return withCode(ExitInvalid, err)
+	}
+	return err
+}
+
+// exampleOverlays are the overlays of the embedded examples, by user.
+var exampleOverlays = map[string]string{"rodopa": "rodopa.sofia.json", "malabon": "malabon.ncr-north.json"}
+
+// loadExample loads one user's embedded example. The files pass through a directory so that they take the same way as
+// an operator's.
+func loadExample(user string) (*settings.Site, error) {
+	directory, err := os.MkdirTemp("", "jaywheel-example-")
+	if err != nil {
+		return nil, errors.Wrap(err, "unpack the example")
+	}
+	defer os.RemoveAll(directory)
+	var paths []string
+	for _, name := range []string{user + ".base.json", exampleOverlays[user]} {
+		text, err := examples.Files.ReadFile(name)
+		if err != nil {
+			return nil, errors.Wrap(err, "unpack the example")
+		}
+		path := filepath.Join(directory, name)
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			return nil, errors.Wrap(err, "unpack the example")
+		}
+		paths = append(paths, path)
+	}
+	loaded, err := settings.LoadSite(paths[0], paths[1])
+	if err != nil {
+		return nil, err
+	}
+	return loaded.Site, nil
+}
--- /dev/null
+++ b/internal/caller/answer.go
@@ -0,0 +1,133 @@
+package caller
+
+import (
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jaywheel/jaywheel/internal/backendserver"
+	"github.com/jaywheel/jaywheel/internal/service"
+	"github.com/jaywheel/jaywheel/pkg/outcome"
+)
+
+// copyBytes is the size of the buffer through which an answer passes.
+const copyBytes = 32 << 10
+
+var copyBuffers = sync.Pool{New: func() any {
+	buffer := make([]byte, copyBytes)
+	return &buffer
+}}
+
+var (
+	errCallerWrite = errors.New("write to caller")
+	errServerRead  = errors.New("read from backend server")
+)
+
+// answer passes a backend server's answer on. When it breaks off, the caller's connection is broken as well: an answer
+// that ends cleanly would be taken for the whole one.
+func (call *call) answer(attempt attempt) {
+	exchange := attempt.exchange
+	status := exchange.Response.StatusCode
+	call.startAnswer(exchange)
+	err := call.copyAnswer(exchange)
+	exchange.Close()
+	call.release(resultOf(status, err))
+	if err == nil {
+		call.record(status, outcome.Answered, outcome.ReasonServer, nil)
+		return
+	}
+	reason := outcome.ReasonCutWithinAnswer
+	if errors.Is(err, errCallerWrite) || call.request.Context().Err() != nil {
+		reason = outcome.ReasonCallerGone
+	}
+	call.record(status, outcome.Unknown, reason, err)
+	breakConnection(call.request)
+	panic(http.ErrAbortHandler)
+}
+
+// resultOf tells whether an answer counts for or against its backend server.
+func resultOf(status int, err error) service.Result {
+	switch {
+	case errors.Is(err, errCallerWrite):
+		return service.Cancelled
+	case err != nil || status >= http.StatusInternalServerError:
+		return service.Failed
+	default:
+		return service.Succeeded
+	}
+}
+
+// startAnswer writes the answer's header.
+func (call *call) startAnswer(exchange *backendserver.Exchange) {
+	response := exchange.Response
+	removeHopByHop(response.Header)
+	removeOwn(response.Header)
+	header := call.writer.Header()
+	for name, values := range response.Header {
+		header[name] = values
+	}
+	call.setOwnHeaders(header, outcome.Answered, outcome.ReasonServer)
+	for name := range response.Trailer {
+		header.Add("Trailer", name)
+	}
+	header.Add("Via", "1.1 "+string(call.handler.options.Instance))
+	if _, given := header["Date"]; !given {
+		// The library would add one, as if the answer had been made here.
+		header["Date"] = nil
+	}
+	call.armWrite()
+	call.writer.WriteHeader(response.StatusCode)
+	added := call.now().Since(call.started) - call.queued - call.sending
+	call.route.Class.Metrics.Added.Record(added)
+}
+
+// copyAnswer passes the body on as it arrives. An answer without a known length is flushed after each read, since it
+// may be a stream that somebody watches.
+func (call *call) copyAnswer(exchange *backendserver.Exchange) error {
+	pooled, _ := copyBuffers.Get().(*[]byte)
+	defer copyBuffers.Put(pooled)
+	flushEach := exchange.Response.ContentLength < 0
+	for {
+		count, readError := exchange.Read(*pooled)
+		if count > 0 {
+			call.armWrite()
+			if _, err := call.writer.Write((*pooled)[:count]); err != nil {
+				return errors.Join(errCallerWrite, err)
+			}
+			if flushEach {
+				// An error shows again at the next write.
+				_ = call.control.Flush()
+			}
+		}
+		if readError == io.EOF { //nolint:errorlint // io.Reader returns it bare.
+			call.copyTrailers(exchange.Response)
+			return nil
+		}
+		if readError != nil {
+			return errors.Join(errServerRead, readError)
+		}
+	}
+}
+
+func (call *call) copyTrailers(response *http.Response) {
+	for name, values := range response.Trailer {
+		if !outcome.IsOwnHeader(name) {
+			call.writer.Header()[http.TrailerPrefix+name] = values
+		}
+	}
+}
+
+// connectionKey is the context key of the caller's connection.
+type connectionKey struct{}
+
+// breakConnection makes the end of the caller's connection a reset. An answer that is delimited by the end of its
+// connection, as HTTP/1.0 has it, would otherwise look whole.
+func breakConnection(request *http.Request) {
+	connection, found := request.Context().Value(connectionKey{}).(*guardedConnection)
+	if found && request.ProtoMajor == 1 {
+		// It is about to be closed in any case.
+		_ = connection.SetLinger(0)
+	}
+}
--- /dev/null
+++ b/internal/caller/body.go
@@ -0,0 +1,160 @@
+package caller
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/outcome"
+)
+
+// replayBodyMost is the largest body that is read before a backend server is chosen, in bytes. Such a body can be sent
+// again when a server says that it did not run the request, and a caller that sends slowly holds no place meanwhile.
+// Larger bodies are streamed.
+const replayBodyMost = 16 << 10
+
+var (
+	errBodyTooLarge = errors.New("the body is larger than the class allows")
+	errBodyRead     = errors.New("the body could not be read from the caller")
+)
+
+// body is a request's body as it is sent to backend servers.
+type body struct {
+	// small is the whole body, when it is small.
+	small []byte
+	// stream is the rest, when it is not; it can be read once.
+	stream  *callerBody
+	present bool
+	// handedOver says that a connection has been given the stream.
+	handedOver bool
+}
+
+// prepare reads a small body, and bounds a large one.
+func (body *body) prepare(call *call) *ending {
+	request := call.request
+	most := int64(call.route.Class.Settings.BodyMost)
+	if request.ContentLength > most {
+		return refusal(http.StatusRequestEntityTooLarge, outcome.ReasonBodyTooLarge, errBodyTooLarge)
+	}
+	body.present = request.Body != nil && request.Body != http.NoBody
+	if !body.present {
+		return nil
+	}
+	limited := http.MaxBytesReader(call.writer, request.Body, most)
+	stream := &callerBody{reader: limited, control: call.control, stallMost: call.handler.options.StallMost}
+	// A caller that waits for "100 Continue" is asked for its body only once a place is there.
+	if request.ContentLength < 0 || request.ContentLength > replayBodyMost || request.Header.Get("Expect") != "" {
+		body.stream = stream
+		return nil
+	}
+	body.small = make([]byte, request.ContentLength)
+	if _, err := io.ReadFull(stream, body.small); err != nil {
+		return refusal(http.StatusBadRequest, outcome.ReasonBodyUnreadable, errors.Join(errBodyRead, err))
+	}
+	stream.setDeadline(time.Time{})
+	return nil
+}
+
+// replayable reports whether the body can be sent once more. A stream that has been handed to a connection can't be,
+// even when nothing was read from it: the connection may still be about to read.
+func (body *body) replayable() bool {
+	return body.stream == nil || !body.handedOver
+}
+
+// reader returns the body for one attempt, and its length, -1 when it is not known.
+func (body *body) reader(length int64) (io.ReadCloser, int64) {
+	switch {
+	case !body.present:
+		return http.NoBody, 0
+	case body.stream != nil:
+		return body.stream, length
+	default:
+		return io.NopCloser(bytes.NewReader(body.small)), int64(len(body.small))
+	}
+}
+
+// failed returns what went wrong on the caller's side of a streamed body, if anything did.
+func (body *body) failed() error {
+	if body.stream == nil {
+		return nil
+	}
+	return body.stream.failure()
+}
+
+// finish ends every later read of the stream.
+func (body *body) finish() {
+	if body.stream != nil {
+		body.stream.finish()
+	}
+}
+
+// callerBody reads a body from the caller and gives each read its time, so that a caller which sends a byte a minute
+// does not hold a place on a backend server. A connection to a backend server may go on reading after the request has
+// ended; the mutex keeps it from setting a deadline that would then belong to the caller's next request.
+type callerBody struct {
+	reader    io.Reader
+	control   *http.ResponseController
+	stallMost clock.Milliseconds
+
+	mutex    sync.Mutex
+	finished bool
+	err      error
+}
+
+// Read implements io.Reader.
+func (callerBody *callerBody) Read(buffer []byte) (int, error) {
+	if !callerBody.setDeadline(time.Now().Add(callerBody.stallMost.Duration())) {
+		return 0, errBodyRead
+	}
+	count, err := callerBody.reader.Read(buffer)
+	if err == nil {
+		return count, nil
+	}
+	// The server watches the connection while the answer is made, and would take the deadline for the caller's going
+	// away.
+	callerBody.setDeadline(time.Time{})
+	if err != io.EOF { //nolint:errorlint // io.Reader returns it bare.
+		callerBody.fail(err)
+	}
+	return count, err
+}
+
+// setDeadline reports whether the request is still under way.
+func (callerBody *callerBody) setDeadline(deadline time.Time) bool {
+	callerBody.mutex.Lock()
+	defer callerBody.mutex.Unlock()
+	if callerBody.finished {
+		return false
+	}
+	// Connections that know no deadline, as in tests, are left without one.
+	_ = callerBody.control.SetReadDeadline(deadline)
+	return true
+}
+
+func (callerBody *callerBody) fail(err error) {
+	callerBody.mutex.Lock()
+	defer callerBody.mutex.Unlock()
+	callerBody.err = err
+}
+
+func (callerBody *callerBody) failure() error {
+	callerBody.mutex.Lock()
+	defer callerBody.mutex.Unlock()
+	return callerBody.err
+}
+
+func (callerBody *callerBody) finish() {
+	callerBody.mutex.Lock()
+	defer callerBody.mutex.Unlock()
+	callerBody.finished = true
+}
+
+// Close implements io.Closer. The server closes the caller's body itself.
+func (callerBody *callerBody) Close() error {
+	return nil
+}
--- /dev/null
+++ b/internal/caller/handler.go
@@ -0,0 +1,89 @@
+package caller
+
+import (
+	"crypto/rand"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/jaywheel/jaywheel/internal/backendserver"
+	"github.com/jaywheel/jaywheel/internal/metrics"
+	"github.com/jaywheel/jaywheel/internal/routing"
+	"github.com/jaywheel/jaywheel/internal/trace"
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/outcome"
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
+// AddressesPath is where an instance answers which instances to use.
+const AddressesPath = settings.ReservedPath + "v1/addresses"
+
+// Options are what a Handler is made from.
+type Options struct {
+	// Table returns the table in force, or nil before there are settings.
+	Table func() *routing.Table
+	// Servers are the connections to backend servers.
+	Servers *backendserver.Servers
+	// Registry counts what belongs to no class.
+	Registry *metrics.Registry
+	// Traces keeps the story of each request.
+	Traces *trace.Ring
+	// Clock tells the time.
+	Clock *clock.Clock
+	// Instance is this instance's name; it is written into Via.
+	Instance settings.InstanceName
+	// StallMost is the longest pause within a body.
+	StallMost clock.Milliseconds
+}
+
+// Handler takes callers' requests.
+type Handler struct {
+	options  Options
+	inFlight atomic.Int64
+}
+
+// NewHandler returns a handler.
+func NewHandler(options Options) *Handler {
+	return &Handler{options: options}
+}
+
+// InFlight returns the number of requests under way.
+func (handler *Handler) InFlight() int64 {
+	return handler.inFlight.Load()
+}
+
+// ServeHTTP implements http.Handler.
+func (handler *Handler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	handler.inFlight.Add(1)
+	defer handler.inFlight.Add(-1)
+	if request.URL.Path == AddressesPath {
+		handler.serveAddresses(writer, request)
+		return
+	}
+	call := handler.newCall(writer, request)
+	call.serve()
+}
+
+func (handler *Handler) newCall(writer http.ResponseWriter, request *http.Request) *call {
+	call := &call{
+		handler: handler,
+		writer:  writer,
+		request: request,
+		control: http.NewResponseController(writer),
+		started: handler.options.Clock.Now(),
+		id:      requestID(request),
+		table:   handler.options.Table(),
+	}
+	return call
+}
+
+// mostRequestID is the longest id that is taken over from a caller; explain shows it and the ring keeps it.
+const mostRequestID = 128
+
+// requestID returns the caller's id, or a random one when there is none fit to keep.
+func requestID(request *http.Request) trace.RequestID {
+	given := request.Header.Get(outcome.HeaderRequestID)
+	if given == "" || len(given) > mostRequestID {
+		return trace.RequestID(rand.Text())
+	}
+	return trace.RequestID(given)
+}
--- /dev/null
+++ b/internal/caller/headers.go
@@ -0,0 +1,92 @@
+package caller
+
+import (
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"golang.org/x/net/http/httpguts"
+
+	"github.com/jaywheel/jaywheel/internal/service"
+	"github.com/jaywheel/jaywheel/pkg/outcome"
+)
+
+// hopByHop are the headers that speak of one connection only (RFC 9110, section 7.6.1).
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// removeHopByHop takes out what must not be passed on, including what Connection names.
+func removeHopByHop(header http.Header) {
+	for _, value := range header["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			if name = strings.TrimSpace(name); name != "" {
+				header.Del(name)
+			}
+		}
+	}
+	for _, name := range hopByHop {
+		header.Del(name)
+	}
+}
+
+// outgoing builds the request for one backend server.
+func (call *call) outgoing(target *service.Target) *http.Request {
+	incoming := call.request
+	header := incoming.Header.Clone()
+	wantsTrailers := httpguts.HeaderValuesContainsToken(header["Te"], "trailers")
+	removeHopByHop(header)
+	removeOwn(header)
+	if wantsTrailers {
+		header.Set("Te", "trailers")
+	}
+	if _, given := header["User-Agent"]; !given {
+		// Without this the library would write its own name in the caller's place.
+		header["User-Agent"] = nil
+	}
+	header.Set(outcome.HeaderRequestID, string(call.id))
+	header.Set(outcome.HeaderTimeout, strconv.FormatInt(max(int64(call.deadline.Since(call.now())), 1), 10))
+	header.Set(outcome.HeaderAttempt, strconv.Itoa(attemptNumber(incoming)+len(call.attempts)))
+	header.Add("Via", "1.1 "+string(call.handler.options.Instance))
+	if caller, _, err := net.SplitHostPort(incoming.RemoteAddr); err == nil {
+		header.Add("X-Forwarded-For", caller)
+	}
+	body, length := call.body.reader(incoming.ContentLength)
+	outgoing := &http.Request{
+		Method: incoming.Method,
+		URL: &url.URL{
+			Scheme: "http", Host: target.Address,
+			Path: incoming.URL.Path, RawPath: incoming.URL.RawPath,
+			RawQuery: incoming.URL.RawQuery, ForceQuery: incoming.URL.ForceQuery,
+		},
+		Host: incoming.Host, Header: header, Body: body, ContentLength: length,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Trailer: incoming.Trailer,
+	}
+	return outgoing
+}
+
+// removeOwn takes out headers that only jaywheel sets, so that neither side can speak in its name.
+func removeOwn(header http.Header) {
+	for name := range header {
+		if outcome.IsOwnHeader(name) {
+			delete(header, name)
+		}
+	}
+}
+
+// attemptNumber reads how often the request was sent before it came here; what can't be read counts as once.
+func attemptNumber(request *http.Request) int {
+	given := request.Header.Get(outcome.HeaderAttempt)
+	if given == "" {
+		return 0
+	}
+	number, err := strconv.Atoi(given)
+	if err != nil || number < 0 {
+		return 1
+	}
+	return number
+}
--- /dev/null
+++ b/internal/caller/package.go
@@ -0,0 +1,9 @@
+// Package caller speaks HTTP to callers: it answers which instances to use, and takes their requests to a backend
+// server and the answer back.
+//
+// # Usage
+//
+//	handler := caller.NewHandler(caller.Options{Table: control.Table, Servers: servers, ...})
+//	server := caller.NewServer(handler, processSettings.Callers)
+//	server.Serve(listener)
+package caller
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,250 @@
+// Package entry puts the parts of one entry instance together and runs them as a tree.
+//
+// # Usage
+//
+//	instance, err := entry.New(entry.Options{Settings: process, Log: log})
+//	go instance.Serve(ctx)
+//	...
+//	instance.Leave(ctx) // returns when no request is under way any more
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/jaywheel/jaywheel/internal/backendserver"
+	"github.com/jaywheel/jaywheel/internal/caller"
+	"github.com/jaywheel/jaywheel/internal/control"
+	"github.com/jaywheel/jaywheel/internal/instance"
+	"github.com/jaywheel/jaywheel/internal/metrics"
+	"github.com/jaywheel/jaywheel/internal/operator"
+	"github.com/jaywheel/jaywheel/internal/platform"
+	"github.com/jaywheel/jaywheel/internal/supervisor"
+	"github.com/jaywheel/jaywheel/internal/trace"
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
+// storiesKept is how many requests explain can tell of.
+const storiesKept = 4096
+
+// Options are what an Entry is made from.
+type Options struct {
+	Settings *settings.Process
+	Log      zerolog.Logger
+	// Seed makes the instance's random choices repeatable; 0 takes a random one.
+	Seed uint64
+}
+
+// Entry is one entry instance.
+type Entry struct {
+	options    Options
+	clock      *clock.Clock
+	registry   *metrics.Registry
+	servers    *backendserver.Servers
+	controller *control.Controller
+	plane      *instance.Plane
+	handler    *caller.Handler
+	tree       *supervisor.Tree
+	callers    *httpPart
+	operators  *httpPart
+}
+
+// New binds the addresses for callers and operators and makes every part; nothing runs until Serve.
+func New(options Options) (*Entry, error) {
+	if options.Seed == 0 {
+		options.Seed = rand.Uint64()
+	}
+	entry := &Entry{options: options, clock: clock.New(), registry: metrics.NewRegistry()}
+	entry.servers = backendserver.NewServers(entry.clock)
+	if err := entry.makeControl(); err != nil {
+		return nil, err
+	}
+	if err := entry.makeTraffic(); err != nil {
+		return nil, err
+	}
+	return entry, nil
+}
+
+func (entry *Entry) makeControl() error {
+	process := entry.options.Settings
+	random := rand.New(rand.NewPCG(entry.options.Seed, 0))
+	options := supervisor.Options{Log: entry.options.Log, Events: &entry.registry.Events}
+	var controller *control.Controller
+	plane, err := instance.NewPlane(instance.Options{
+		Address: process.PeerAddress,
+		Keys:    process.Keys,
+		Deliver: func(heartbeat instance.Heartbeat) { controller.HeartbeatReceived(heartbeat) },
+		Events:  &entry.registry.Events,
+	})
+	if err != nil {
+		return err
+	}
+	reporter := control.NewReporter(entry.servers.ReadReport, func(request control.ReportRequest, report backendserver.Report, err error) {
+		controller.ReportRead(request, report, err)
+	})
+	controller = control.NewController(control.Options{
+		Name: process.Instance, DataCentre: process.DataCentre,
+		Incarnation: instance.Incarnation(time.Now().UnixMilli()),
+		Clock:       entry.clock, Rand: random, Servers: entry.servers, Registry: entry.registry, Log: entry.options.Log,
+		Send: plane.Send, AskReport: reporter.Ask,
+	})
+	watch := platform.WatchOptions{
+		Client: platform.NewClient(process.Platform), Events: &entry.registry.Events, Log: entry.options.Log, Jitter: rand.Float64,
+	}
+	branch := supervisor.New("control", options)
+	branch.Add(supervisor.Part{Name: "controller", Serve: controller.Serve})
+	branch.Add(supervisor.Part{Name: "peers", Serve: plane.Serve})
+	branch.Add(supervisor.Part{Name: "reports", Serve: reporter.Serve})
+	branch.Add(supervisor.Part{Name: "configuration", Serve: platform.NewConfigurationWatcher(watch, controller.DocumentRead).Serve})
+	branch.Add(supervisor.Part{Name: "list", Serve: platform.NewListWatcher(watch, controller.ListRead).Serve})
+	entry.controller = controller
+	entry.plane = plane
+	entry.tree = supervisor.New("entry", options)
+	entry.tree.AddTree(branch)
+	return nil
+}
+
+func (entry *Entry) makeTraffic() error {
+	process := entry.options.Settings
+	traces := trace.NewRing(storiesKept)
+	entry.handler = caller.NewHandler(caller.Options{
+		Table: entry.controller.Table, Servers: entry.servers, Registry: entry.registry, Traces: traces, Clock: entry.clock,
+		Instance: process.Instance, StallMost: process.Callers.StallMost,
+	})
+	operators := operator.NewHandler(operator.Options{Status: entry.controller.Status, Registry: entry.registry, Traces: traces})
+	var err error
+	entry.callers, err = newHTTPPart(caller.NewServer(entry.handler, process.Callers), process.CallerAddress,
+		func(address string) (net.Listener, error) { return caller.Listen(address, process.Callers) })
+	if err != nil {
+		return err
+	}
+	entry.operators, err = newHTTPPart(&http.Server{Handler: operators, ReadHeaderTimeout: process.Callers.HeaderTimeout.Duration()},
+		process.OperatorAddress, func(address string) (net.Listener, error) { return net.Listen("tcp", address) })
+	if err != nil {
+		return errors.CombineErrors(err, entry.callers.listener.Close())
+	}
+	branch := supervisor.New("traffic", supervisor.Options{Log: entry.options.Log, Events: &entry.registry.Events})
+	branch.Add(supervisor.Part{Name: "callers", Serve: entry.callers.Serve})
+	branch.Add(supervisor.Part{Name: "operators", Serve: entry.operators.Serve})
+	entry.tree.AddTree(branch)
+	return nil
+}
+
+// Serve runs the instance until the context ends.
+func (entry *Entry) Serve(ctx context.Context) error {
+	defer entry.servers.Close()
+	err := entry.tree.Serve(ctx)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// CallerAddress is where callers connect.
+func (entry *Entry) CallerAddress() string {
+	return entry.callers.address
+}
+
+// OperatorAddress is where operators read.
+func (entry *Entry) OperatorAddress() string {
+	return entry.operators.address
+}
+
+// PeerAddress waits until datagrams are taken and returns where.
+func (entry *Entry) PeerAddress(ctx context.Context) (netip.AddrPort, error) {
+	return entry.plane.Address(ctx)
+}
+
+// Status returns the control state.
+func (entry *Entry) Status(ctx context.Context) (control.Status, error) {
+	return entry.controller.Status(ctx)
+}
+
+// Metrics returns what is counted and measured.
+func (entry *Entry) Metrics() metrics.View {
+	return entry.registry.View()
+}
+
+// Leave takes the instance out of service without cutting off any request: first out of address answers, then, when
+// the answers that callers keep have lapsed, closed to new connections, and at last it waits until the requests under
+// way have ended. The error is the context's when that took too long.
+func (entry *Entry) Leave(ctx context.Context) error {
+	if err := entry.controller.Leave(ctx); err != nil {
+		return errors.Wrap(err, "leave")
+	}
+	select {
+	case <-time.After(entry.answersLapse().Duration()):
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "wait for address answers to lapse")
+	}
+	return errors.Wrap(entry.callers.shutdown(ctx), "wait for requests under way")
+}
+
+// answersLapse is how long callers may still come by an answer that was given before everyone knew.
+func (entry *Entry) answersLapse() clock.Milliseconds {
+	table := entry.controller.Table()
+	if table == nil {
+		return 0
+	}
+	return table.Site.Fleet.AnswerKept + 2*table.Site.Fleet.HeartbeatEvery
+}
+
+// httpPart is an HTTP server as a part of the tree. Its address is bound at once, so that it is known before the tree
+// runs, and again when the part is started anew.
+type httpPart struct {
+	server  *http.Server
+	listen  func(address string) (net.Listener, error)
+	address string
+
+	mutex    sync.Mutex
+	listener net.Listener
+}
+
+func newHTTPPart(server *http.Server, address string, listen func(string) (net.Listener, error)) (*httpPart, error) {
+	listener, err := listen(address)
+	if err != nil {
+		return nil, err
+	}
+	return &httpPart{server: server, listen: listen, address: listener.Addr().String(), listener: listener}, nil
+}
+
+// Serve answers until the context ends, or until the part has been shut down.
+func (part *httpPart) Serve(ctx context.Context) error {
+	listener, err := part.takeListener()
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = part.server.Close() })
+	defer stop()
+	err = part.server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return err
+}
+
+func (part *httpPart) takeListener() (net.Listener, error) {
+	part.mutex.Lock()
+	defer part.mutex.Unlock()
+	listener := part.listener
+	part.listener = nil
+	if listener != nil {
+		return listener, nil
+	}
+	return part.listen(part.address)
+}
+
+// shutdown ends listening and waits for the requests under way.
+func (part *httpPart) shutdown(ctx context.Context) error {
+	return part.server.Shutdown(ctx)
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,199 @@
+package load
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
+// quantilesShown are the quantiles of a report, in percent.
+var quantilesShown = []float64{50, 90, 99, 99.9}
+
+// WriteText writes a table: each variant as a whole, by class, and the spread of its p50 and p99 over the rounds.
+func (result Result) WriteText(out io.Writer) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(table, "%.0f calls/s, latency from the scheduled time, in ms\n\n", result.Rate)
+	fmt.Fprintln(table, "variant\tclass\tanswered\tnotRun\tunknown\tnotSent\tp50\tp90\tp99\tp99.9\tmost")
+	for _, variant := range result.Variants {
+		whole := variant.Whole
+		fmt.Fprintf(table, "%s\tall\t%d\t%d\t%d\t%d", variant.Name, whole.Answered, whole.NotRun, whole.Unknown, whole.NotSent)
+		writeQuantiles(table, whole.All)
+		for _, class := range slices.Sorted(maps.Keys(whole.Classes)) {
+			fmt.Fprintf(table, "%s\t%s\t%d\t\t\t", variant.Name, class, whole.Classes[class].TotalCount())
+			writeQuantiles(table, whole.Classes[class])
+		}
+	}
+	fmt.Fprintln(table, "\nvariant\tquantile\tleast of rounds\tmedian of rounds\tmost of rounds")
+	for _, variant := range result.Variants {
+		for _, at := range []float64{50, 99} {
+			least, median, most := variant.spread(at)
+			fmt.Fprintf(table, "%s\tp%g\t%.3f\t%.3f\t%.3f\n", variant.Name, at, least, median, most)
+		}
+	}
+	result.writeRatios(table)
+	return table.Flush()
+}
+
+// writeRatios compares each variant with the first, round by round.
+func (result Result) writeRatios(out io.Writer) {
+	if len(result.Variants) < 2 {
+		return
+	}
+	base := result.Variants[0]
+	fmt.Fprintln(out, "\nround by round\tquantile\tmedian of ratios\tmedian of differences (ms)")
+	for _, variant := range result.Variants[1:] {
+		for _, at := range []float64{50, 99} {
+			var ratios, differences []float64
+			for round := range variant.Rounds {
+				own, other := quantile(variant.Rounds[round].All, at), quantile(base.Rounds[round].All, at)
+				ratios = append(ratios, own/max(other, 0.001))
+				differences = append(differences, own-other)
+			}
+			fmt.Fprintf(out, "%s against %s\tp%g\t%.2f\t%.3f\n", variant.Name, base.Name, at, medianOf(ratios), medianOf(differences))
+		}
+	}
+}
+
+func writeQuantiles(out io.Writer, histogram *hdrhistogram.Histogram) {
+	for _, at := range quantilesShown {
+		fmt.Fprintf(out, "\t%.3f", quantile(histogram, at))
+	}
+	fmt.Fprintf(out, "\t%.3f\n", float64(histogram.Max())/microsecondsPerMilli)
+}
+
+func medianOf(values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[len(sorted)/2]
+}
+
+// spread returns the least, the median and the most of a quantile over the rounds.
+func (variant VariantResult) spread(at float64) (least, median, most float64) {
+	var values []float64
+	for _, round := range variant.Rounds {
+		values = append(values, quantile(round.All, at))
+	}
+	if len(values) == 0 {
+		return 0, 0, 0
+	}
+	return slices.Min(values), medianOf(values), slices.Max(values)
+}
+
+// jsonVariant is a variant in a JSON report.
+type jsonVariant struct {
+	Name      string                                    `json:"name"`
+	Answered  int64                                     `json:"answered"`
+	NotRun    int64                                     `json:"notRun"`
+	Unknown   int64                                     `json:"unknown"`
+	NotSent   int64                                     `json:"notSent"`
+	LatencyMs map[string]float64                        `json:"latencyMs"`
+	ClassesMs map[settings.ClassName]map[string]float64 `json:"classesMs"`
+	RoundsMs  []map[string]float64                      `json:"roundsMs"`
+}
+
+// WriteJSON writes everything that the text says, for programs.
+func (result Result) WriteJSON(out io.Writer) error {
+	report := struct {
+		Rate     float64       `json:"callsPerSecond"`
+		Variants []jsonVariant `json:"variants"`
+	}{Rate: result.Rate}
+	for _, variant := range result.Variants {
+		entry := jsonVariant{
+			Name: variant.Name, Answered: variant.Whole.Answered, NotRun: variant.Whole.NotRun, Unknown: variant.Whole.Unknown,
+			NotSent: variant.Whole.NotSent, LatencyMs: quantileMap(variant.Whole.All), ClassesMs: map[settings.ClassName]map[string]float64{},
+		}
+		for class, histogram := range variant.Whole.Classes {
+			entry.ClassesMs[class] = quantileMap(histogram)
+		}
+		for _, round := range variant.Rounds {
+			entry.RoundsMs = append(entry.RoundsMs, quantileMap(round.All))
+		}
+		report.Variants = append(report.Variants, entry)
+	}
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return errors.Wrap(encoder.Encode(report), "write report")
+}
+
+func quantileMap(histogram *hdrhistogram.Histogram) map[string]float64 {
+	values := map[string]float64{}
+	for _, at := range quantilesShown {
+		values[fmt.Sprintf("p%g", at)] = quantile(histogram, at)
+	}
+	return values
+}
+
+// mostNines is how far into the tail a plot reaches: 99.99 in 100.
+const mostNines = 4
+
+// WritePlot draws latency against the share of calls, whose tail is stretched so that each nine takes the same width.
+func (result Result) WritePlot(path string) error {
+	drawing := plot.New()
+	drawing.Title.Text = fmt.Sprintf("Latency at %.0f calls/s", result.Rate)
+	drawing.X.Label.Text = "nines of calls (1 = 90%, 2 = 99%, 3 = 99.9%)"
+	drawing.Y.Label.Text = "latency (ms, logarithmic)"
+	drawing.Y.Scale = plot.LogScale{}
+	drawing.Y.Tick.Marker = plot.LogTicks{Prec: 3}
+	drawing.Add(plotter.NewGrid())
+	for index, variant := range result.Variants {
+		line, err := plotter.NewLine(tailOf(variant.Whole.All))
+		if err != nil {
+			return errors.Wrapf(err, "plot variant %s", variant.Name)
+		}
+		line.Color = plotutil.Color(index)
+		drawing.Add(line)
+		drawing.Legend.Add(variant.Name, line)
+	}
+	drawing.Legend.Left = true
+	drawing.Legend.Top = true
+	return errors.Wrap(drawing.Save(18*vg.Centimeter, 11*vg.Centimeter, path), "write plot")
+}
+
+// tailOf returns points of nines against milliseconds.
+func tailOf(histogram *hdrhistogram.Histogram) plotter.XYs {
+	const pointsPerNine = 20
+	var points plotter.XYs
+	share := 1.0
+	for step := range mostNines*pointsPerNine + 1 {
+		nines := float64(step) / pointsPerNine
+		value := quantile(histogram, 100*(1-share))
+		points = append(points, plotter.XY{X: nines, Y: max(value, 0.001)})
+		share *= tenthRoot
+	}
+	return points
+}
+
+// tenthRoot is the factor that takes one nine off in 20 steps: 10 to the power of -1/20.
+const tenthRoot = 0.8912509381337456
+
+// WriteFiles writes the report as report.txt, report.json and report.svg into a directory.
+func (result Result) WriteFiles(directory string) error {
+	if err := os.MkdirAll(directory, 0o755); err != nil {
+		return errors.Wrap(err, "write report")
+	}
+	text, textErr := os.Create(filepath.Join(directory, "report.txt"))
+	structured, jsonErr := os.Create(filepath.Join(directory, "report.json"))
+	if err := cmp.Or(textErr, jsonErr); err != nil {
+		return errors.Wrap(err, "write report")
+	}
+	defer text.Close()
+	defer structured.Close()
+	return errors.Join(result.WriteText(text), result.WriteJSON(structured), result.WritePlot(filepath.Join(directory, "report.svg")))
+}
--- /dev/null
+++ b/internal/service/budget.go
@@ -0,0 +1,50 @@
+package service
+
+import "sync/atomic"
+
+// budgetUnit is one request in the budget's count, which works in thousandths.
+const budgetUnit = 1000
+
+// budgetMost is how many retries can be saved up, so that a quiet service can still retry its first failures and a
+// busy one can't store enough for a storm.
+const budgetMost = 10 * budgetUnit
+
+// RetryBudget lets a share of live requests be sent again. Without it, retries multiply the load exactly when backend
+// servers fail because there is too much of it. It is safe for concurrent use.
+type RetryBudget struct {
+	thousandths atomic.Int64
+	perRequest  atomic.Int64
+}
+
+// NewRetryBudget returns a full budget that regains share of a retry with each live request.
+func NewRetryBudget(share float64) *RetryBudget {
+	budget := &RetryBudget{}
+	budget.thousandths.Store(budgetMost)
+	budget.SetShare(share)
+	return budget
+}
+
+// SetShare changes the share of live requests that may be sent again, from 0 to 1.
+func (budget *RetryBudget) SetShare(share float64) {
+	budget.perRequest.Store(int64(share * budgetUnit))
+}
+
+// Earn counts one live request.
+func (budget *RetryBudget) Earn() {
+	if budget.thousandths.Load() < budgetMost {
+		budget.thousandths.Add(budget.perRequest.Load())
+	}
+}
+
+// Spend takes one retry out of the budget, and reports whether there was one.
+func (budget *RetryBudget) Spend() bool {
+	for {
+		left := budget.thousandths.Load()
+		if left < budgetUnit {
+			return false
+		}
+		if budget.thousandths.CompareAndSwap(left, left-budgetUnit) {
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/internal/service/dispatcher.go
@@ -0,0 +1,431 @@
+package service
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
+// Reasons for which a request is refused. In each case nothing was sent to a backend server.
+var (
+	// ErrNoTarget says that the service has no backend server at all.
+	ErrNoTarget = errors.New("no backend server")
+	// ErrQueueFull says that as many requests wait as may.
+	ErrQueueFull = errors.New("queue full")
+	// ErrQueueWait says that the request has waited as long as it may.
+	ErrQueueWait = errors.New("waited too long for a place")
+	// ErrDeadline says that the request's time ran out while it waited.
+	ErrDeadline = errors.New("deadline passed before a place was free")
+)
+
+// failuresUntilTrickle is the number of failures in a row after which a target is tried by one request at a time.
+const failuresUntilTrickle = 3
+
+// mostDoublings bounds how often the penalty for a failure doubles: 2^5 times 100 ms is 3.2 s.
+const mostDoublings = 5
+
+// Result is how a request on a place ended.
+type Result int
+
+// The results of a request.
+const (
+	// Succeeded means that the backend server answered.
+	Succeeded Result = iota
+	// Failed means that it broke the connection, refused, or answered with a server error.
+	Failed
+	// Cancelled means that the request ended for a reason that says nothing about the backend server.
+	Cancelled
+)
+
+// Limits are the service's settings that bound queueing and failures.
+type Limits struct {
+	QueueLength    int
+	QueueWait      clock.Milliseconds
+	FailurePenalty clock.Milliseconds
+}
+
+// Options are what a Dispatcher is made from.
+type Options struct {
+	Clock  *clock.Clock
+	Rand   *rand.Rand
+	Limits Limits
+}
+
+// Demand is what a request asks of a Dispatcher.
+type Demand struct {
+	Priority settings.Priority
+	// Deadline is the moment at which the answer is worth nothing any more.
+	Deadline clock.Moment
+	// Tried is the target on which an earlier attempt of the request failed, or nil.
+	Tried *Target
+}
+
+// Place is the right to have one request in flight on a target. Release gives it back.
+type Place struct {
+	Target     *Target
+	dispatcher *Dispatcher
+	// Waited is how long the request waited for it.
+	Waited clock.Milliseconds
+	// Taken is the number of places in use on the target as this instance saw it, this one included.
+	Taken int
+	// Listed is the number of targets among which it was chosen.
+	Listed int
+}
+
+// Dispatcher gives out the places of one service at one instance. It is safe for concurrent use.
+type Dispatcher struct {
+	clock *clock.Clock
+
+	mutex     sync.Mutex
+	random    *rand.Rand
+	limits    Limits
+	targets   map[settings.TargetName]*Target
+	index     levelIndex
+	live      int
+	listed    int
+	waiting   waitQueue
+	penalties []penalty
+	capacity  int
+	held      int
+	failing   int
+}
+
+// NewDispatcher returns a Dispatcher without targets.
+func NewDispatcher(options Options) *Dispatcher {
+	return &Dispatcher{
+		clock:   options.Clock,
+		random:  options.Rand,
+		limits:  options.Limits,
+		targets: map[settings.TargetName]*Target{},
+	}
+}
+
+// SetLimits changes the settings in force.
+func (dispatcher *Dispatcher) SetLimits(limits Limits) {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	dispatcher.limits = limits
+}
+
+// Add makes a target known, without any place until SetLimit grants some. It does nothing when the name is known.
+func (dispatcher *Dispatcher) Add(name settings.TargetName, address string, dataCentre settings.DataCentreName) {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	if target, known := dispatcher.targets[name]; known {
+		dispatcher.revive(target, address, dataCentre)
+		return
+	}
+	dispatcher.targets[name] = &Target{Name: name, Address: address, DataCentre: dataCentre, level: unlisted}
+	dispatcher.live++
+}
+
+// revive takes back a target that was removed while requests were still in flight on it. Keeping the same record keeps
+// their count: a fresh one would start at zero, and a server that is cold again would be given more than it bears.
+func (dispatcher *Dispatcher) revive(target *Target, address string, dataCentre settings.DataCentreName) {
+	if !target.removed {
+		return
+	}
+	target.removed = false
+	target.Address = address
+	target.DataCentre = dataCentre
+	dispatcher.live++
+}
+
+// Remove forgets a target. Requests in flight on it go on; no new one is given to it.
+func (dispatcher *Dispatcher) Remove(name settings.TargetName) {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	target, known := dispatcher.targets[name]
+	if !known || target.removed {
+		return
+	}
+	dispatcher.countFailing(target, 0)
+	dispatcher.changeLimit(target, TargetLimit{})
+	target.removed = true
+	dispatcher.live--
+	dispatcher.forget(target)
+	if dispatcher.live == 0 {
+		dispatcher.refuseAll(ErrNoTarget)
+	}
+}
+
+// forget drops a removed target once nothing is in flight on it.
+func (dispatcher *Dispatcher) forget(target *Target) {
+	if target.removed && target.own+target.held == 0 {
+		delete(dispatcher.targets, target.Name)
+	}
+}
+
+// SetLimit changes how many places a target has, and what others have taken of them. Waiting requests are given the
+// places that this frees.
+func (dispatcher *Dispatcher) SetLimit(name settings.TargetName, limit TargetLimit, others int) {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	target, known := dispatcher.targets[name]
+	if !known || target.removed {
+		return
+	}
+	target.others = others
+	dispatcher.changeLimit(target, limit)
+	dispatcher.serveWaiting()
+}
+
+func (dispatcher *Dispatcher) changeLimit(target *Target, limit TargetLimit) {
+	dispatcher.capacity += limit.Limit - target.limit
+	target.limit = limit.Limit
+	target.shareLeast = limit.ShareLeast
+	target.ownMost = limit.OwnMost
+	dispatcher.relist(target)
+}
+
+// relist puts target on the list where it now belongs.
+func (dispatcher *Dispatcher) relist(target *Target) {
+	level := target.computeLevel(dispatcher.tricklesTo(target))
+	if (level == unlisted) != (target.level == unlisted) {
+		if level == unlisted {
+			dispatcher.listed--
+		} else {
+			dispatcher.listed++
+		}
+	}
+	dispatcher.index.move(target, level)
+}
+
+// tricklesTo reports whether target has failed so often that it is only tried by one request at a time. When more than
+// half of all targets fail, none is treated so: the cause then is most likely not the single target, and taking so
+// many away would topple the rest.
+func (dispatcher *Dispatcher) tricklesTo(target *Target) bool {
+	return target.failures >= failuresUntilTrickle && 2*dispatcher.failing <= dispatcher.live
+}
+
+// Take waits for a place. The error is ErrNoTarget, ErrQueueFull, ErrQueueWait, ErrDeadline or the context's.
+func (dispatcher *Dispatcher) Take(ctx context.Context, demand Demand) (Place, error) {
+	now := dispatcher.clock.Now()
+	dispatcher.mutex.Lock()
+	if dispatcher.live == 0 {
+		dispatcher.mutex.Unlock()
+		return Place{}, ErrNoTarget
+	}
+	if dispatcher.waiting.length == 0 || demand.Priority < dispatcher.firstWaitingPriority(now) {
+		if place, found := dispatcher.takeNow(demand); found {
+			dispatcher.mutex.Unlock()
+			return place, nil
+		}
+	}
+	waiter, err := dispatcher.enqueue(now, demand)
+	dispatcher.mutex.Unlock()
+	if err != nil {
+		return Place{}, err
+	}
+	return dispatcher.wait(ctx, waiter)
+}
+
+func (dispatcher *Dispatcher) firstWaitingPriority(now clock.Moment) settings.Priority {
+	return dispatcher.waiting.next(now, dispatcher.patience()).demand.Priority
+}
+
+// patience is how long the oldest request waits before newer ones go first.
+func (dispatcher *Dispatcher) patience() clock.Milliseconds {
+	return dispatcher.limits.QueueWait / 2
+}
+
+// takeNow takes a place if one is free.
+func (dispatcher *Dispatcher) takeNow(demand Demand) (Place, bool) {
+	listed := dispatcher.listed
+	target := dispatcher.index.least(dispatcher.random, demand.Tried)
+	if target == nil {
+		return Place{}, false
+	}
+	target.own++
+	dispatcher.relist(target)
+	return Place{Target: target, dispatcher: dispatcher, Taken: target.taken(), Listed: listed}, true
+}
+
+// enqueue makes a request wait. When the queue is full, a less urgent request is refused in its favour.
+func (dispatcher *Dispatcher) enqueue(now clock.Moment, demand Demand) (*waiter, error) {
+	if dispatcher.waiting.length >= dispatcher.limits.QueueLength {
+		victim := dispatcher.waiting.lowerThan(demand.Priority)
+		if victim == nil {
+			return nil, ErrQueueFull
+		}
+		dispatcher.waiting.remove(victim)
+		victim.done <- grant{err: ErrQueueFull}
+	}
+	newcomer := &waiter{demand: demand, since: now, longest: dispatcher.limits.QueueWait, done: make(chan grant, 1)}
+	dispatcher.waiting.push(newcomer)
+	return newcomer, nil
+}
+
+// wait blocks until waiter has a place or is refused.
+func (dispatcher *Dispatcher) wait(ctx context.Context, waiter *waiter) (Place, error) {
+	longest := waiter.longest
+	reason := ErrQueueWait
+	if left := waiter.demand.Deadline.Since(waiter.since); left < longest {
+		longest = left
+		reason = ErrDeadline
+	}
+	timer := time.NewTimer(longest.Duration())
+	defer timer.Stop()
+	select {
+	case granted := <-waiter.done:
+		return dispatcher.placeOf(waiter, granted)
+	case <-timer.C:
+	case <-ctx.Done():
+		reason = ctx.Err()
+	}
+	dispatcher.mutex.Lock()
+	stillWaiting := dispatcher.waiting.remove(waiter)
+	dispatcher.mutex.Unlock()
+	if stillWaiting {
+		return Place{}, reason
+	}
+	// A place arrived at the same instant; it is used, or else it would stay taken for ever.
+	return dispatcher.placeOf(waiter, <-waiter.done)
+}
+
+func (dispatcher *Dispatcher) placeOf(waiter *waiter, granted grant) (Place, error) {
+	if granted.err != nil {
+		return Place{}, granted.err
+	}
+	waited := dispatcher.clock.Now().Since(waiter.since)
+	return Place{Target: granted.target, dispatcher: dispatcher, Waited: waited, Taken: 1, Listed: 1}, nil
+}
+
+// serveWaiting gives free places to waiting requests.
+func (dispatcher *Dispatcher) serveWaiting() {
+	for dispatcher.waiting.length > 0 {
+		first := dispatcher.waiting.next(dispatcher.clock.Now(), dispatcher.patience())
+		place, found := dispatcher.takeNow(first.demand)
+		if !found {
+			return
+		}
+		dispatcher.waiting.remove(first)
+		first.done <- grant{target: place.Target}
+	}
+}
+
+// refuseAll ends every wait.
+func (dispatcher *Dispatcher) refuseAll(reason error) {
+	for dispatcher.waiting.length > 0 {
+		first := dispatcher.waiting.next(dispatcher.clock.Now(), dispatcher.patience())
+		dispatcher.waiting.remove(first)
+		first.done <- grant{err: reason}
+	}
+}
+
+// Release gives the place back and learns from how the request ended.
+func (place Place) Release(result Result) {
+	place.dispatcher.release(place.Target, result)
+}
+
+func (dispatcher *Dispatcher) release(target *Target, result Result) {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	target.own--
+	switch result {
+	case Succeeded:
+		dispatcher.countFailing(target, 0)
+	case Failed:
+		dispatcher.punish(target)
+	case Cancelled:
+	}
+	dispatcher.relist(target)
+	dispatcher.forget(target)
+	dispatcher.serveWaiting()
+}
+
+// punish counts a failure. A server that fails fast has few requests in flight and would look like the best choice, so
+// it would draw nearly all requests; one notices many errors at a low load. Keeping the place taken for a while makes
+// a failure weigh as much as a slow answer. At most half of all places are kept so at once.
+func (dispatcher *Dispatcher) punish(target *Target) {
+	dispatcher.countFailing(target, target.failures+1)
+	if 2*(dispatcher.held+1) > dispatcher.capacity || target.removed {
+		return
+	}
+	doublings := min(target.failures-1, mostDoublings)
+	length := dispatcher.limits.FailurePenalty * clock.Milliseconds(int(1)<<doublings)
+	target.held++
+	dispatcher.held++
+	dispatcher.penalties = append(dispatcher.penalties, penalty{target: target, until: dispatcher.clock.Now().Add(length)})
+}
+
+// countFailing sets the number of failures in a row, and keeps count of the targets that fail.
+func (dispatcher *Dispatcher) countFailing(target *Target, failures int) {
+	before := target.failures >= failuresUntilTrickle
+	target.failures = failures
+	after := target.failures >= failuresUntilTrickle
+	if before == after {
+		return
+	}
+	if after {
+		dispatcher.failing++
+	} else {
+		dispatcher.failing--
+	}
+}
+
+// Sweep gives back the places whose time as a penalty is over. The control goroutine calls it every few milliseconds.
+func (dispatcher *Dispatcher) Sweep() {
+	now := dispatcher.clock.Now()
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	kept := dispatcher.penalties[:0]
+	for _, held := range dispatcher.penalties {
+		if now < held.until {
+			kept = append(kept, held)
+			continue
+		}
+		held.target.held--
+		dispatcher.held--
+		dispatcher.relist(held.target)
+		dispatcher.forget(held.target)
+	}
+	clear(dispatcher.penalties[len(kept):])
+	dispatcher.penalties = kept
+	dispatcher.serveWaiting()
+}
+
+// TargetState is a copy of what the Dispatcher knows of a target.
+type TargetState struct {
+	Name       settings.TargetName     `json:"name"`
+	Address    string                  `json:"address"`
+	DataCentre settings.DataCentreName `json:"dataCentre"`
+	Own        int                     `json:"own"`
+	Held       int                     `json:"held"`
+	Others     int                     `json:"others"`
+	Limit      int                     `json:"limit"`
+	Failures   int                     `json:"failures"`
+}
+
+// State returns the state of every target, in no particular order, and the number of waiting requests.
+func (dispatcher *Dispatcher) State() ([]TargetState, int) {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	states := make([]TargetState, 0, len(dispatcher.targets))
+	for _, target := range dispatcher.targets {
+		if target.removed {
+			continue
+		}
+		states = append(states, TargetState{
+			Name: target.Name, Address: target.Address, DataCentre: target.DataCentre,
+			Own: target.own, Held: target.held, Others: target.others, Limit: target.limit, Failures: target.failures,
+		})
+	}
+	return states, dispatcher.waiting.length
+}
+
+// Own returns how many places this instance has taken on the target.
+func (dispatcher *Dispatcher) Own(name settings.TargetName) int {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	if target, known := dispatcher.targets[name]; known {
+		return target.own
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/service/warmup.go
@@ -0,0 +1,33 @@
+package service
+
+import "github.com/jaywheel/jaywheel/pkg/clock"
+
+// Warmup says how many requests a backend server bears while it warms up.
+type Warmup struct {
+	// Places is what it bears at first, Slots what it bears in the end.
+	Places int
+	Slots  int
+	// FullAfter is the time from the one to the other.
+	FullAfter clock.Milliseconds
+}
+
+// LimitAt returns what the server bears when it has been warming up for the given time. It grows in a straight line,
+// rounded down.
+func (warmup Warmup) LimitAt(elapsed clock.Milliseconds) int {
+	if elapsed >= warmup.FullAfter {
+		return warmup.Slots
+	}
+	if elapsed <= 0 {
+		return warmup.Places
+	}
+	return warmup.Places + int(float64(warmup.Slots-warmup.Places)*float64(elapsed/warmup.FullAfter))
+}
+
+// WarmShare returns the limits of one instance on a warm target whose callers are sent to serving instances. Twice an
+// even share lets callers spread unevenly, and still keeps a target that has just slowed down from collecting more
+// than a few requests, which then wait in front of it instead of going elsewhere.
+func WarmShare(slots, serving, ownMost int) TargetLimit {
+	even := (slots + serving - 1) / serving
+	share := min(slots, 2*even, ownMost)
+	return TargetLimit{Limit: share, ShareLeast: share, OwnMost: ownMost}
+}
--- /dev/null
+++ b/main.go
@@ -0,0 +1,18 @@
+// Command jaywheel balances the requests of callers over backend servers whose load shifts in milliseconds.
+//
+// # Usage
+//
+//	jaywheel try                                   run everything on embedded stand-ins
+//	jaywheel serve --settings instance.json        run one instance
+//	jaywheel --help                                list every subcommand
+package main
+
+import (
+	"os"
+
+	"github.com/jaywheel/jaywheel/cmd"
+)
+
+func main() {
+	os.Exit(cmd.Main(os.Args[1:]))
+}
--- /dev/null
+++ b/pkg/settings/check.go
@@ -0,0 +1,190 @@
+package settings
+
+import (
+	"encoding/hex"
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/jaywheel/jaywheel/pkg/clock"
+)
+
+// ReservedPath is the path under which an instance answers for itself; no service may claim it.
+const ReservedPath = "/jaywheel/"
+
+// keyBytes is the length of a key that seals datagrams.
+const keyBytes = 32
+
+// checker collects problems of one file.
+type checker struct {
+	file     string
+	problems []Problem
+}
+
+func (checker *checker) add(path, format string, arguments ...any) {
+	checker.problems = append(checker.problems, Problem{File: checker.file, Path: path, Reason: fmt.Sprintf(format, arguments...)})
+}
+
+func (checker *checker) positive(path string, length clock.Milliseconds) {
+	if length <= 0 {
+		checker.add(path, "must be longer than nothing")
+	}
+}
+
+func (checker *checker) address(path, address string) {
+	addressPort, err := netip.ParseAddrPort(address)
+	if err != nil {
+		checker.add(path, "is no IP number with a port: %q", address)
+		return
+	}
+	if addressPort.Addr().Zone() != "" {
+		checker.add(path, "must carry no zone: %q", address)
+	}
+}
+
+// sortedKeys makes the order of problems the same in every run.
+func sortedKeys[K ~string, V any](entries map[K]V) []K {
+	return slices.Sorted(maps.Keys(entries))
+}
+
+// check finds everything that the shape alone can't tell, in the site and all its services.
+func (site *Site) check(file string) []Problem {
+	problems := site.checkSite(file)
+	if len(site.ServiceNames) > 0 {
+		problems = append(problems, Problem{File: file, Path: "serviceNames", Reason: "rendering fills this in; leave it out"})
+	}
+	for _, name := range sortedKeys(site.Services) {
+		service := site.Services[name]
+		path := "services." + string(name)
+		problems = append(problems, service.check(file, path)...)
+		problems = append(problems, service.CheckAgainst(site, file, path)...)
+	}
+	return append(problems, CheckClaims(site.Services, file)...)
+}
+
+func (site *Site) checkSite(file string) []Problem {
+	checker := &checker{file: file}
+	fleet := site.Fleet
+	if fleet.InstancesPerService > fleet.InstancesMost {
+		checker.add("fleet.instancesPerService", "%d is more than fleet.instancesMost, %d", fleet.InstancesPerService, fleet.InstancesMost)
+	}
+	checker.positive("fleet.answerKept", fleet.AnswerKept)
+	checker.positive("fleet.heartbeatEvery", fleet.HeartbeatEvery)
+	if fleet.SuspectAfter < 3*fleet.HeartbeatEvery {
+		checker.add("fleet.suspectAfter", "%s is less than three heartbeats of %s; one lost datagram would look like a failure",
+			fleet.SuspectAfter, fleet.HeartbeatEvery)
+	}
+	if !slices.ContainsFunc(slices.Collect(maps.Values(site.DataCentres)), func(dataCentre DataCentre) bool { return dataCentre.State == DataCentreIn }) {
+		checker.add("dataCentres", "every data centre is out")
+	}
+	return checker.problems
+}
+
+// CheckAgainst finds what does not fit between a service and the site it belongs to.
+func (service *Service) CheckAgainst(site *Site, file, path string) []Problem {
+	checker := &checker{file: file}
+	if service.ConnectionsPerTarget < site.Fleet.InstancesMost {
+		checker.add(join(path, "connectionsPerTarget"), "%d does not give each of fleet.instancesMost, %d, one connection",
+			service.ConnectionsPerTarget, site.Fleet.InstancesMost)
+	}
+	return checker.problems
+}
+
+func (service *Service) check(file, path string) []Problem {
+	checker := &checker{file: file}
+	for index, host := range service.Hosts {
+		if host == "" || strings.ContainsAny(host, ":/ ") || host != strings.ToLower(host) {
+			checker.add(join(path, fmt.Sprintf("hosts.%d", index)), "is no host name in lower case without a port: %q", host)
+		}
+	}
+	if strings.HasPrefix(service.PathPrefix, ReservedPath) {
+		checker.add(join(path, "pathPrefix"), "%s is reserved", ReservedPath)
+	}
+	checker.positive(join(path, "queue.wait"), service.Queue.Wait)
+	checker.positive(join(path, "connections.connectTimeout"), service.Connections.ConnectTimeout)
+	checker.positive(join(path, "connections.silentMost"), service.Connections.SilentMost)
+	if service.ColdStart.Places > service.SlotsPerTarget {
+		checker.add(join(path, "coldStart.places"), "%d is more than slotsPerTarget, %d", service.ColdStart.Places, service.SlotsPerTarget)
+	}
+	for _, name := range sortedKeys(service.Classes) {
+		class := service.Classes[name]
+		class.check(checker, join(path, "classes."+string(name)), service.PathPrefix)
+	}
+	service.checkOverlap(checker, join(path, "classes"))
+	return checker.problems
+}
+
+func (class *Class) check(checker *checker, path, servicePrefix string) {
+	for index, method := range class.Methods {
+		if method == "" || method != strings.ToUpper(method) {
+			checker.add(fmt.Sprintf("%s.methods.%d", path, index), "is no HTTP method in capitals: %q", method)
+		}
+		if method == "CONNECT" {
+			checker.add(fmt.Sprintf("%s.methods.%d", path, index), "CONNECT opens tunnels, which are not offered")
+		}
+	}
+	for index, prefix := range class.Paths {
+		if !strings.HasPrefix(prefix, servicePrefix) {
+			checker.add(fmt.Sprintf("%s.paths.%d", path, index), "%q does not lie below pathPrefix, %q", prefix, servicePrefix)
+		}
+	}
+	checker.positive(join(path, "timeout"), class.Timeout)
+}
+
+// checkOverlap finds two classes that claim the same method below the same path, between which no rule decides.
+func (service *Service) checkOverlap(checker *checker, path string) {
+	type claim struct{ method, prefix string }
+	claimed := map[claim]ClassName{}
+	for _, name := range sortedKeys(service.Classes) {
+		for _, method := range service.Classes[name].Methods {
+			for _, prefix := range service.Classes[name].Paths {
+				other, taken := claimed[claim{method, prefix}]
+				if taken && other != name {
+					checker.add(join(path, string(name)), "claims %s %s, as %s does", method, prefix, other)
+				}
+				claimed[claim{method, prefix}] = name
+			}
+		}
+	}
+}
+
+// CheckClaims finds two services that claim the same host and path, between which no rule decides.
+func CheckClaims(services map[ServiceName]Service, file string) []Problem {
+	type claim struct{ host, prefix string }
+	checker := &checker{file: file}
+	claimed := map[claim]ServiceName{}
+	for _, name := range sortedKeys(services) {
+		service := services[name]
+		for _, host := range service.Hosts {
+			other, taken := claimed[claim{host, service.PathPrefix}]
+			if taken {
+				checker.add("services."+string(name)+".hosts", "claims %s%s, as %s does", host, service.PathPrefix, other)
+			}
+			claimed[claim{host, service.PathPrefix}] = name
+		}
+	}
+	return checker.problems
+}
+
+func (process *Process) check(file string) []Problem {
+	checker := &checker{file: file}
+	checker.address("callerAddress", process.CallerAddress)
+	checker.address("peerAddress", process.PeerAddress)
+	checker.address("operatorAddress", process.OperatorAddress)
+	checker.address("platform.configurationAddress", process.Platform.ConfigurationAddress)
+	checker.address("platform.instancesAddress", process.Platform.InstancesAddress)
+	checker.positive("platform.timeout", process.Platform.Timeout)
+	checker.positive("callers.headerTimeout", process.Callers.HeaderTimeout)
+	checker.positive("callers.stallMost", process.Callers.StallMost)
+	if _, known := process.Keys.Known[process.Keys.SealWith]; !known {
+		checker.add("keys.sealWith", "%q is not among keys.known", process.Keys.SealWith)
+	}
+	for _, name := range sortedKeys(process.Keys.Known) {
+		if key, err := hex.DecodeString(process.Keys.Known[name]); err != nil || len(key) != keyBytes {
+			checker.add("keys.known."+string(name), "is not %d bytes in hexadecimal", keyBytes)
+		}
+	}
+	return checker.problems
+}
--- /dev/null
+++ b/pkg/settings/document.go
@@ -0,0 +1,127 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// mostNesting bounds how deep a document may nest, so that a hostile one can't exhaust the stack.
+const mostNesting = 32
+
+// document is a JSON text together with the name that problems give it.
+type document struct {
+	name string
+	text []byte
+}
+
+// checkText finds what a decoder would pass over in silence: keys that stand twice, of which the last would win, and
+// text after the end.
+func (document document) checkText() []Problem {
+	decoder := json.NewDecoder(bytes.NewReader(document.text))
+	decoder.UseNumber()
+	scanner := &keyScanner{name: document.name, decoder: decoder}
+	if err := scanner.value(nil); err != nil {
+		return append(scanner.problems, Problem{File: document.name, Reason: describeSyntax(document.text, err)})
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		scanner.add(nil, "text after the end of the document")
+	}
+	return scanner.problems
+}
+
+// describeSyntax names the line of a syntax error.
+func describeSyntax(text []byte, err error) string {
+	var syntaxError *json.SyntaxError
+	if !errors.As(err, &syntaxError) {
+		return err.Error()
+	}
+	offset := min(int(syntaxError.Offset), len(text))
+	line := 1 + bytes.Count(text[:offset], []byte("\n"))
+	return "line " + strconv.Itoa(line) + ": " + syntaxError.Error()
+}
+
+type keyScanner struct {
+	name     string
+	decoder  *json.Decoder
+	problems []Problem
+}
+
+var errTooDeep = errors.Newf("nested deeper than %d levels", mostNesting)
+
+func (scanner *keyScanner) add(path []string, reason string) {
+	scanner.problems = append(scanner.problems, Problem{File: scanner.name, Path: strings.Join(path, "."), Reason: reason})
+}
+
+func (scanner *keyScanner) value(path []string) error {
+	if len(path) > mostNesting {
+		return errTooDeep
+	}
+	token, err := scanner.decoder.Token()
+	if err != nil {
+		return err
+	}
+	switch token {
+	case json.Delim('{'):
+		return scanner.object(path)
+	case json.Delim('['):
+		return scanner.array(path)
+	default:
+		return nil
+	}
+}
+
+func (scanner *keyScanner) object(path []string) error {
+	seen := map[string]bool{}
+	for scanner.decoder.More() {
+		token, err := scanner.decoder.Token()
+		if err != nil {
+			return err
+		}
+		key, _ := token.(string)
+		keyPath := append(path[:len(path):len(path)], key)
+		if seen[key] {
+			scanner.add(keyPath, "the key stands twice")
+		}
+		seen[key] = true
+		if err := scanner.value(keyPath); err != nil {
+			return err
+		}
+	}
+	_, err := scanner.decoder.Token()
+	return err
+}
+
+func (scanner *keyScanner) array(path []string) error {
+	for index := 0; scanner.decoder.More(); index++ {
+		if err := scanner.value(append(path[:len(path):len(path)], strconv.Itoa(index))); err != nil {
+			return err
+		}
+	}
+	_, err := scanner.decoder.Token()
+	return err
+}
+
+// has reports whether the document sets the field at path, or something that contains it.
+func (document document) has(path string) bool {
+	var node any
+	if json.Unmarshal(document.text, &node) != nil {
+		return false
+	}
+	for key := range strings.SplitSeq(path, ".") {
+		object, isObject := node.(map[string]any)
+		if !isObject {
+			return true
+		}
+		child, found := object[key]
+		if !found {
+			return false
+		}
+		node = child
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/settings/schema.go
@@ -0,0 +1,100 @@
+package settings
+
+import (
+	"bytes"
+	_ "embed"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+)
+
+// SiteSchema is the JSON Schema of a site's settings, for editors; a test keeps it equal to the Go types.
+//
+//go:embed site.schema.json
+var SiteSchema []byte
+
+// ProcessSchema is the JSON Schema of an instance's own settings.
+//
+//go:embed process.schema.json
+var ProcessSchema []byte
+
+// The definitions within the schemas against which documents are checked.
+const (
+	siteDefinition    = "site.schema.json#/$defs/Site"
+	serviceDefinition = "site.schema.json#/$defs/Service"
+	processDefinition = "process.schema.json#/$defs/Process"
+)
+
+// compiler holds both schemas. They are embedded and tested, so a failure to read them is a defect of the build.
+var compiler = sync.OnceValue(func() map[string]*jsonschema.Schema {
+	schemas := jsonschema.NewCompiler()
+	for name, text := range map[string][]byte{"site.schema.json": SiteSchema, "process.schema.json": ProcessSchema} {
+		parsed, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+		if err != nil {
+			panic(err)
+		}
+		if err := schemas.AddResource(name, parsed); err != nil {
+			panic(err)
+		}
+	}
+	compiled := map[string]*jsonschema.Schema{}
+	for _, definition := range []string{siteDefinition, serviceDefinition, processDefinition} {
+		compiled[definition] = schemas.MustCompile(definition)
+	}
+	return compiled
+})
+
+// checkShape compares a document with a definition and reports every deviation at once.
+func checkShape(definition, name string, text []byte) []Problem {
+	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	if err != nil {
+		return []Problem{{File: name, Reason: err.Error()}}
+	}
+	err = compiler()[definition].Validate(value)
+	validationError, isValidationError := err.(*jsonschema.ValidationError) //nolint:errorlint // The library returns it bare.
+	if !isValidationError {
+		return nil
+	}
+	problems := leaves(name, validationError)
+	slices.SortFunc(problems, func(left, right Problem) int { return strings.Compare(left.Path, right.Path) })
+	return problems
+}
+
+func leaves(name string, validationError *jsonschema.ValidationError) []Problem {
+	if len(validationError.Causes) > 0 {
+		var problems []Problem
+		for _, cause := range validationError.Causes {
+			problems = append(problems, leaves(name, cause)...)
+		}
+		return problems
+	}
+	path := strings.Join(validationError.InstanceLocation, ".")
+	if unknown, isUnknown := validationError.ErrorKind.(*kind.AdditionalProperties); isUnknown {
+		return unknownFields(name, validationError.InstanceLocation, unknown.Properties)
+	}
+	reason := validationError.ErrorKind.LocalizedString(message.NewPrinter(language.English))
+	return []Problem{{File: name, Path: path, Reason: reason}}
+}
+
+func unknownFields(name string, location, fields []string) []Problem {
+	problems := make([]Problem, 0, len(fields))
+	for _, field := range fields {
+		path := strings.Join(append(location[:len(location):len(location)], field), ".")
+		problems = append(problems, Problem{File: name, Path: path, Reason: "no such field"})
+	}
+	return problems
+}
+
+// decode reads a document whose shape has been checked.
+func decode(name string, text []byte, into any) []Problem {
+	if err := json.Unmarshal(text, into); err != nil {
+		return []Problem{{File: name, Reason: err.Error()}}
+	}
+	return nil
+}
