Check the dispatcher against a naive version

Cause: the choice among targets rests on an index of bits and lists that only a comparison can show to be right.

Change: a stateful rapid test drives it and a version that looks at every target; tests for fast failing servers, most servers failing, waiting by urgency (synctest), a server that returns with requests in flight, budgets.

--- a/internal/backendserver/report.go
+++ b/internal/backendserver/report.go
@@ -67,7 +67,7 @@
 		return Report{}, errors.Wrapf(ErrReport, "more than %d bytes", reportMost)
 	}
 	if err := json.Unmarshal(text, &report); err != nil {
-		return Report{}, errors.Mark(errors.Wrap(err, "load report"), ErrReport)
+		return Report{}, errors.Wrapf(ErrReport, "load report: %v", err)
 	}
 	if report.InFlight < 0 || report.Queued < 0 || report.StartedMs < 0 {
 		return Report{}, errors.Wrap(ErrReport, "a number below zero")
--- a/internal/instance/message.go
+++ b/internal/instance/message.go
@@ -70,7 +70,7 @@
 func decode(text []byte) (Heartbeat, error) {
 	var heartbeat Heartbeat
 	if err := decoding.Unmarshal(text, &heartbeat); err != nil {
-		return Heartbeat{}, errors.Mark(errors.Wrap(err, "decode heartbeat"), ErrMessage)
+		return Heartbeat{}, errors.Wrapf(ErrMessage, "decode heartbeat: %v", err)
 	}
 	if heartbeat.From == "" || len(heartbeat.Targets) > TargetsMost {
 		return Heartbeat{}, errors.Wrap(ErrMessage, "no sender, or too many targets")
--- a/internal/load/mix.go
+++ b/internal/load/mix.go
@@ -51,7 +51,7 @@
 	decoder := json.NewDecoder(bytes.NewReader(text))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&mix); err != nil {
-		return Mix{}, errors.Mark(err, ErrMix)
+		return Mix{}, errors.Wrapf(ErrMix, "%v", err)
 	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
 		return Mix{}, errors.Wrap(ErrMix, "text after the end")
--- /dev/null
+++ b/internal/service/dispatcher_test.go
@@ -0,0 +1,347 @@
+package service
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
+// naiveTarget is a target as a balancer without any index would keep it.
+type naiveTarget struct {
+	own, failures int
+	heldUntil     []clock.Moment
+	others        int
+	limit         TargetLimit
+	present       bool
+}
+
+// naive decides by looking at every target each time. It is slow and plainly right, and the Dispatcher must agree.
+type naive struct {
+	targets map[settings.TargetName]*naiveTarget
+}
+
+func (naive *naive) held() int {
+	held := 0
+	for _, target := range naive.targets {
+		held += len(target.heldUntil)
+	}
+	return held
+}
+
+func (naive *naive) capacity() int {
+	capacity := 0
+	for _, target := range naive.targets {
+		if target.present {
+			capacity += target.limit.Limit
+		}
+	}
+	return capacity
+}
+
+// share returns the share of places taken, or false when the target takes no more.
+func (target *naiveTarget) share() (float64, bool) {
+	mine := target.own + len(target.heldUntil)
+	if !target.present || target.limit.Limit == 0 || mine >= target.limit.OwnMost {
+		return 0, false
+	}
+	if taken := mine + target.others; taken < target.limit.Limit {
+		return float64(taken) / float64(target.limit.Limit), true
+	}
+	return 1, mine < target.limit.ShareLeast
+}
+
+// free returns the smallest share taken among targets that take more.
+func (naive *naive) free() (float64, bool) {
+	least, found := 2.0, false
+	for _, target := range naive.targets {
+		if share, free := target.share(); free {
+			least, found = min(least, share), true
+		}
+	}
+	return least, found
+}
+
+// Whatever happens to targets and requests, in whatever order, the Dispatcher gives a place exactly when the naive
+// version knows a free one, on a target whose share of taken places is the smallest to within one level, and never
+// exceeds a limit that is not to be exceeded.
+func TestDispatcherAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		manual := clock.NewManual()
+		dispatcher := NewDispatcher(Options{
+			Clock: &manual.Clock, Rand: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
+			Limits: Limits{QueueLength: 4, QueueWait: clock.Second, FailurePenalty: 100},
+		})
+		model := &naive{targets: map[settings.TargetName]*naiveTarget{}}
+		var places []Place
+		names := rapid.SampledFrom([]settings.TargetName{"a", "b", "c", "d", "e"})
+		t.Repeat(map[string]func(*rapid.T){
+			"add": func(t *rapid.T) {
+				name := names.Draw(t, "target")
+				dispatcher.Add(name, "127.0.0.1:1", "sofia-1")
+				if model.targets[name] == nil {
+					model.targets[name] = &naiveTarget{}
+				}
+				model.targets[name].present = true
+			},
+			"remove": func(t *rapid.T) {
+				name := names.Draw(t, "target")
+				dispatcher.Remove(name)
+				if target := model.targets[name]; target != nil {
+					target.present, target.limit, target.others, target.failures = false, TargetLimit{}, 0, 0
+				}
+			},
+			"limit": func(t *rapid.T) {
+				name := names.Draw(t, "target")
+				slots := rapid.IntRange(0, 6).Draw(t, "slots")
+				limit := TargetLimit{Limit: slots, ShareLeast: rapid.IntRange(0, 2).Draw(t, "least"), OwnMost: rapid.IntRange(0, 8).Draw(t, "most")}
+				others := rapid.IntRange(0, 3).Draw(t, "others")
+				dispatcher.SetLimit(name, limit, others)
+				if target := model.targets[name]; target != nil && target.present {
+					target.limit, target.others = limit, others
+				}
+			},
+			"take": func(t *rapid.T) {
+				gone, cancel := context.WithCancel(context.Background())
+				cancel()
+				least, free := model.free()
+				place, err := dispatcher.Take(gone, Demand{Deadline: manual.Now().Add(clock.Second)})
+				require.Equal(t, free, err == nil, "%v", err)
+				if err != nil {
+					return
+				}
+				target := model.targets[place.Target.Name]
+				share, takes := target.share()
+				require.True(t, takes)
+				require.LessOrEqual(t, share, least+1.0/levels)
+				target.own++
+				require.LessOrEqual(t, target.own, target.limit.OwnMost)
+				places = append(places, place)
+			},
+			"release": func(t *rapid.T) {
+				if len(places) == 0 {
+					t.Skip("nothing in flight")
+				}
+				index := rapid.IntRange(0, len(places)-1).Draw(t, "which")
+				result := rapid.SampledFrom([]Result{Succeeded, Failed, Cancelled}).Draw(t, "result")
+				place := places[index]
+				places = append(places[:index], places[index+1:]...)
+				target := model.targets[place.Target.Name]
+				target.own--
+				// At most two failures in a row, so that no target is set aside; TestFailingTargets is about those.
+				if result == Failed && target.failures >= failuresUntilTrickle-1 {
+					result = Succeeded
+				}
+				switch result {
+				case Succeeded:
+					target.failures = 0
+				case Failed:
+					target.failures++
+					if 2*(model.held()+1) <= model.capacity() && target.present {
+						until := manual.Now().Add(100 * clock.Milliseconds(int(1)<<(target.failures-1)))
+						target.heldUntil = append(target.heldUntil, until)
+					}
+				case Cancelled:
+				}
+				place.Release(result)
+				if !target.present && target.own+len(target.heldUntil) == 0 {
+					target.failures = 0
+				}
+			},
+			"wait": func(t *rapid.T) {
+				manual.Advance(clock.Milliseconds(rapid.IntRange(1, 300).Draw(t, "ms")))
+				dispatcher.Sweep()
+				for _, target := range model.targets {
+					target.heldUntil = later(target.heldUntil, manual.Now())
+				}
+			},
+			"": func(t *rapid.T) {
+				require.Equal(t, model.capacity(), dispatcher.capacity)
+				require.Equal(t, model.held(), dispatcher.held)
+				require.Zero(t, dispatcher.waiting.length)
+			},
+		})
+	})
+}
+
+func later(moments []clock.Moment, now clock.Moment) []clock.Moment {
+	var kept []clock.Moment
+	for _, moment := range moments {
+		if now < moment {
+			kept = append(kept, moment)
+		}
+	}
+	return kept
+}
+
+// fail runs requests one after another, of which those on the first failing targets fail, and returns how many did.
+func fail(t *testing.T, dispatcher *Dispatcher, manual *clock.Manual, requests, failing int) int {
+	failed := 0
+	for range requests {
+		manual.Advance(1)
+		dispatcher.Sweep()
+		place, err := dispatcher.Take(context.Background(), Demand{Deadline: manual.Now().Add(clock.Second)})
+		require.NoError(t, err)
+		var number int
+		_, err = fmt.Sscan(string(place.Target.Name), &number)
+		require.NoError(t, err)
+		if number < failing {
+			failed++
+			place.Release(Failed)
+			continue
+		}
+		place.Release(Succeeded)
+	}
+	return failed
+}
+
+func newTenTargets(manual *clock.Manual) *Dispatcher {
+	dispatcher := NewDispatcher(Options{
+		Clock: &manual.Clock, Rand: rand.New(rand.NewPCG(1, 1)),
+		Limits: Limits{QueueLength: 4, QueueWait: clock.Second, FailurePenalty: 100},
+	})
+	for number := range 10 {
+		name := settings.TargetName(fmt.Sprint(number))
+		dispatcher.Add(name, "127.0.0.1:1", "sofia-1")
+		dispatcher.SetLimit(name, TargetLimit{Limit: 6, ShareLeast: 6, OwnMost: 6}, 0)
+	}
+	return dispatcher
+}
+
+// A backend server fails fast. With nothing in flight it looks like the best choice, and without a penalty it would
+// draw its even share or more; callers would see a tenth of all requests fail while good servers idle.
+func TestFastFailingTargetDrawsLittle(t *testing.T) {
+	manual := clock.NewManual()
+	dispatcher := newTenTargets(manual)
+	failed := fail(t, dispatcher, manual, 10000, 1)
+	require.Less(t, failed, 100)
+	require.Positive(t, failed, "it is tried again now and then")
+	require.Zero(t, fail(t, dispatcher, manual, 10000, 0), "it is well again")
+	states, _ := dispatcher.State()
+	for _, state := range states {
+		require.Zero(t, state.Failures, "%s has been tried and taken back", state.Name)
+	}
+}
+
+// Most backend servers fail at once, from a cause that lies elsewhere. Were all of them set aside, the few that are left
+// would get the whole load and topple; half of all places stay in use.
+func TestMostTargetsFailing(t *testing.T) {
+	manual := clock.NewManual()
+	dispatcher := newTenTargets(manual)
+	fail(t, dispatcher, manual, 10000, 9)
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	taken := 0
+	for {
+		if _, err := dispatcher.Take(gone, Demand{Deadline: manual.Now().Add(clock.Second)}); err != nil {
+			break
+		}
+		taken++
+	}
+	require.GreaterOrEqual(t, taken, 30)
+}
+
+// While all places are taken, requests wait and are served by urgency; each wait ends by a place, its limit, its
+// deadline or its caller, whichever comes first.
+func TestWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dispatcher := NewDispatcher(Options{
+			Clock: clock.New(), Rand: rand.New(rand.NewPCG(1, 1)),
+			Limits: Limits{QueueLength: 8, QueueWait: 500, FailurePenalty: 100},
+		})
+		dispatcher.Add("a", "127.0.0.1:1", "sofia-1")
+		dispatcher.SetLimit("a", TargetLimit{Limit: 1, ShareLeast: 1, OwnMost: 1}, 0)
+		now := dispatcher.clock.Now
+		held, err := dispatcher.Take(context.Background(), Demand{Deadline: now().Add(clock.Minute)})
+		require.NoError(t, err)
+
+		ended := make(chan string, 8)
+		begin := func(name string, priority settings.Priority, deadline clock.Milliseconds, ctx context.Context) {
+			go func() {
+				place, err := dispatcher.Take(ctx, Demand{Priority: priority, Deadline: now().Add(deadline)})
+				if err != nil {
+					ended <- name + ": " + err.Error()
+					return
+				}
+				ended <- name
+				place.Release(Succeeded)
+			}()
+			synctest.Wait()
+		}
+		leaving, leave := context.WithCancel(context.Background())
+		begin("browse", 2, clock.Minute, context.Background())
+		begin("payment", 0, clock.Minute, context.Background())
+		begin("hurried", 1, 100, context.Background())
+		begin("gone", 0, clock.Minute, leaving)
+		leave()
+		require.Equal(t, "gone: context canceled", <-ended)
+		require.Equal(t, "hurried: "+ErrDeadline.Error(), <-ended)
+		held.Release(Succeeded)
+		require.Equal(t, "payment", <-ended)
+		require.Equal(t, "browse", <-ended)
+
+		held, err = dispatcher.Take(context.Background(), Demand{Deadline: now().Add(clock.Minute)})
+		require.NoError(t, err)
+		begin("late", 2, clock.Minute, context.Background())
+		require.Equal(t, "late: "+ErrQueueWait.Error(), <-ended)
+		begin("orphan", 2, clock.Minute, context.Background())
+		dispatcher.Remove("a")
+		require.Equal(t, "orphan: "+ErrNoTarget.Error(), <-ended)
+		held.Release(Succeeded)
+		_, err = dispatcher.Take(context.Background(), Demand{})
+		require.ErrorIs(t, err, ErrNoTarget)
+	})
+}
+
+// A backend server is taken out and comes back while requests are still in flight on it. It is cold now and bears one;
+// those still in flight count, or it would be given one too many.
+func TestReturningTargetKeepsItsCount(t *testing.T) {
+	manual := clock.NewManual()
+	dispatcher := NewDispatcher(Options{Clock: &manual.Clock, Rand: rand.New(rand.NewPCG(1, 1)), Limits: Limits{QueueLength: 1, QueueWait: 1}})
+	limit := TargetLimit{Limit: 1, OwnMost: 1}
+	dispatcher.Add("a", "127.0.0.1:1", "sofia-1")
+	dispatcher.SetLimit("a", limit, 0)
+	place, err := dispatcher.Take(context.Background(), Demand{Deadline: 1000})
+	require.NoError(t, err)
+	dispatcher.Remove("a")
+	dispatcher.Add("a", "127.0.0.1:2", "sofia-1")
+	dispatcher.SetLimit("a", limit, 0)
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err = dispatcher.Take(gone, Demand{Deadline: 1000})
+	require.Error(t, err)
+	place.Release(Succeeded)
+	again, err := dispatcher.Take(gone, Demand{Deadline: 1000})
+	require.NoError(t, err)
+	require.Equal(t, "127.0.0.1:2", again.Target.Address)
+}
+
+// Retries are a share of live requests, however many fail.
+func TestRetryBudget(t *testing.T) {
+	budget := NewRetryBudget(0.1)
+	spent := 0
+	for range 1000 {
+		budget.Earn()
+		if budget.Spend() {
+			spent++
+		}
+	}
+	require.InDelta(t, 110, spent, 1, "a tenth of the requests, and the ten saved up at first")
+}
+
+// The limit of a server that warms up only grows, from its first places to all its slots.
+func TestWarmup(t *testing.T) {
+	warmup := Warmup{Places: 1, Slots: 6, FullAfter: 10 * clock.Second}
+	require.Equal(t, 1, warmup.LimitAt(-1))
+	require.Equal(t, 1, warmup.LimitAt(0))
+	require.Equal(t, 3, warmup.LimitAt(5*clock.Second))
+	require.Equal(t, 5, warmup.LimitAt(9999))
+	require.Equal(t, 6, warmup.LimitAt(10*clock.Second))
+}
--- a/pkg/jaywheelclient/client.go
+++ b/pkg/jaywheelclient/client.go
@@ -200,7 +200,7 @@
 		}
 		last = err
 	}
-	return nil, errors.Mark(errors.Wrapf(last, "ask %d instances for addresses", len(candidates)), ErrNoInstance)
+	return nil, errors.Wrapf(ErrNoInstance, "ask %d instances for addresses, the last: %v", len(candidates), last)
 }
 
 func (client *Client) askOne(ctx context.Context, service settings.ServiceName, candidate string) (*answer, error) {
