--- /dev/null
+++ b/internal/control/controller_test.go
@@ -0,0 +1,335 @@
+package control
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jaywheel/jaywheel/internal/backendserver"
+	"github.com/jaywheel/jaywheel/internal/instance"
+	"github.com/jaywheel/jaywheel/internal/metrics"
+	"github.com/jaywheel/jaywheel/internal/platform"
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
+const targetCount = 6
+
+// fleet is a few controllers on one manual clock, whose heartbeats reach each other at once or not at all.
+type fleet struct {
+	t       *testing.T
+	manual  *clock.Manual
+	site    *settings.Site
+	list    platform.List
+	members map[settings.InstanceName]*Controller
+	// cut says whether a datagram between two members is lost.
+	cut func(from, to settings.InstanceName) bool
+}
+
+func newFleet(t *testing.T, count int) *fleet {
+	loaded, err := settings.LoadSite("../../examples/rodopa.base.json", "")
+	require.NoError(t, err)
+	site := loaded.Site
+	for name := range site.Services {
+		if name != "browsing" {
+			delete(site.Services, name)
+		}
+	}
+	fleet := &fleet{t: t, manual: clock.NewManual(), site: site, members: map[settings.InstanceName]*Controller{}}
+	fleet.cut = func(settings.InstanceName, settings.InstanceName) bool { return false }
+	for number := range targetCount {
+		fleet.list.Instances = append(fleet.list.Instances, platform.Instance{
+			Name: fmt.Sprintf("browsing-%d", number+1), Kind: platform.KindBackendServer, State: platform.StateLive, Service: "browsing",
+			DataCentre: dataCentreOf(number), Address: fmt.Sprintf("10.0.0.%d:80", number+1),
+		})
+	}
+	for number := range count {
+		fleet.join(number + 1)
+	}
+	return fleet
+}
+
+func dataCentreOf(number int) settings.DataCentreName {
+	return settings.DataCentreName(fmt.Sprintf("sofia-%d", number%3+1))
+}
+
+func memberName(number int) settings.InstanceName {
+	return settings.InstanceName(fmt.Sprintf("entry-%d", number))
+}
+
+// join starts a member, gives it the settings, and puts it on everyone's list.
+func (fleet *fleet) join(number int) *Controller {
+	name := memberName(number)
+	controller := NewController(Options{
+		Name: name, DataCentre: dataCentreOf(number - 1), Incarnation: instance.Incarnation(1 + fleet.manual.Now()), Clock: &fleet.manual.Clock,
+		Rand: rand.New(rand.NewPCG(uint64(number), 1)), Servers: backendserver.NewServers(&fleet.manual.Clock),
+		Registry: metrics.NewRegistry(), Log: zerolog.Nop(),
+		Send:      func(to netip.AddrPort, heartbeat instance.Heartbeat) { fleet.deliver(name, to, heartbeat) },
+		AskReport: func(ReportRequest) bool { return true },
+	})
+	fleet.members[name] = controller
+	fleet.list.Instances = append(fleet.list.Instances, platform.Instance{
+		Name: string(name), Kind: platform.KindEntry, State: platform.StateLive, DataCentre: dataCentreOf(number - 1),
+		Address: fmt.Sprintf("10.1.0.%d:80", number), PeerAddress: fmt.Sprintf("10.1.0.%d:81", number),
+	})
+	fleet.publish(fleet.site, controller)
+	fleet.sendList()
+	return controller
+}
+
+func (fleet *fleet) deliver(from settings.InstanceName, to netip.AddrPort, heartbeat instance.Heartbeat) {
+	name := memberName(int(to.Addr().As4()[3]))
+	if receiver := fleet.members[name]; receiver != nil && !fleet.cut(from, name) {
+		heartbeatReceived{heartbeat: heartbeat}.apply(receiver)
+	}
+}
+
+func (fleet *fleet) publish(site *settings.Site, to ...*Controller) {
+	documents, err := site.Documents()
+	require.NoError(fleet.t, err)
+	for _, controller := range to {
+		for _, document := range documents {
+			documentRead{key: document.Key, text: document.Text}.apply(controller)
+		}
+	}
+}
+
+func (fleet *fleet) sendList() {
+	for _, controller := range fleet.members {
+		listRead{list: platform.List{Instances: slices.Clone(fleet.list.Instances)}}.apply(controller)
+	}
+}
+
+func (fleet *fleet) all() []*Controller {
+	var all []*Controller
+	for number := range len(fleet.members) {
+		all = append(all, fleet.members[memberName(number+1)])
+	}
+	return all
+}
+
+// run lets time pass.
+func (fleet *fleet) run(length clock.Milliseconds) {
+	for passed := clock.Milliseconds(0); passed < length; passed += tickEvery {
+		fleet.manual.Advance(tickEvery)
+		for _, controller := range fleet.all() {
+			controller.tick()
+		}
+	}
+}
+
+// limits sums, over all members, the requests that may be in flight on one target.
+func (fleet *fleet) limits(target settings.TargetName) int {
+	sum := 0
+	for _, controller := range fleet.members {
+		if state := controller.services["browsing"].targets[target]; state != nil {
+			sum += state.limit.Limit
+		}
+	}
+	return sum
+}
+
+func (fleet *fleet) phases(target settings.TargetName) map[phase]int {
+	phases := map[phase]int{}
+	for _, controller := range fleet.members {
+		if state := controller.services["browsing"].targets[target]; state != nil {
+			phases[state.phase]++
+		}
+	}
+	return phases
+}
+
+// serving returns the names in the address answer of one member.
+func serving(controller *Controller) []settings.InstanceName {
+	browsing, _ := controller.Table().Service("browsing")
+	var names []settings.InstanceName
+	for _, entry := range browsing.Serving {
+		names = append(names, entry.Name)
+	}
+	return names
+}
+
+// All backend servers have just started. Each must bear one request at first, whatever all instances do together, then
+// more, and in the end every serving instance sends to all of them. Too much at first, and the server falls over.
+func TestColdServersWarmUpUnderOneOwner(t *testing.T) {
+	fleet := newFleet(t, 5)
+	coldStart := fleet.site.Services["browsing"].ColdStart
+	warm := fleet.site.Services["browsing"].SlotsPerTarget
+	started := false
+	for passed := clock.Milliseconds(0); passed < coldStart.FullAfter+3*clock.Second; passed += tickEvery {
+		fleet.run(tickEvery)
+		for number := range targetCount {
+			target := settings.TargetName(fmt.Sprintf("browsing-%d", number+1))
+			if fleet.phases(target)[phaseWarm] > 0 {
+				continue
+			}
+			limit := fleet.limits(target)
+			started = started || limit > 0
+			require.LessOrEqual(t, limit, warm)
+			if passed < coldStart.FullAfter/2 {
+				require.LessOrEqual(t, limit, 3)
+			}
+		}
+	}
+	require.True(t, started)
+	for number := range targetCount {
+		require.Equal(t, 5, fleet.phases(settings.TargetName(fmt.Sprintf("browsing-%d", number+1)))[phaseWarm])
+	}
+}
+
+// A new instance takes an old one's place in a warm fleet. It learns from its peers that the backend servers are warm;
+// were it to take them for cold, capacity would dip 55 times a day.
+func TestNewInstanceLearnsWhatIsWarm(t *testing.T) {
+	fleet := newFleet(t, 4)
+	fleet.run(15 * clock.Second)
+	joined := fleet.join(5)
+	fleet.run(5 * clock.Second)
+	for name, target := range joined.services["browsing"].targets {
+		require.Equal(t, phaseWarm, target.phase, name)
+	}
+	require.Zero(t, joined.options.Registry.View().Events[EventTargetCold])
+}
+
+// A backend server starts anew under its old address, without a word from the platform. Its owner sees that its report
+// tells another start, and from then on all treat it as cold.
+func TestUnannouncedRestartIsCold(t *testing.T) {
+	fleet := newFleet(t, 3)
+	fleet.run(15 * clock.Second)
+	target := settings.TargetName("browsing-1")
+	require.Equal(t, 3, fleet.phases(target)[phaseWarm])
+	report := func(startedMs int64) {
+		for _, controller := range fleet.members {
+			if controller.services["browsing"].targets[target].owned {
+				reportRead{service: "browsing", target: target, report: backendserver.Report{StartedMs: startedMs}}.apply(controller)
+			}
+		}
+	}
+	report(1000)
+	fleet.run(clock.Second)
+	require.Equal(t, 3, fleet.phases(target)[phaseWarm], "a first report is no restart")
+	report(2000)
+	fleet.run(clock.Second)
+	require.Equal(t, 3, fleet.phases(target)[phaseCold])
+	require.LessOrEqual(t, fleet.limits(target), 2)
+}
+
+// Operators take a data centre out. At once none of its backend servers gets work and none of its instances is named to
+// callers; when it returns, its servers count as cold.
+func TestDataCentreOutAndBack(t *testing.T) {
+	fleet := newFleet(t, 6)
+	fleet.run(15 * clock.Second)
+	move := func(revision settings.Revision, state settings.DataCentreState) {
+		changed := *fleet.site
+		changed.Revision = revision
+		changed.DataCentres = map[settings.DataCentreName]settings.DataCentre{
+			"sofia-1": {Region: "sofia", State: state}, "sofia-2": {Region: "sofia", State: settings.DataCentreIn}, "sofia-3": {Region: "sofia", State: settings.DataCentreIn},
+		}
+		fleet.publish(&changed, fleet.all()...)
+	}
+	move(2, settings.DataCentreOut)
+	for _, controller := range fleet.members {
+		require.Len(t, controller.services["browsing"].targets, 4)
+		require.NotContains(t, serving(controller), memberName(1))
+		require.NotContains(t, serving(controller), memberName(4))
+		require.NotEmpty(t, serving(controller))
+	}
+	fleet.run(5 * clock.Second)
+	move(3, settings.DataCentreIn)
+	require.Zero(t, fleet.limits("browsing-1"), "nobody sends before it is known to be safe")
+	fleet.run(2 * clock.Second)
+	require.LessOrEqual(t, fleet.limits("browsing-1"), 2)
+	fleet.run(12 * clock.Second)
+	require.Equal(t, 6, fleet.phases("browsing-1")[phaseWarm])
+}
+
+// Documents come late, twice, out of order or wrong. The highest revision stays in force, and what is wrong is shown
+// and changes nothing.
+func TestSettingsNeverRevert(t *testing.T) {
+	fleet := newFleet(t, 1)
+	controller := fleet.all()[0]
+	withRevision := func(revision settings.Revision, slots int) *settings.Site {
+		changed := *fleet.site
+		changed.Revision = revision
+		service := fleet.site.Services["browsing"]
+		service.Revision = revision
+		service.SlotsPerTarget = slots
+		changed.Services = map[settings.ServiceName]settings.Service{"browsing": service}
+		return &changed
+	}
+	inForce := func() (settings.Revision, int) {
+		browsing, _ := controller.Table().Service("browsing")
+		return controller.Table().Site.Revision, browsing.Settings.SlotsPerTarget
+	}
+	steps := []struct {
+		revision settings.Revision
+		slots    int
+		want     settings.Revision
+	}{{5, 5, 5}, {3, 3, 5}, {5, 4, 5}, {6, 6, 6}, {1, 1, 6}}
+	for _, step := range steps {
+		fleet.publish(withRevision(step.revision, step.slots), controller)
+		revision, slots := inForce()
+		require.Equal(t, step.want, revision)
+		require.EqualValues(t, step.want, slots)
+	}
+	for key, text := range map[string]string{
+		"service/browsing": `{"revision": 9, "hosts": []}`,
+		"site":             `{"revision": 9, "tenant": "rodopa", "dataCentres": {"sofia-1": {"region": "sofia", "state": "in"}}, "fleet": {"instancesMost": 900}, "serviceNames": ["browsing"]}`,
+		"unheard-of":       `{}`,
+	} {
+		documentRead{key: key, text: []byte(text)}.apply(controller)
+		require.NotEmpty(t, controller.problems[key])
+		revision, _ := inForce()
+		require.EqualValues(t, 6, revision)
+	}
+}
+
+// An instance leaves, another falls silent, a third is cut off from all. Callers are sent to the rest within moments;
+// the one that is cut off does not send everybody to itself.
+func TestPeersThatGo(t *testing.T) {
+	fleet := newFleet(t, 6)
+	fleet.site.Fleet.InstancesPerService = 6
+	fleet.site.Revision = 2
+	fleet.publish(fleet.site, fleet.all()...)
+	fleet.run(clock.Second)
+	require.Len(t, serving(fleet.members["entry-1"]), 6)
+
+	leaveAsked{}.apply(fleet.members["entry-2"])
+	require.NotContains(t, serving(fleet.members["entry-1"]), memberName(2), "told at once")
+
+	fleet.cut = func(from, to settings.InstanceName) bool { return from == "entry-3" || to == "entry-3" }
+	fleet.run(2 * clock.Second)
+	require.NotContains(t, serving(fleet.members["entry-1"]), memberName(3))
+	require.Contains(t, serving(fleet.members["entry-3"]), memberName(1), "it suspects all others, and so doubts itself")
+
+	fleet.cut = func(settings.InstanceName, settings.InstanceName) bool { return false }
+	fleet.run(clock.Second)
+	require.Contains(t, serving(fleet.members["entry-1"]), memberName(3))
+}
+
+// The network delivers an old datagram again. It says that a peer is not leaving, though it is by now; taking it would
+// send callers to an instance about to end.
+func TestOldDatagramsCountForNothing(t *testing.T) {
+	fleet := newFleet(t, 2)
+	controller := fleet.members["entry-1"]
+	datagrams := []struct {
+		incarnation instance.Incarnation
+		sequence    instance.Sequence
+		leaving     bool
+		want        bool
+	}{
+		{10, 5, false, false}, {10, 6, true, true}, {10, 5, false, true}, {10, 6, false, true}, {9, 99, false, true}, {11, 1, false, false},
+	}
+	for _, datagram := range datagrams {
+		heartbeatReceived{heartbeat: instance.Heartbeat{
+			From: "entry-2", Incarnation: datagram.incarnation, Sequence: datagram.sequence, Leaving: datagram.leaving,
+		}}.apply(controller)
+		require.Equal(t, datagram.want, controller.peers["entry-2"].leaving)
+	}
+	heartbeatReceived{heartbeat: instance.Heartbeat{From: "stranger", Incarnation: 1, Sequence: 1}}.apply(controller)
+	require.Len(t, controller.peers, 1, "a datagram makes nobody a member")
+}
