--- /dev/null
+++ b/cmd/main_test.go
@@ -0,0 +1,202 @@
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jaywheel/jaywheel/internal/control"
+	"github.com/jaywheel/jaywheel/internal/operator"
+	"github.com/jaywheel/jaywheel/internal/service"
+	"github.com/jaywheel/jaywheel/internal/trace"
+	"github.com/jaywheel/jaywheel/pkg/clock"
+)
+
+// runLine runs a command line and returns its exit code and what it wrote.
+func runLine(arguments ...string) (code int, out, err string) {
+	var outBuffer, errBuffer bytes.Buffer
+	code = run(arguments, streams{out: &outBuffer, err: &errBuffer})
+	return code, outBuffer.String(), errBuffer.String()
+}
+
+func TestExitCodes(t *testing.T) {
+	wrong := filepath.Join(t.TempDir(), "wrong.json")
+	require.NoError(t, os.WriteFile(wrong, []byte(`{"revision": "one"}`), 0o600))
+	base := "../examples/rodopa.base.json"
+	cases := []struct {
+		name      string
+		arguments []string
+		code      int
+		out, err  string
+	}{
+		{"help", []string{"--help"}, ExitOK, "Exit codes", ""},
+		{"help of a command", []string{"load", "--help"}, ExitOK, "Calls per second", ""},
+		{"no command", nil, ExitUsage, "", "serve"},
+		{"unknown command", []string{"dance"}, ExitUsage, "", "dance"},
+		{"unknown flag", []string{"check", "--louder"}, ExitUsage, "", "louder"},
+		{"bare number for a time", []string{"try", "--for", "5"}, ExitUsage, "", "missing unit"},
+		{"check", []string{"check", "--base", base, "--overlay", "../examples/rodopa.sofia.json"}, ExitOK, "fleet.answerKept: \"5s\" -> \"3s\"", ""},
+		{"check of wrong settings", []string{"check", "--base", wrong}, ExitInvalid, "", "revision: got string, want integer"},
+		{"check of no file", []string{"check", "--base", "none.json"}, ExitFailure, "", "none.json"},
+		{"render", []string{"render", "--base", base, "--out", filepath.Join(t.TempDir(), "out")}, ExitOK, "4 of 4 documents changed", ""},
+		{"serve with wrong settings", []string{"serve", "--settings", wrong}, ExitInvalid, "", "missing propert"},
+		{"load of nothing", []string{"load"}, ExitUsage, "", "either --site or --ask"},
+		{"load without a mix", []string{"load", "--ask", "127.0.0.1:1"}, ExitUsage, "", "--ask needs --mix"},
+		{"load with a wrong mix", []string{"load", "--ask", "127.0.0.1:1", "--mix", wrong}, ExitInvalid, "", "unknown field"},
+		{"status of nobody", []string{"status", "--operator", "127.0.0.1:1"}, ExitFailure, "", "ask instance 127.0.0.1:1"},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			code, out, err := runLine(testCase.arguments...)
+			require.Equal(t, testCase.code, code, "%s%s", out, err)
+			require.Contains(t, out, testCase.out)
+			require.Contains(t, err, testCase.err)
+		})
+	}
+}
+
+// The first signal makes an instance leave in peace, the second ends it at once, and a part that ends by itself is told.
+func TestSignals(t *testing.T) {
+	errServe := errors.New("serving ended")
+	cases := []struct {
+		name    string
+		signals int
+		leaves  bool
+		serve   error
+		want    error
+	}{
+		{"one signal", 1, true, nil, nil},
+		{"two signals", 2, false, nil, errSecondSignal},
+		{"no signal", 0, false, errServe, errServe},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			signals := make(chan os.Signal, 2)
+			for range testCase.signals {
+				signals <- syscall.SIGTERM
+			}
+			err := leaver{
+				serve: func(ctx context.Context) error {
+					if testCase.serve != nil {
+						return testCase.serve
+					}
+					<-ctx.Done()
+					return nil
+				},
+				leave: func(ctx context.Context) error {
+					if !testCase.leaves {
+						<-ctx.Done()
+					}
+					return nil
+				},
+			}.run(signals, clock.Minute)
+			require.ErrorIs(t, err, testCase.want)
+		})
+	}
+}
+
+// answering serves one JSON value at a path, as an instance does to its operators.
+func answering(t *testing.T, path string, value any) string {
+	text, err := json.Marshal(value)
+	require.NoError(t, err)
+	mux := http.NewServeMux()
+	mux.HandleFunc(path, func(writer http.ResponseWriter, _ *http.Request) { _, _ = writer.Write(text) })
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func TestStatusIsReadable(t *testing.T) {
+	address := answering(t, operator.StatusPath, control.Status{
+		Instance: "entry-1", Ready: true, Problems: map[string]string{"site": "wrong"},
+		Peers: []control.PeerStatus{{Name: "entry-2", Suspected: true}},
+		Services: []control.ServiceStatus{{Name: "browsing", Targets: []control.TargetStatus{
+			{TargetState: service.TargetState{Name: "browsing-1", Own: 3, Limit: 6}, Phase: "warm", Owned: true},
+		}}},
+	})
+	code, out, _ := runLine("status", "--operator", address)
+	require.Equal(t, ExitOK, code)
+	for _, part := range []string{"instance entry-1", "REFUSED site: wrong", "entry-2", "browsing-1", "warm"} {
+		require.Contains(t, out, part)
+	}
+	code, out, _ = runLine("status", "--json", "--operator", address)
+	require.Equal(t, ExitOK, code)
+	require.True(t, json.Valid([]byte(out)))
+}
+
+func TestExplainIsReadable(t *testing.T) {
+	address := answering(t, operator.ExplainPath, trace.Request{
+		ID: "r-1", Outcome: "answered", Attempts: []trace.Attempt{
+			{Target: "browsing-1", Considered: 20, Taken: 2, Result: trace.ResultCut, Error: "connection reset"},
+			{Target: "browsing-2", Waited: 12, Reused: true, Status: 200, Result: trace.ResultAnswered},
+		},
+	})
+	code, out, _ := runLine("explain", "--operator", address, "r-1")
+	require.Equal(t, ExitOK, code)
+	for _, part := range []string{
+		"of 20 targets with a free place, browsing-1", "connection reset", "waited 12.00ms until browsing-2", "a kept connection", "outcome answered",
+	} {
+		require.Contains(t, out, part)
+	}
+}
+
+// watched is a writer that ends a command once it has written what was waited for.
+type watched struct {
+	mutex sync.Mutex
+	text  strings.Builder
+	until string
+	end   context.CancelFunc
+}
+
+// Write implements io.Writer.
+func (watched *watched) Write(text []byte) (int, error) {
+	watched.mutex.Lock()
+	defer watched.mutex.Unlock()
+	watched.text.Write(text)
+	if strings.Contains(watched.text.String(), watched.until) {
+		watched.end()
+	}
+	return len(text), nil
+}
+
+// The main job of the README runs on stand-ins, says how to call it, and shows what happens.
+func TestTry(t *testing.T) {
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	out := &watched{until: "malabon      ", end: end}
+	try := tryCommand{Instances: 3, Rate: 20, streams: streams{out: out, err: io.Discard}}
+	require.NoError(t, try.run(ctx))
+	for _, part := range []string{"Kalinga Gateway", "curl -i -H 'Host: slots.rodopa.example'", "jaywheel status --operator", "rodopa "} {
+		require.Contains(t, out.text.String(), part)
+	}
+}
+
+func TestAddressesCommand(t *testing.T) {
+	address := answering(t, "/jaywheel/v1/addresses", json.RawMessage(
+		`{"service": "browsing", "keep": "5s", "revision": 3, "addresses": [{"instance": "entry-1", "address": "10.0.0.1:80", "dataCentre": "sofia-1"}]}`))
+	code, out, _ := runLine("addresses", "--instance", address, "--service", "browsing")
+	require.Equal(t, ExitOK, code)
+	require.Contains(t, out, "settings revision 3, keep for 5s")
+	require.Contains(t, out, "10.0.0.1:80")
+}
+
+func TestLoadOnStandIns(t *testing.T) {
+	directory := filepath.Join(t.TempDir(), "report")
+	code, out, err := runLine("load", "--site", "malabon", "--instances", "2", "--rate", "100", "--slice", "100ms", "--rounds", "1",
+		"--service-time", "0ms", "--out", directory)
+	require.Equal(t, ExitOK, code, err)
+	require.Contains(t, out, "through against direct")
+	require.FileExists(t, filepath.Join(directory, "report.svg"))
+}
--- a/internal/caller/answer_test.go
+++ b/internal/caller/answer_test.go
@@ -239,9 +239,10 @@
 	const callers = 200
 	answers := make(chan error, callers)
 	for number := range callers {
+		query := fmt.Sprintf("caller=%d", number)
+		request := fixture.newRequest(t, http.MethodGet, "/slots?"+query, http.NoBody)
 		go func() {
-			query := fmt.Sprintf("caller=%d", number)
-			response, err := http.DefaultClient.Do(fixture.newRequest(t, http.MethodGet, "/slots?"+query, http.NoBody))
+			response, err := http.DefaultClient.Do(request)
 			if err != nil {
 				answers <- err
 				return
--- a/internal/caller/fixture_test.go
+++ b/internal/caller/fixture_test.go
@@ -129,15 +129,25 @@
 
 // send sends a request on a connection of its own and reads the whole answer.
 func (fixture *fixture) send(t testing.TB, request *http.Request) answer {
+	got, err := sendWhole(request)
+	require.NoError(t, err)
+	return got
+}
+
+func sendWhole(request *http.Request) (answer, error) {
 	client := &http.Client{
 		Transport:     &http.Transport{DisableKeepAlives: true, DisableCompression: true},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	response, err := client.Do(request)
-	require.NoError(t, err)
+	if err != nil {
+		return answer{}, err
+	}
 	defer response.Body.Close()
 	text, err := io.ReadAll(response.Body)
-	require.NoError(t, err)
 	result, reason := outcome.FromHeader(response.Header)
-	return answer{status: response.StatusCode, header: response.Header, trailer: response.Trailer, body: string(text), outcome: result, reason: reason}
+	got := answer{
+		status: response.StatusCode, header: response.Header, trailer: response.Trailer, body: string(text), outcome: result, reason: reason,
+	}
+	return got, err
 }
--- a/internal/caller/refusal_test.go
+++ b/internal/caller/refusal_test.go
@@ -74,7 +74,14 @@
 	fixture := newFixture(t, serviceSettings, backend)
 	results := make(chan answer, 10)
 	begin := func(method, path string) {
-		go func() { results <- fixture.send(t, fixture.newRequest(t, method, path, http.NoBody)) }()
+		request := fixture.newRequest(t, method, path, http.NoBody)
+		go func() {
+			got, err := sendWhole(request)
+			if err != nil {
+				got.reason = outcome.Reason(err.Error())
+			}
+			results <- got
+		}()
 	}
 	begin(http.MethodGet, "/")
 	begin(http.MethodGet, "/")
--- a/internal/control/controller_test.go
+++ b/internal/control/controller_test.go
@@ -278,8 +278,9 @@
 	}
 	for key, text := range map[string]string{
 		"service/browsing": `{"revision": 9, "hosts": []}`,
-		"site":             `{"revision": 9, "tenant": "rodopa", "dataCentres": {"sofia-1": {"region": "sofia", "state": "in"}}, "fleet": {"instancesMost": 900}, "serviceNames": ["browsing"]}`,
-		"unheard-of":       `{}`,
+		"site": `{"revision": 9, "tenant": "rodopa", "dataCentres": {"sofia-1": {"region": "sofia", "state": "in"}},
+			"fleet": {"instancesMost": 900}, "serviceNames": ["browsing"]}`,
+		"unheard-of": `{}`,
 	} {
 		documentRead{key: key, text: []byte(text)}.apply(controller)
 		require.NotEmpty(t, controller.problems[key])
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -54,6 +54,8 @@
 	plane      *instance.Plane
 	handler    *caller.Handler
 	tree       *supervisor.Tree
+	control    *supervisor.Tree
+	traffic    *supervisor.Tree
 	callers    *httpPart
 	operators  *httpPart
 }
@@ -108,6 +110,7 @@
 	branch.Add(supervisor.Part{Name: "list", Serve: platform.NewListWatcher(watch, controller.ListRead).Serve})
 	entry.controller = controller
 	entry.plane = plane
+	entry.control = branch
 	entry.tree = supervisor.New("entry", options)
 	entry.tree.AddTree(branch)
 	return nil
@@ -135,6 +138,7 @@
 	branch := supervisor.New("traffic", supervisor.Options{Log: entry.options.Log, Events: &entry.registry.Events})
 	branch.Add(supervisor.Part{Name: "callers", Serve: entry.callers.Serve})
 	branch.Add(supervisor.Part{Name: "operators", Serve: entry.operators.Serve})
+	entry.traffic = branch
 	entry.tree.AddTree(branch)
 	return nil
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -37,10 +37,10 @@
 
 // WatchKeys returns the keys of the configuration service once their index is above after, or when the wait is over.
 func (client *Client) WatchKeys(ctx context.Context, after Index) (Keys, error) {
+	text, err := client.watch(ctx, client.settings.ConfigurationAddress, KeysPath, after)
 	var keys Keys
-	err := client.watch(ctx, client.settings.ConfigurationAddress, KeysPath, after, &keys)
-	if err == nil && len(keys.Keys) == 0 {
-		err = errors.Wrap(ErrAnswer, "no keys at all")
+	if err == nil {
+		keys, err = parseKeys(text)
 	}
 	return keys, wrap(StepKeys, client.settings.ConfigurationAddress, err)
 }
@@ -54,24 +54,39 @@
 
 // WatchInstances returns the list of instances once its index is above after, or when the wait is over.
 func (client *Client) WatchInstances(ctx context.Context, after Index) (List, error) {
+	text, err := client.watch(ctx, client.settings.InstancesAddress, InstancesPath, after)
 	var list List
-	err := client.watch(ctx, client.settings.InstancesAddress, InstancesPath, after, &list)
 	if err == nil {
-		err = list.check()
+		list, err = parseList(text)
 	}
 	return list, wrap(StepInstances, client.settings.InstancesAddress, err)
 }
 
-func (client *Client) watch(ctx context.Context, address, path string, after Index, into any) error {
+func parseList(text []byte) (List, error) {
+	var list List
+	if err := json.Unmarshal(text, &list); err != nil {
+		return List{}, errors.Wrapf(ErrAnswer, "%v", err)
+	}
+	return list, list.check()
+}
+
+func parseKeys(text []byte) (Keys, error) {
+	var keys Keys
+	if err := json.Unmarshal(text, &keys); err != nil {
+		return Keys{}, errors.Wrapf(ErrAnswer, "%v", err)
+	}
+	if len(keys.Keys) == 0 {
+		return Keys{}, errors.Wrap(ErrAnswer, "no keys at all")
+	}
+	return keys, nil
+}
+
+func (client *Client) watch(ctx context.Context, address, path string, after Index) ([]byte, error) {
 	query := url.Values{}
 	query.Set(AfterParameter, strconv.FormatUint(uint64(after), 10))
 	query.Set(WaitParameter, strconv.FormatInt(int64(client.settings.WatchMost), 10))
 	timeout := client.settings.Timeout + client.settings.WatchMost
-	text, err := client.get(ctx, url.URL{Scheme: "http", Host: address, Path: path, RawQuery: query.Encode()}, timeout, ListMost)
-	if err != nil {
-		return err
-	}
-	return errors.Wrap(json.Unmarshal(text, into), "answer")
+	return client.get(ctx, url.URL{Scheme: "http", Host: address, Path: path, RawQuery: query.Encode()}, timeout, ListMost)
 }
 
 func (client *Client) get(ctx context.Context, from url.URL, timeout clock.Milliseconds, most int64) ([]byte, error) {
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -51,7 +51,10 @@
 		{"method in small letters", `"GET"`, `"get"`, []string{"methods.0: is no HTTP method in capitals"}},
 		{"path of its own, which is fine", `"idempotent"`, `"paths": ["/b"], "idempotent"`, nil},
 		{"cold start above the slots", `"slotsPerTarget"`, `"coldStart": {"places": 7}, "slotsPerTarget"`, []string{"coldStart.places: 7 is more than slotsPerTarget, 6"}},
-		{"suspicion after one lost datagram", `"instancesMost": 17`, `"instancesMost": 17, "suspectAfter": "300ms"`, []string{"fleet.suspectAfter: 300ms is less than three heartbeats"}},
+		{
+			"suspicion after one lost datagram", `"instancesMost": 17`, `"instancesMost": 17, "suspectAfter": "300ms"`,
+			[]string{"fleet.suspectAfter: 300ms is less than three heartbeats"},
+		},
 		{"more per service than there are", `"instancesMost": 17`, `"instancesMost": 2`, []string{"fleet.instancesPerService: 3 is more than fleet.instancesMost, 2"}},
 		{"size in an unknown unit", `"idempotent"`, `"bodyMost": "1MB", "idempotent"`, []string{"bodyMost: '1MB' does not match pattern"}},
 		{"size beyond all bounds", `"idempotent"`, `"bodyMost": "99999999999GiB", "idempotent"`, []string{"a size is a whole number"}},
