Keep control within a node's budget

Cause: at the size to design for, a heartbeat that tells of 12 targets takes 227 bytes; 14 peers 4 times a second are 28 KB/s both ways, of 13 allowed. Reading each report twice a second would take 123 reads a second of one owner, about 1.2% of a core.

Change: heartbeats tell of 2 targets when nothing has changed and are filled only while a peer has just started or news are fresh (told 4 times); every 300 ms instead of 250; above 14 peers the pace falls with their number. Reports once a second. A new instance listens from its first peer's first word, since the platform's list may name it late. A new owner of a server that warms up waits.

A test holds the pacing.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -60,17 +60,19 @@
 	table   atomic.Pointer[routing.Table]
 	inbox   chan event
 
-	started   clock.Moment
-	lastTick  clock.Moment
-	site      *settings.Site
-	services  map[settings.ServiceName]*serviceState
-	early     map[settings.ServiceName]*settings.Service
-	problems  map[string]string
-	list      platform.List
-	peers     map[settings.InstanceName]*peerState
-	eligible  []routing.Instance
-	leaving   bool
-	heartbeat heartbeatState
+	started  clock.Moment
+	lastTick clock.Moment
+	site     *settings.Site
+	services map[settings.ServiceName]*serviceState
+	early    map[settings.ServiceName]*settings.Service
+	problems map[string]string
+	list     platform.List
+	peers    map[settings.InstanceName]*peerState
+	eligible []routing.Instance
+	// firstHeard is when a peer was first heard, 0 before.
+	firstHeard clock.Moment
+	leaving    bool
+	heartbeat  heartbeatState
 }
 
 // NewController returns a controller that knows nothing yet.
--- a/internal/control/controller_test.go
+++ b/internal/control/controller_test.go
@@ -195,6 +195,27 @@
 	require.Zero(t, joined.options.Registry.View().Events[EventTargetCold])
 }
 
+// The owner of a server that warms up leaves. Requests that it sent are still in flight there, so the next owner sends
+// nothing for a while; the two together would give the server more than it bears.
+func TestNewOwnerWaits(t *testing.T) {
+	fleet := newFleet(t, 3)
+	fleet.run(6 * clock.Second)
+	target := settings.TargetName("browsing-1")
+	require.Positive(t, fleet.limits(target))
+	for _, controller := range fleet.members {
+		if controller.services["browsing"].targets[target].owned {
+			leaveAsked{}.apply(controller)
+			break
+		}
+	}
+	for passed := clock.Milliseconds(0); passed < fleet.site.Fleet.SuspectAfter; passed += tickEvery {
+		fleet.run(tickEvery)
+		require.Zero(t, fleet.limits(target))
+	}
+	fleet.run(clock.Second)
+	require.Equal(t, 1, fleet.limits(target))
+}
+
 // A backend server starts anew under its old address, without a word from the platform. Its owner sees that its report
 // tells another start, and from then on all treat it as cold.
 func TestUnannouncedRestartIsCold(t *testing.T) {
@@ -334,3 +355,24 @@
 	heartbeatReceived{heartbeat: instance.Heartbeat{From: "stranger", Incarnation: 1, Sequence: 1}}.apply(controller)
 	require.Len(t, controller.peers, 1, "a datagram makes nobody a member")
 }
+
+// A fleet four times as large must not cost an instance four times the datagrams, or the budget of a node is gone.
+func TestHeartbeatsArePacedByFleetSize(t *testing.T) {
+	sentBy := func(peers int) int {
+		sent := 0
+		controller := NewController(Options{
+			Name: "entry-0", Clock: &clock.NewManual().Clock, Rand: rand.New(rand.NewPCG(1, 1)), Registry: metrics.NewRegistry(), Log: zerolog.Nop(),
+			Servers: backendserver.NewServers(clock.New()), Send: func(netip.AddrPort, instance.Heartbeat) { sent++ },
+		})
+		controller.site = &settings.Site{Fleet: settings.Fleet{HeartbeatEvery: 300, SuspectAfter: clock.Second}}
+		for number := range peers {
+			controller.peers[memberName(number)] = &peerState{}
+		}
+		for now := clock.Moment(1); now < clock.Moment(clock.Minute); now = now.Add(tickEvery) {
+			controller.sendHeartbeats(now, false)
+		}
+		return sent
+	}
+	require.Less(t, sentBy(56), sentBy(14)+sentBy(14)/10)
+	require.Greater(t, sentBy(56), 56*10, "each peer still hears it every few seconds")
+}
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -41,12 +41,22 @@
 	// order are the targets that heartbeats speak of, cursor the one whose turn is next.
 	order  []instance.TargetKey
 	cursor int
-	first  []instance.TargetKey
+	// first are targets whose news go before the others'.
+	first []instance.TargetKey
+	// fullUntil is the moment until which heartbeats are filled, because a peer has just started.
+	fullUntil clock.Moment
 }
 
+// restedTargets is how many targets a heartbeat speaks of when nothing has changed. What was told before is only told
+// again in case a datagram was lost; filled ones would take three times the bytes.
+const restedTargets = 2
+
+// urgentRepeats is how often news are told first: a few datagrams in a row may be lost.
+const urgentRepeats = 4
+
 // urgent puts a target first in the next heartbeats.
 func (heartbeatState *heartbeatState) urgent(key instance.TargetKey) {
-	if !slices.Contains(heartbeatState.first, key) {
+	for range urgentRepeats {
 		heartbeatState.first = append(heartbeatState.first, key)
 	}
 }
@@ -130,7 +140,7 @@
 func (controller *Controller) reviewPeers(now clock.Moment) {
 	changed := false
 	for name, peer := range controller.peers {
-		suspected := now.Since(peer.lastHeard) > controller.site.Fleet.SuspectAfter
+		suspected := now.Since(peer.lastHeard) > controller.paced(controller.site.Fleet.SuspectAfter)
 		if suspected == peer.suspected {
 			continue
 		}
@@ -162,6 +172,9 @@
 		controller.options.Registry.Events.Add(EventPeerReplayed, 1)
 		return
 	}
+	if heartbeat.Incarnation != peer.incarnation {
+		controller.peerStarted()
+	}
 	peer.incarnation = heartbeat.Incarnation
 	peer.sequence = heartbeat.Sequence
 	peer.digest = heartbeat.Digest
@@ -174,6 +187,15 @@
 	}
 }
 
+// peerStarted has the next heartbeats filled, so that a peer that has just started learns what is warm.
+func (controller *Controller) peerStarted() {
+	now := controller.options.Clock.Now()
+	if controller.firstHeard == 0 {
+		controller.firstHeard = now
+	}
+	controller.heartbeat.fullUntil = now.Add(controller.tellingTakes())
+}
+
 // learnTargets takes peers' word on which targets are warm. The owner's word counts always, save against this
 // instance's own ownership; anyone else's only for servers that were there before this instance was.
 func (controller *Controller) learnTargets(news []instance.TargetNews) {
@@ -188,30 +210,40 @@
 	for _, state := range controller.services {
 		for name, target := range state.targets {
 			if entry, known := told[target.key]; known {
-				learnTarget(now, target, entry)
+				controller.learnTarget(now, target, entry)
 				controller.setLimit(now, state, name, target)
 			}
 		}
 	}
 }
 
-func learnTarget(now clock.Moment, target *targetState, entry instance.TargetNews) {
+func (controller *Controller) learnTarget(now clock.Moment, target *targetState, entry instance.TargetNews) {
 	switch {
 	case entry.Owned && !target.owned && entry.Warm:
 		target.phase = phaseWarm
 	case entry.Owned && !target.owned:
 		target.phase = phaseCold
-	case entry.Warm && target.phase == phaseUnknown && now < target.learnUntil:
+	case entry.Warm && target.phase == phaseUnknown && target.early && controller.learning(now):
 		target.phase = phaseWarm
 	}
 }
 
+// peersAtFullPace is the number of peers up to which heartbeats go at the pace of the settings: 14 peers, 3.3 datagrams a
+// second and 135 bytes each, both ways, are 12.6 KB/s of the 13 KB/s that a node may spend.
+const peersAtFullPace = 14
+
+// paced stretches a length of time by the number of peers, so that what an instance spends on heartbeats does not grow
+// with the fleet.
+func (controller *Controller) paced(length clock.Milliseconds) clock.Milliseconds {
+	return length * max(1, clock.Milliseconds(len(controller.peers))/peersAtFullPace)
+}
+
 // sendHeartbeats sends one datagram to each peer when it is time.
 func (controller *Controller) sendHeartbeats(now clock.Moment, atOnce bool) {
 	if controller.site == nil || now < controller.heartbeat.next && !atOnce {
 		return
 	}
-	controller.heartbeat.next = now.Add(controller.site.Fleet.HeartbeatEvery)
+	controller.heartbeat.next = now.Add(controller.paced(controller.site.Fleet.HeartbeatEvery))
 	controller.heartbeat.sequence++
 	heartbeat := instance.Heartbeat{
 		From:        controller.options.Name,
@@ -219,7 +251,7 @@
 		Sequence:    controller.heartbeat.sequence,
 		Leaving:     controller.leaving,
 		Digest:      controller.digest(),
-		Targets:     controller.targetNews(),
+		Targets:     controller.targetNews(now),
 	}
 	for _, peer := range controller.peers {
 		controller.options.Send(peer.address, heartbeat)
@@ -228,7 +260,7 @@
 
 // targetNews picks the targets that the next heartbeat speaks of: those that have just changed, then the others in
 // turn. An instance speaks of the services that it serves.
-func (controller *Controller) targetNews() []instance.TargetNews {
+func (controller *Controller) targetNews(now clock.Moment) []instance.TargetNews {
 	known := map[instance.TargetKey]*targetState{}
 	for _, state := range controller.services {
 		if !controller.serves(state) {
@@ -243,18 +275,35 @@
 		heartbeat.order = slices.Sorted(maps.Keys(known))
 		heartbeat.cursor = 0
 	}
-	var news []instance.TargetNews
-	for len(news) < instance.TargetsMost && len(heartbeat.first) > 0 {
-		news = appendNews(news, known, heartbeat.first[0])
-		heartbeat.first = heartbeat.first[1:]
+	news := heartbeat.takeFirst(known)
+	most := restedTargets
+	if now < heartbeat.fullUntil {
+		most = instance.TargetsMost
 	}
-	for len(news) < instance.TargetsMost && heartbeat.cursor < len(heartbeat.order) {
+	for len(news) < most && heartbeat.cursor < len(heartbeat.order) {
 		news = appendNews(news, known, heartbeat.order[heartbeat.cursor])
 		heartbeat.cursor++
 	}
 	return news
 }
 
+// takeFirst tells the targets whose news go first, each once in a heartbeat.
+func (heartbeatState *heartbeatState) takeFirst(known map[instance.TargetKey]*targetState) []instance.TargetNews {
+	var news []instance.TargetNews
+	var later []instance.TargetKey
+	told := map[instance.TargetKey]bool{}
+	for _, key := range heartbeatState.first {
+		if told[key] || len(news) == instance.TargetsMost {
+			later = append(later, key)
+			continue
+		}
+		told[key] = true
+		news = appendNews(news, known, key)
+	}
+	heartbeatState.first = later
+	return news
+}
+
 // appendNews adds what is known of one target; of an unknown phase there is nothing to tell.
 func appendNews(news []instance.TargetNews, known map[instance.TargetKey]*targetState, key instance.TargetKey) []instance.TargetNews {
 	target, found := known[key]
--- a/internal/control/targets.go
+++ b/internal/control/targets.go
@@ -52,9 +52,11 @@
 	phase  phase
 	// owned says that this instance answers for it.
 	owned bool
-	// learnUntil is the moment until which any peer's word that it is warm is taken. It is set for servers that were
-	// there before this instance; one that arrives later is cold until its owner says otherwise.
-	learnUntil clock.Moment
+	// early says that it was there before this instance, so that while the instance still learns, any peer's word that
+	// it is warm is taken. One that arrives later is cold until its owner says otherwise.
+	early bool
+	// waitUntil is the moment before which a new owner does not start it.
+	waitUntil clock.Moment
 	// rampStart is when it began to warm up here.
 	rampStart clock.Moment
 	// startedMs is the start that it last reported.
@@ -103,9 +105,7 @@
 
 func (controller *Controller) addTarget(state *serviceState, name settings.TargetName, record platform.Instance) {
 	target := &targetState{record: record, key: keyOf(state.name, name), phase: phaseUnknown}
-	if now := controller.options.Clock.Now(); now <= controller.learningEnds() {
-		target.learnUntil = controller.learningEnds()
-	}
+	target.early = controller.learning(controller.options.Clock.Now())
 	state.targets[name] = target
 	state.dispatcher.Add(name, record.Address, record.DataCentre)
 	controller.options.Registry.Events.Add(EventTargetAdded, 1)
@@ -118,12 +118,24 @@
 	controller.options.Registry.Events.Add(EventTargetRemoved, 1)
 }
 
-// learningEnds is the moment until which this instance, just started, listens before it takes servers that nobody has
-// called warm for cold ones. Long enough for its peers to go once through everything they have to tell.
-func (controller *Controller) learningEnds() clock.Moment {
+// silentStarts is how many times suspectAfter an instance that has just started waits for a first word from a peer.
+const silentStarts = 5
+
+// learning reports whether this instance, just started, still listens before it takes servers that nobody has called
+// warm for cold ones. It listens from the first word of a peer until that peer had time to go once through everything
+// it has to tell; with no word at all it goes on after a while, since then it may well be alone.
+func (controller *Controller) learning(now clock.Moment) bool {
 	fleet := controller.site.Fleet
-	rounds := clock.Milliseconds(len(controller.list.Instances)/instance.TargetsMost + 2)
-	return controller.started.Add(max(fleet.SuspectAfter, rounds*fleet.HeartbeatEvery))
+	if controller.firstHeard == 0 {
+		return now < controller.started.Add(controller.paced(silentStarts*fleet.SuspectAfter)) && len(controller.peers) > 0
+	}
+	return now < controller.firstHeard.Add(controller.tellingTakes())
+}
+
+// tellingTakes is how long a peer takes to tell a new one everything it knows.
+func (controller *Controller) tellingTakes() clock.Milliseconds {
+	rounds := clock.Milliseconds(len(controller.list.Instances)/instance.TargetsMost + 3)
+	return controller.paced(max(controller.site.Fleet.SuspectAfter, rounds*controller.site.Fleet.HeartbeatEvery))
 }
 
 // tendTargets moves a service's targets on in time: who owns them, how warm they are, and when to read their reports.
@@ -147,14 +159,14 @@
 	target.owned = owned
 	if owned && target.phase != phaseWarm {
 		target.phase = phaseUnknown
-		target.learnUntil = max(target.learnUntil, now.Add(controller.site.Fleet.SuspectAfter))
+		target.waitUntil = now.Add(controller.site.Fleet.SuspectAfter)
 	}
 }
 
 // warmUp moves an owned target on from unknown to cold to warm.
 func (controller *Controller) warmUp(now clock.Moment, state *serviceState, name settings.TargetName, target *targetState) {
 	switch {
-	case target.phase == phaseUnknown && now >= target.learnUntil:
+	case target.phase == phaseUnknown && now >= target.waitUntil && !(target.early && controller.learning(now)):
 		controller.turnCold(now, state, name, target, "nobody called it warm")
 	case target.phase == phaseCold && now.Since(target.rampStart) >= state.settings.ColdStart.FullAfter:
 		target.phase = phaseWarm
--- a/pkg/settings/defaults.go
+++ b/pkg/settings/defaults.go
@@ -13,9 +13,9 @@
 func (site *Site) applyDefaults() {
 	setDefault(&site.Fleet.InstancesPerService, 3)
 	setDefault(&site.Fleet.AnswerKept, 5*clock.Second)
-	setDefault(&site.Fleet.HeartbeatEvery, 250*clock.Millisecond)
+	setDefault(&site.Fleet.HeartbeatEvery, 300*clock.Millisecond)
 	setDefault(&site.Fleet.SuspectAfter, clock.Second)
-	setDefault(&site.Measuring.ReportsPerTargetPerSecond, 2)
+	setDefault(&site.Measuring.ReportsPerTargetPerSecond, 1)
 	for name, service := range site.Services {
 		service.applyDefaults()
 		site.Services[name] = service
--- a/pkg/settings/types.go
+++ b/pkg/settings/types.go
@@ -79,16 +79,17 @@
 	InstancesPerService int `json:"instancesPerService,omitempty" jsonschema:"minimum=1,default=3"`
 	// AnswerKept is how long callers may keep an address answer.
 	AnswerKept clock.Milliseconds `json:"answerKept,omitempty" jsonschema:"default=5s"`
-	// HeartbeatEvery is the time between two datagrams to one peer.
-	HeartbeatEvery clock.Milliseconds `json:"heartbeatEvery,omitempty" jsonschema:"default=250ms"`
-	// SuspectAfter is the silence after which a peer is left out of address answers.
+	// HeartbeatEvery is the time between two datagrams to one peer. Above 14 peers it grows with their number, so that
+	// what an instance spends on them stays the same.
+	HeartbeatEvery clock.Milliseconds `json:"heartbeatEvery,omitempty" jsonschema:"default=300ms"`
+	// SuspectAfter is the silence after which a peer is left out of address answers; it grows alike.
 	SuspectAfter clock.Milliseconds `json:"suspectAfter,omitempty" jsonschema:"default=1s"`
 }
 
 // Measuring bounds the load that measuring adds.
 type Measuring struct {
 	// ReportsPerTargetPerSecond is how often a target's load report is read, over the whole fleet.
-	ReportsPerTargetPerSecond float64 `json:"reportsPerTargetPerSecond,omitempty" jsonschema:"exclusiveMinimum=0,maximum=100,default=2"`
+	ReportsPerTargetPerSecond float64 `json:"reportsPerTargetPerSecond,omitempty" jsonschema:"exclusiveMinimum=0,maximum=100,default=1"`
 }
 
 // Service is one service and its backend servers' common properties.
