Answer a caller that stalls, and let go of it

Cause: a caller that sent a part of a body and then nothing held its connection and a goroutine for ever: its deadline was taken off when the read failed, and the server then waited for the rest of the body without one, before it wrote the answer. A test in a synctest bubble found it.

Change: the deadline is taken off only at a body's end; an answer given before the body was read ends the connection, so that it goes out at once, and the rest of the body gets the stall limit. Connections that end within a request that was never handled are counted, and unforeseen panics too, which break the caller's connection.

Before: the new test ends in a deadlock of the bubble. After: the caller is answered and the connection closes.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,6 +28,8 @@
 type body struct {
 	// small is the whole body, when it is small.
 	small []byte
+	// smallRead says that it has been read.
+	smallRead bool
 	// stream is the rest, when it is not; it can be read once.
 	stream  *callerBody
 	present bool
@@ -57,6 +60,7 @@
 		return refusal(http.StatusBadRequest, outcome.ReasonBodyUnreadable, errors.Join(errBodyRead, err))
 	}
 	stream.setDeadline(time.Time{})
+	body.smallRead = true
 	return nil
 }
 
@@ -93,6 +97,27 @@
 	}
 }
 
+// bodyUnread reports whether a part of the body has not been read.
+func (call *call) bodyUnread() bool {
+	switch {
+	case call.request.Body == nil || call.request.Body == http.NoBody:
+		return false
+	case call.body.stream != nil:
+		return !call.body.stream.whole.Load()
+	default:
+		return !call.body.smallRead
+	}
+}
+
+// armRest gives what is left of the body its time. Once the request has ended, the server reads the rest to come to the
+// next one, and would wait for it without end.
+func (call *call) armRest() {
+	if !call.bodyUnread() {
+		return
+	}
+	_ = call.control.SetReadDeadline(time.Now().Add(call.handler.options.StallMost.Duration()))
+}
+
 // callerBody reads a body from the caller and gives each read its time, so that a caller which sends a byte a minute
 // does not hold a place on a backend server. A connection to a backend server may go on reading after the request has
 // ended; the mutex keeps it from setting a deadline that would then belong to the caller's next request.
@@ -101,6 +126,9 @@
 	control   *http.ResponseController
 	stallMost clock.Milliseconds
 
+	// whole says that the body was read to its end.
+	whole atomic.Bool
+
 	mutex    sync.Mutex
 	finished bool
 	err      error
@@ -112,13 +140,16 @@
 		return 0, errBodyRead
 	}
 	count, err := callerBody.reader.Read(buffer)
-	if err == nil {
-		return count, nil
-	}
-	// The server watches the connection while the answer is made, and would take the deadline for the caller's going
-	// away.
-	callerBody.setDeadline(time.Time{})
-	if err != io.EOF { //nolint:errorlint // io.Reader returns it bare.
+	switch err {
+	case nil:
+	case io.EOF: //nolint:errorlint // io.Reader returns it bare.
+		// The server watches the connection while the answer is made, and would take the deadline for the caller's
+		// going away.
+		callerBody.setDeadline(time.Time{})
+		callerBody.whole.Store(true)
+	default:
+		// The deadline stays: the server reads what is left of a body before it goes on, and a caller that has stalled
+		// once would hold the connection for ever.
 		callerBody.fail(err)
 	}
 	return count, err
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -54,11 +54,13 @@
 	// A panic on the way, which the server catches, would otherwise leave a place taken for ever.
 	defer call.release(service.Cancelled)
 	if problem := call.accept(); problem != nil {
+		defer call.armRest()
 		call.end(*problem)
 		return
 	}
 	ctx, cancel := context.WithTimeout(call.request.Context(), call.deadline.Since(call.now()).Duration())
 	defer cancel()
+	defer call.armRest()
 	defer call.body.finish()
 	if problem := call.body.prepare(call); problem != nil {
 		call.end(*problem)
@@ -151,6 +153,8 @@
 		ending.outcome = outcome.NotRun
 	}
 	header := call.writer.Header()
+	// Unless the connection ends with it, the answer would be held back until the rest of the body has come.
+	call.mustClose = call.mustClose || call.bodyUnread()
 	call.setOwnHeaders(header, ending.outcome, ending.reason)
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	if ending.retryAfter > 0 {
--- a/internal/caller/fixture_test.go
+++ b/internal/caller/fixture_test.go
@@ -31,6 +31,9 @@
 	address  string
 }
 
+// fixtureStall is the longest pause within a body that a fixture allows; a test may change it before it makes one.
+var fixtureStall = 30 * clock.Second
+
 func fixtureService() *settings.Service {
 	return &settings.Service{
 		Revision: 3, Hosts: []string{fixtureHost}, PathPrefix: "/", SlotsPerTarget: 2, ConnectionsPerTarget: 20,
@@ -47,6 +50,19 @@
 
 // newFixture starts an instance whose service has backend servers at the given addresses.
 func newFixture(t testing.TB, serviceSettings *settings.Service, addresses ...string) *fixture {
+	fixture := makeFixture(t, serviceSettings, addresses...)
+	limits := settings.Callers{ConnectionsMost: 100, HeaderMost: 8 << 10, HeaderTimeout: 30 * 1000, IdleMost: 60 * 1000, StallMost: 30 * 1000}
+	listener, err := Listen("127.0.0.1:0", limits, &fixture.registry.Events)
+	require.NoError(t, err)
+	server := NewServer(fixture.handler, limits)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { server.Close() })
+	fixture.address = listener.Addr().String()
+	return fixture
+}
+
+// makeFixture makes the same without taking any connection.
+func makeFixture(t testing.TB, serviceSettings *settings.Service, addresses ...string) *fixture {
 	fixture := &fixture{registry: metrics.NewRegistry(), traces: trace.NewRing(64)}
 	clock := clock.New()
 	servers := backendserver.NewServers(clock)
@@ -70,18 +86,9 @@
 	})
 	fixture.handler = NewHandler(Options{
 		Table: func() *routing.Table { return fixture.table }, Servers: servers, Registry: fixture.registry, Traces: fixture.traces,
-		Clock: clock, Instance: "entry-1", StallMost: 30 * 1000,
+		Clock: clock, Instance: "entry-1", StallMost: fixtureStall,
 	})
-	limits := settings.Callers{ConnectionsMost: 100, HeaderMost: 8 << 10, HeaderTimeout: 30 * 1000, IdleMost: 60 * 1000, StallMost: 30 * 1000}
-	listener, err := Listen("127.0.0.1:0", limits)
-	require.NoError(t, err)
-	server := NewServer(fixture.handler, limits)
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() {
-		server.Close()
-		servers.Close()
-	})
-	fixture.address = listener.Addr().String()
+	t.Cleanup(servers.Close)
 	return fixture
 }
 
--- a/internal/caller/forward_test.go
+++ b/internal/caller/forward_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jaywheel/jaywheel/internal/trace"
+	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/outcome"
 )
 
@@ -204,6 +205,30 @@
 	<-cancelled
 }
 
+// A caller asks for an excerpt and stops reading. After a while its connection is given up, so that the backend server's
+// place is free for others.
+func TestCallerThatStopsReadingIsGivenUp(t *testing.T) {
+	fixtureStall = 50 * clock.Millisecond
+	t.Cleanup(func() { fixtureStall = 30 * clock.Second })
+	cancelled := make(chan struct{})
+	backend := startBackend(t, func(writer http.ResponseWriter, _ *http.Request) {
+		defer close(cancelled)
+		block := make([]byte, 1<<20)
+		for {
+			if _, err := writer.Write(block); err != nil {
+				return
+			}
+		}
+	})
+	fixture := newFixture(t, fixtureService(), backend)
+	connection, err := net.Dial("tcp", fixture.address)
+	require.NoError(t, err)
+	defer connection.Close()
+	_, err = io.WriteString(connection, "GET /slots HTTP/1.1\r\nHost: "+fixtureHost+"\r\n\r\n")
+	require.NoError(t, err)
+	<-cancelled
+}
+
 // A nested call that is a retry already is not retried here: each of nine levels would multiply it.
 func TestRetryIsNotRetried(t *testing.T) {
 	var asked atomic.Int64
--- a/internal/caller/fuzz_test.go
+++ b/internal/caller/fuzz_test.go
@@ -23,8 +23,10 @@
 		connection, err := net.Dial("tcp", fixture.address)
 		require.NoError(t, err)
 		_, _ = connection.Write(text)
-		// The instance may have broken the connection off already.
-		_ = connection.(*net.TCPConn).CloseWrite()
+		if half, canHalfClose := connection.(*net.TCPConn); canHalfClose {
+			// The instance may have broken the connection off already.
+			_ = half.CloseWrite()
+		}
 		_ = connection.SetReadDeadline(time.Now().Add(waitMost))
 		_, _ = io.Copy(io.Discard, connection)
 		connection.Close()
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -51,10 +51,23 @@
 	return handler.inFlight.Load()
 }
 
+// Events of callers' connections.
+const (
+	// EventUnfinished counts connections that ended within a request that made no sense or was never whole.
+	EventUnfinished = "caller.unfinished"
+	// EventPanic counts requests whose handling went wrong in a way that nobody foresaw.
+	EventPanic = "caller.panic"
+)
+
 // ServeHTTP implements http.Handler.
 func (handler *Handler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	handler.inFlight.Add(1)
 	defer handler.inFlight.Add(-1)
+	defer handler.countPanic()
+	if guarded, isGuarded := request.Context().Value(connectionKey{}).(*guardedConnection); isGuarded {
+		guarded.begin()
+		defer guarded.finish()
+	}
 	if request.URL.Path == AddressesPath {
 		handler.serveAddresses(writer, request)
 		return
@@ -63,6 +76,19 @@
 	call.serve()
 }
 
+// countPanic turns an unforeseen panic into one that breaks the caller's connection, so that the request does not end as
+// if it had been answered, and counts it.
+func (handler *Handler) countPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause != http.ErrAbortHandler { //nolint:errorlint // The library panics with this very value.
+		handler.options.Registry.Events.Add(EventPanic, 1)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func (handler *Handler) newCall(writer http.ResponseWriter, request *http.Request) *call {
 	call := &call{
 		handler: handler,
--- a/internal/caller/headguard.go
+++ b/internal/caller/headguard.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 )
@@ -77,31 +78,54 @@
 	*net.TCPConn
 	guard   headGuard
 	release func()
+	// unfinished is called when the connection ends within a request that was never handled.
+	unfinished func()
+	// pending says that bytes have arrived which belong to no handled request.
+	pending atomic.Bool
+}
+
+// begin notes that a request is being handled.
+func (guardedConnection *guardedConnection) begin() {
+	guardedConnection.pending.Store(false)
+}
+
+// finish notes that a request has been handled; the bytes of its body belonged to it.
+func (guardedConnection *guardedConnection) finish() {
+	guardedConnection.pending.Store(false)
 }
 
 // Read implements net.Conn.
 func (guardedConnection *guardedConnection) Read(buffer []byte) (int, error) {
 	count, err := guardedConnection.TCPConn.Read(buffer)
 	guardedConnection.guard.observe(buffer[:count])
+	if count > 0 {
+		guardedConnection.pending.Store(true)
+	}
 	return count, err
 }
 
 // Close implements net.Conn.
 func (guardedConnection *guardedConnection) Close() error {
 	defer guardedConnection.release()
+	if guardedConnection.pending.Swap(false) {
+		guardedConnection.unfinished()
+	}
 	return guardedConnection.TCPConn.Close()
 }
 
 // guardedListener takes callers' connections, at most as many at once as there are tokens.
 type guardedListener struct {
 	*net.TCPListener
-	tokens chan struct{}
-	closed chan struct{}
-	once   sync.Once
+	tokens     chan struct{}
+	closed     chan struct{}
+	once       sync.Once
+	unfinished func()
 }
 
-func newGuardedListener(listener *net.TCPListener, most int) *guardedListener {
-	return &guardedListener{TCPListener: listener, tokens: make(chan struct{}, most), closed: make(chan struct{})}
+func newGuardedListener(listener *net.TCPListener, most int, unfinished func()) *guardedListener {
+	return &guardedListener{
+		TCPListener: listener, tokens: make(chan struct{}, most), closed: make(chan struct{}), unfinished: unfinished,
+	}
 }
 
 // Accept implements net.Listener. Above the limit it takes no connection until one ends, so that a flood of them costs
@@ -118,8 +142,9 @@
 		return nil, err
 	}
 	guarded := &guardedConnection{
-		TCPConn: connection,
-		release: sync.OnceFunc(func() { <-guardedListener.tokens }),
+		TCPConn:    connection,
+		unfinished: guardedListener.unfinished,
+		release:    sync.OnceFunc(func() { <-guardedListener.tokens }),
 	}
 	guarded.guard.restart()
 	return guarded, nil
--- a/internal/caller/refusal_test.go
+++ b/internal/caller/refusal_test.go
@@ -146,6 +146,8 @@
 			require.GreaterOrEqual(t, response.StatusCode, 400)
 			require.Equal(t, 1, strings.Count(string(text), "HTTP/1.1 "), "only one answer: %s", text)
 			require.False(t, smuggled)
+			refusedHere := strings.Contains(string(text), outcome.HeaderOutcome)
+			require.True(t, refusedHere || fixture.registry.View().Events[EventUnfinished] == 1, "it is counted")
 		})
 	}
 }
@@ -226,6 +228,27 @@
 	})
 }
 
+// A caller sends a part of its payment and then nothing, and never goes away. It must not hold a place on a backend
+// server, nor its connection for ever.
+func TestStalledBodyIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fixture := makeFixture(t, fixtureService(), "127.0.0.1:1")
+		server := NewServer(fixture.handler, settings.Callers{HeaderMost: 8 << 10, HeaderTimeout: 5000, IdleMost: 60000})
+		listener := &pipeListener{connections: make(chan net.Conn)}
+		go func() { _ = server.Serve(listener) }()
+		client, inside := net.Pipe()
+		listener.connections <- inside
+		_, err := io.WriteString(client, "POST /payments HTTP/1.1\r\nHost: "+fixtureHost+"\r\nContent-Length: 10\r\n\r\nab")
+		require.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(client), nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusBadRequest, response.StatusCode)
+		require.Equal(t, string(outcome.ReasonBodyUnreadable), response.Header.Get(outcome.HeaderReason))
+		client.Close()
+		require.NoError(t, server.Close())
+	})
+}
+
 // The address answer names the serving instances, how long it may be kept, and the settings it comes from.
 func TestAddresses(t *testing.T) {
 	fixture := newFixture(t, fixtureService())
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net"
 	"net/http"
 
@@ -29,8 +30,8 @@
 	}
 }
 
-// Listen listens for callers and takes no more connections than the limit.
-func Listen(address string, limits settings.Callers) (net.Listener, error) {
+// Listen listens for callers and takes no more connections than the limit. It counts those that end unfinished.
+func Listen(address string, limits settings.Callers, events *expvar.Map) (net.Listener, error) {
 	resolved, err := net.ResolveTCPAddr("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
@@ -39,5 +40,5 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
 	}
-	return newGuardedListener(listener, limits.ConnectionsMost), nil
+	return newGuardedListener(listener, limits.ConnectionsMost, func() { events.Add(EventUnfinished, 1) }), nil
 }
