Compare policies on real instances under noisy neighbours

Change: the baselines random, round robin and two choices (on reports, on own requests in flight) stand beside the dispatcher's own policy; the compare subcommand gives each policy a site of its own with noisy neighbours and lets them take turns.

--- a/cmd/main.go
+++ b/cmd/main.go
@@ -76,6 +76,7 @@
 		{"explain", "Tell the story of one request", explainLong, &explainCommand{streams: streams}},
 		{"try", "Run a whole site on embedded stand-ins", tryLong, &tryCommand{streams: streams}},
 		{"load", "Send an open-loop load and measure it", loadLong, &loadCommand{streams: streams}},
+		{"compare", "Compare policies under noisy neighbours", compareLong, &compareCommand{streams: streams}},
 	}
 }
 
--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -171,7 +171,7 @@
 		name:     name,
 		settings: parsed,
 		dispatcher: service.NewDispatcher(service.Options{
-			Clock: controller.options.Clock, Rand: random, Limits: limitsOf(parsed),
+			Clock: controller.options.Clock, Rand: random, Limits: limitsOf(parsed), Policy: controller.options.Policy,
 		}),
 		budget:  service.NewRetryBudget(parsed.Retry.BudgetShare),
 		targets: map[settings.TargetName]*targetState{},
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -14,6 +14,7 @@
 	"github.com/jaywheel/jaywheel/internal/metrics"
 	"github.com/jaywheel/jaywheel/internal/platform"
 	"github.com/jaywheel/jaywheel/internal/routing"
+	"github.com/jaywheel/jaywheel/internal/service"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
@@ -39,6 +40,8 @@
 	Servers     *backendserver.Servers
 	Registry    *metrics.Registry
 	Log         zerolog.Logger
+	// Policy is how targets are chosen; it is left empty unless a baseline is measured.
+	Policy service.Policy
 	// Send sends a heartbeat to a peer.
 	Send func(netip.AddrPort, instance.Heartbeat)
 	// AskReport asks for a target's load report without blocking, and reports whether it was taken. The answer comes
--- a/internal/control/targets.go
+++ b/internal/control/targets.go
@@ -144,6 +144,8 @@
 		controller.setOwned(now, target, state.owners[name] == controller.options.Name)
 		if target.owned {
 			controller.warmUp(now, state, name, target)
+		}
+		if target.owned || controller.options.Policy.ReadsReports() {
 			controller.askReport(now, state, name, target)
 		}
 		controller.setLimit(now, state, name, target)
@@ -213,6 +215,7 @@
 	if !known {
 		return
 	}
+	state.dispatcher.SetReported(read.target, read.report.InFlight+read.report.Queued)
 	before := target.startedMs
 	target.startedMs = read.report.StartedMs
 	if before != 0 && before != target.startedMs && target.owned {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -27,6 +27,7 @@
 	"github.com/jaywheel/jaywheel/internal/metrics"
 	"github.com/jaywheel/jaywheel/internal/operator"
 	"github.com/jaywheel/jaywheel/internal/platform"
+	"github.com/jaywheel/jaywheel/internal/service"
 	"github.com/jaywheel/jaywheel/internal/supervisor"
 	"github.com/jaywheel/jaywheel/internal/trace"
 	"github.com/jaywheel/jaywheel/pkg/clock"
@@ -42,6 +43,8 @@
 	Log      zerolog.Logger
 	// Seed makes the instance's random choices repeatable; 0 takes a random one.
 	Seed uint64
+	// Policy is how targets are chosen; it is left empty unless a baseline is measured.
+	Policy service.Policy
 }
 
 // Entry is one entry instance.
@@ -97,7 +100,7 @@
 		Name: process.Instance, DataCentre: process.DataCentre,
 		Incarnation: instance.Incarnation(time.Now().UnixMilli()),
 		Clock:       entry.clock, Rand: random, Servers: entry.servers, Registry: entry.registry, Log: entry.options.Log,
-		Send: plane.Send, AskReport: reporter.Ask,
+		Send: plane.Send, AskReport: reporter.Ask, Policy: entry.options.Policy,
 	})
 	watch := platform.WatchOptions{
 		Client: platform.NewClient(process.Platform), Events: &entry.registry.Events, Log: entry.options.Log, Jitter: rand.Float64,
--- a/internal/load/experiment.go
+++ b/internal/load/experiment.go
@@ -9,6 +9,8 @@
 type Variant struct {
 	Name string
 	Send Sender
+	// During, when set, runs while the variant sends, and ends with its context.
+	During func(ctx context.Context, round int)
 }
 
 // Experiment compares variants, which take turns.
@@ -49,10 +51,27 @@
 			generator := NewGenerator(Options{
 				Mix: experiment.Mix, Rate: experiment.Rate, Seed: experiment.Seed + uint64(round), Send: experiment.Variants[index].Send,
 			})
-			measured := generator.Run(ctx, experiment.Slice)
+			measured := experiment.Variants[index].run(ctx, round, func() *Measure { return generator.Run(ctx, experiment.Slice) })
 			result.Variants[index].Rounds = append(result.Variants[index].Rounds, measured)
 			result.Variants[index].Whole.merge(measured)
 		}
 	}
 	return result
 }
+
+// run sends while what goes on beside it does.
+func (variant Variant) run(ctx context.Context, round int, send func() *Measure) *Measure {
+	if variant.During == nil {
+		return send()
+	}
+	beside, stop := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		variant.During(beside, round)
+	}()
+	measured := send()
+	stop()
+	<-ended
+	return measured
+}
--- /dev/null
+++ b/internal/service/baseline.go
@@ -0,0 +1,82 @@
+package service
+
+import "github.com/jaywheel/jaywheel/pkg/settings"
+
+// Policy is how a Dispatcher chooses among targets. All but PolicyLeastTaken are kept as baselines to measure against:
+// they bind a request at once, whatever is in flight on the target.
+type Policy string
+
+// The policies.
+const (
+	// PolicyLeastTaken takes the smallest share of places taken as this instance counts them, and lets requests wait in
+	// the instance when all places are taken.
+	PolicyLeastTaken Policy = "leastTaken"
+	// PolicyRandom takes any target.
+	PolicyRandom Policy = "random"
+	// PolicyRoundRobin takes each target in turn.
+	PolicyRoundRobin Policy = "roundRobin"
+	// PolicyTwoChoices takes the less loaded of two random targets, by their last load reports.
+	PolicyTwoChoices Policy = "twoChoices"
+	// PolicyTwoChoicesOwn does the same with its own requests in flight in place of reports.
+	PolicyTwoChoicesOwn Policy = "twoChoicesOwn"
+)
+
+// Policies lists every policy.
+var Policies = []Policy{PolicyLeastTaken, PolicyRandom, PolicyRoundRobin, PolicyTwoChoices, PolicyTwoChoicesOwn}
+
+// ReadsReports reports whether the policy needs every instance to read every target's load report.
+func (policy Policy) ReadsReports() bool {
+	return policy == PolicyTwoChoices
+}
+
+// choose picks a target by the policy in force, or returns nil when none takes a request.
+func (dispatcher *Dispatcher) choose(demand Demand) *Target {
+	if dispatcher.policy == PolicyLeastTaken {
+		return dispatcher.index.least(dispatcher.random, demand.Tried)
+	}
+	open := dispatcher.openTargets(demand.Tried)
+	if len(open) == 0 {
+		return nil
+	}
+	first := open[dispatcher.random.IntN(len(open))]
+	second := open[dispatcher.random.IntN(len(open))]
+	switch dispatcher.policy {
+	case PolicyRoundRobin:
+		dispatcher.turn++
+		return open[dispatcher.turn%len(open)]
+	case PolicyTwoChoices:
+		return lesser(first, second, first.reported, second.reported)
+	case PolicyTwoChoicesOwn:
+		return lesser(first, second, first.own, second.own)
+	case PolicyRandom, PolicyLeastTaken:
+	}
+	return first
+}
+
+func lesser(first, second *Target, firstLoad, secondLoad int) *Target {
+	if secondLoad < firstLoad {
+		return second
+	}
+	return first
+}
+
+// openTargets lists the targets that a baseline may use: any that are warm and have a connection left.
+func (dispatcher *Dispatcher) openTargets(tried *Target) []*Target {
+	open := dispatcher.open[:0]
+	for _, target := range dispatcher.ordered {
+		if target.limit > 0 && target.own < target.ownMost && target != tried {
+			open = append(open, target)
+		}
+	}
+	dispatcher.open = open
+	return open
+}
+
+// SetReported notes the load that a target told of itself.
+func (dispatcher *Dispatcher) SetReported(name settings.TargetName, load int) {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	if target, known := dispatcher.targets[name]; known {
+		target.reported = load
+	}
+}
--- a/internal/service/dispatcher.go
+++ b/internal/service/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,6 +56,8 @@
 	Clock  *clock.Clock
 	Rand   *rand.Rand
 	Limits Limits
+	// Policy is PolicyLeastTaken unless a baseline is measured.
+	Policy Policy
 }
 
 // Demand is what a request asks of a Dispatcher.
@@ -94,14 +97,24 @@
 	capacity  int
 	held      int
 	failing   int
+	policy    Policy
+
+	// ordered, open and turn serve the baselines.
+	ordered []*Target
+	open    []*Target
+	turn    int
 }
 
 // NewDispatcher returns a Dispatcher without targets.
 func NewDispatcher(options Options) *Dispatcher {
+	if options.Policy == "" {
+		options.Policy = PolicyLeastTaken
+	}
 	return &Dispatcher{
 		clock:   options.Clock,
 		random:  options.Rand,
 		limits:  options.Limits,
+		policy:  options.Policy,
 		targets: map[settings.TargetName]*Target{},
 	}
 }
@@ -121,7 +134,9 @@
 		dispatcher.revive(target, address, dataCentre)
 		return
 	}
-	dispatcher.targets[name] = &Target{Name: name, Address: address, DataCentre: dataCentre, level: unlisted}
+	added := &Target{Name: name, Address: address, DataCentre: dataCentre, level: unlisted}
+	dispatcher.targets[name] = added
+	dispatcher.ordered = append(dispatcher.ordered, added)
 	dispatcher.live++
 }
 
@@ -159,6 +174,7 @@
 func (dispatcher *Dispatcher) forget(target *Target) {
 	if target.removed && target.own+target.held == 0 {
 		delete(dispatcher.targets, target.Name)
+		dispatcher.ordered = slices.DeleteFunc(dispatcher.ordered, func(other *Target) bool { return other == target })
 	}
 }
 
@@ -238,7 +254,7 @@
 // takeNow takes a place if one is free.
 func (dispatcher *Dispatcher) takeNow(demand Demand) (Place, bool) {
 	listed := dispatcher.listed
-	target := dispatcher.index.least(dispatcher.random, demand.Tried)
+	target := dispatcher.choose(demand)
 	if target == nil {
 		return Place{}, false
 	}
--- a/internal/service/target.go
+++ b/internal/service/target.go
@@ -36,6 +36,9 @@
 	// removed says that no new request may go to it; the record stays until the last one in flight has ended.
 	removed bool
 
+	// reported is the load that it told of itself, for the baselines that go by it.
+	reported int
+
 	level    int
 	position int
 }
--- a/internal/sitetest/site.go
+++ b/internal/sitetest/site.go
@@ -26,6 +26,7 @@
 	"github.com/jaywheel/jaywheel/internal/entry"
 	"github.com/jaywheel/jaywheel/internal/platform"
 	"github.com/jaywheel/jaywheel/internal/platformtest"
+	"github.com/jaywheel/jaywheel/internal/service"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
@@ -48,6 +49,8 @@
 	Seed   uint64
 	// Platform overrides how instances read the platform; its addresses are filled in.
 	Platform settings.Platform
+	// Policy is how instances choose targets; it is left empty unless a baseline is measured.
+	Policy service.Policy
 }
 
 // Site is a running site.
@@ -200,6 +203,7 @@
 		Settings: process,
 		Log:      site.options.Log.With().Str("instance", string(name)).Logger(),
 		Seed:     site.options.Seed + uint64(len(site.entries)) + 1,
+		Policy:   site.options.Policy,
 	})
 	if err != nil {
 		return nil, err
@@ -288,8 +292,8 @@
 		if !status.Ready || len(status.Services) != len(site.Settings.Services) {
 			return false, nil
 		}
-		for _, service := range status.Services {
-			if slices.Contains(service.Serving, started.Name) && !service.Warm(site.options.Targets[service.Name]) {
+		for _, state := range status.Services {
+			if slices.Contains(state.Serving, started.Name) && !state.Warm(site.options.Targets[state.Name]) {
 				return false, nil
 			}
 		}
@@ -324,3 +328,8 @@
 	}
 	return &quick
 }
+
+// PlatformAddress is where the stand-in of the platform answers.
+func (site *Site) PlatformAddress() string {
+	return site.platformAt
+}
