Refuse at once what would not be served in time

Cause: under overload each request waited its whole limit before it was refused, and with the newest served first the overtaken ones were refused late; the issue asks for a refusal within 5 ms.

Change: a request is let in only when its expected wait fits: those before it, at the pace of places taken by the time each is taken, less what more urgent requests take. First come, first served within a priority. The callers' server writes no lines of its own any more; its complaints are counted.

--- a/internal/caller/fixture_test.go
+++ b/internal/caller/fixture_test.go
@@ -54,7 +54,7 @@
 	limits := settings.Callers{ConnectionsMost: 100, HeaderMost: 8 << 10, HeaderTimeout: 30 * 1000, IdleMost: 60 * 1000, StallMost: 30 * 1000}
 	listener, err := Listen("127.0.0.1:0", limits, &fixture.registry.Events)
 	require.NoError(t, err)
-	server := NewServer(fixture.handler, limits)
+	server := NewServer(fixture.handler, limits, &fixture.registry.Events)
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { server.Close() })
 	fixture.address = listener.Addr().String()
--- a/internal/caller/refusal_test.go
+++ b/internal/caller/refusal_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"expvar"
 	"io"
 	"net"
 	"net/http"
@@ -212,7 +213,7 @@
 func TestSlowHeadIsCutOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		limits := settings.Callers{HeaderMost: 8 << 10, HeaderTimeout: 5000, IdleMost: 60000}
-		server := NewServer(http.NotFoundHandler(), limits)
+		server := NewServer(http.NotFoundHandler(), limits, (&expvar.Map{}).Init())
 		listener := &pipeListener{connections: make(chan net.Conn)}
 		go func() { _ = server.Serve(listener) }()
 		client, inside := net.Pipe()
@@ -233,7 +234,7 @@
 func TestStalledBodyIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fixture := makeFixture(t, fixtureService(), "127.0.0.1:1")
-		server := NewServer(fixture.handler, settings.Callers{HeaderMost: 8 << 10, HeaderTimeout: 5000, IdleMost: 60000})
+		server := NewServer(fixture.handler, settings.Callers{HeaderMost: 8 << 10, HeaderTimeout: 5000, IdleMost: 60000}, &fixture.registry.Events)
 		listener := &pipeListener{connections: make(chan net.Conn)}
 		go func() { _ = server.Serve(listener) }()
 		client, inside := net.Pipe()
--- a/internal/control/targets.go
+++ b/internal/control/targets.go
@@ -240,7 +240,7 @@
 	ownMost := controller.connectionShare(state)
 	switch {
 	case target.phase == phaseWarm && controller.serves(state):
-		return service.WarmShare(state.settings.SlotsPerTarget, len(state.serving), ownMost)
+		return service.WarmShare(controller.options.Policy, state.settings.SlotsPerTarget, len(state.serving), ownMost)
 	case target.phase == phaseWarm:
 		// Callers with an old answer are served, but never with much of a target.
 		return service.TargetLimit{Limit: 1, ShareLeast: 1, OwnMost: 1}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -128,7 +128,7 @@
 	})
 	operators := operator.NewHandler(operator.Options{Status: entry.controller.Status, Registry: entry.registry, Traces: traces})
 	var err error
-	entry.callers, err = newHTTPPart(caller.NewServer(entry.handler, process.Callers), process.CallerAddress,
+	entry.callers, err = newHTTPPart(caller.NewServer(entry.handler, process.Callers, &entry.registry.Events), process.CallerAddress,
 		func(address string) (net.Listener, error) {
 			return caller.Listen(address, process.Callers, &entry.registry.Events)
 		})
--- a/internal/service/dispatcher.go
+++ b/internal/service/dispatcher.go
@@ -79,6 +79,8 @@
 	Taken int
 	// Listed is the number of targets among which it was chosen.
 	Listed int
+	// since is when it was taken.
+	since clock.Moment
 }
 
 // Dispatcher gives out the places of one service at one instance. It is safe for concurrent use.
@@ -96,8 +98,13 @@
 	penalties []penalty
 	capacity  int
 	held      int
-	failing   int
-	policy    Policy
+	own       int
+	// meanHold is how long a place is taken, on a moving average.
+	meanHold clock.Milliseconds
+	// shares are the parts of all places that each priority has been given, on a moving average.
+	shares  [settings.LowestPriority + 1]float64
+	failing int
+	policy  Policy
 
 	// ordered, open and turn serve the baselines.
 	ordered []*Target
@@ -228,8 +235,8 @@
 		dispatcher.mutex.Unlock()
 		return Place{}, ErrNoTarget
 	}
-	if dispatcher.waiting.length == 0 || demand.Priority < dispatcher.firstWaitingPriority(now) {
-		if place, found := dispatcher.takeNow(demand); found {
+	if dispatcher.waiting.length == 0 || demand.Priority < dispatcher.waiting.next().demand.Priority {
+		if place, found := dispatcher.takeNow(now, demand); found {
 			dispatcher.mutex.Unlock()
 			return place, nil
 		}
@@ -242,29 +249,26 @@
 	return dispatcher.wait(ctx, waiter)
 }
 
-func (dispatcher *Dispatcher) firstWaitingPriority(now clock.Moment) settings.Priority {
-	return dispatcher.waiting.next(now, dispatcher.patience()).demand.Priority
-}
-
-// patience is how long the oldest request waits before newer ones go first.
-func (dispatcher *Dispatcher) patience() clock.Milliseconds {
-	return dispatcher.limits.QueueWait / 2
-}
-
 // takeNow takes a place if one is free.
-func (dispatcher *Dispatcher) takeNow(demand Demand) (Place, bool) {
+func (dispatcher *Dispatcher) takeNow(now clock.Moment, demand Demand) (Place, bool) {
 	listed := dispatcher.listed
 	target := dispatcher.choose(demand)
 	if target == nil {
 		return Place{}, false
 	}
 	target.own++
+	dispatcher.own++
+	dispatcher.countShare(demand.Priority)
 	dispatcher.relist(target)
-	return Place{Target: target, dispatcher: dispatcher, Taken: target.taken(), Listed: listed}, true
+	return Place{Target: target, dispatcher: dispatcher, Taken: target.taken(), Listed: listed, since: now}, true
 }
 
-// enqueue makes a request wait. When the queue is full, a less urgent request is refused in its favour.
+// enqueue makes a request wait. One whose turn would not come in time is refused at once: it would wait for nothing, and
+// its caller could have gone elsewhere. When the queue is full, a less urgent request is refused in its favour.
 func (dispatcher *Dispatcher) enqueue(now clock.Moment, demand Demand) (*waiter, error) {
+	if dispatcher.expectedWait(demand.Priority) > admittedShare*min(dispatcher.limits.QueueWait, demand.Deadline.Since(now)-dispatcher.meanHold) {
+		return nil, ErrQueueFull
+	}
 	if dispatcher.waiting.length >= dispatcher.limits.QueueLength {
 		victim := dispatcher.waiting.lowerThan(demand.Priority)
 		if victim == nil {
@@ -278,6 +282,44 @@
 	return newcomer, nil
 }
 
+// admittedShare is the part of a request's longest wait that its expected wait may take up: expectations are off by
+// some, and those that were let in should be served.
+const admittedShare = 0.7
+
+// averageWeight is the weight of one request in moving averages.
+const averageWeight = 0.02
+
+// leastShare bounds how small a part of the places is taken to be left for a priority.
+const leastShare = 0.02
+
+func (dispatcher *Dispatcher) countShare(taken settings.Priority) {
+	for priority := range dispatcher.shares {
+		dispatcher.shares[priority] -= averageWeight * dispatcher.shares[priority]
+	}
+	dispatcher.shares[taken] += averageWeight
+}
+
+// shareLeft is the part of the places that more urgent requests leave to a priority.
+func (dispatcher *Dispatcher) shareLeft(priority settings.Priority) float64 {
+	left := 1.0
+	for _, share := range dispatcher.shares[:priority] {
+		left -= share
+	}
+	return max(left, leastShare)
+}
+
+// expectedWait is how long a request of the given priority would wait: those before it, at the pace at which places
+// become free for them. By Little's law that pace is the number of places taken by the time each is taken, and more
+// urgent requests, also those that have yet to come, leave only a part of it.
+func (dispatcher *Dispatcher) expectedWait(priority settings.Priority) clock.Milliseconds {
+	if dispatcher.own == 0 {
+		return 0
+	}
+	ahead := dispatcher.waiting.ahead(priority)
+	pace := clock.Milliseconds(float64(dispatcher.own) * dispatcher.shareLeft(priority))
+	return clock.Milliseconds(ahead) * dispatcher.meanHold / pace
+}
+
 // wait blocks until waiter has a place or is refused.
 func (dispatcher *Dispatcher) wait(ctx context.Context, waiter *waiter) (Place, error) {
 	longest := waiter.longest
@@ -310,26 +352,26 @@
 		return Place{}, granted.err
 	}
 	waited := dispatcher.clock.Now().Since(waiter.since)
-	return Place{Target: granted.target, dispatcher: dispatcher, Waited: waited, Taken: 1, Listed: 1}, nil
+	return Place{Target: granted.target, dispatcher: dispatcher, Waited: waited, Taken: granted.taken, since: granted.since}, nil
 }
 
 // serveWaiting gives free places to waiting requests.
 func (dispatcher *Dispatcher) serveWaiting() {
 	for dispatcher.waiting.length > 0 {
-		first := dispatcher.waiting.next(dispatcher.clock.Now(), dispatcher.patience())
-		place, found := dispatcher.takeNow(first.demand)
+		first := dispatcher.waiting.next()
+		place, found := dispatcher.takeNow(dispatcher.clock.Now(), first.demand)
 		if !found {
 			return
 		}
 		dispatcher.waiting.remove(first)
-		first.done <- grant{target: place.Target}
+		first.done <- grant{target: place.Target, taken: place.Taken, since: place.since}
 	}
 }
 
 // refuseAll ends every wait.
 func (dispatcher *Dispatcher) refuseAll(reason error) {
 	for dispatcher.waiting.length > 0 {
-		first := dispatcher.waiting.next(dispatcher.clock.Now(), dispatcher.patience())
+		first := dispatcher.waiting.next()
 		dispatcher.waiting.remove(first)
 		first.done <- grant{err: reason}
 	}
@@ -337,13 +379,17 @@
 
 // Release gives the place back and learns from how the request ended.
 func (place Place) Release(result Result) {
-	place.dispatcher.release(place.Target, result)
+	place.dispatcher.release(place, result)
 }
 
-func (dispatcher *Dispatcher) release(target *Target, result Result) {
+func (dispatcher *Dispatcher) release(place Place, result Result) {
+	now := dispatcher.clock.Now()
 	dispatcher.mutex.Lock()
 	defer dispatcher.mutex.Unlock()
+	target := place.Target
 	target.own--
+	dispatcher.own--
+	dispatcher.meanHold += averageWeight * (now.Since(place.since) - dispatcher.meanHold)
 	switch result {
 	case Succeeded:
 		dispatcher.countFailing(target, 0)
--- /dev/null
+++ b/internal/service/overload_test.go
@@ -0,0 +1,113 @@
+package service
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
+// overload is what became of the requests of one priority.
+type overload struct {
+	sent, served, refusedAtOnce, refusedLate int
+	longest                                  time.Duration
+}
+
+// overloadRun sends requests at fixed intervals and counts what becomes of them.
+type overloadRun struct {
+	dispatcher *Dispatcher
+	service    time.Duration
+	mutex      sync.Mutex
+	counted    map[settings.Priority]*overload
+	requests   sync.WaitGroup
+}
+
+// send sends for a length of time; each fourth request is a payment.
+func (run *overloadRun) send(length, every time.Duration) {
+	start := time.Now()
+	for number := 0; time.Since(start) < length; number++ {
+		priority := settings.Priority(2)
+		if number%4 == 0 {
+			priority = 0
+		}
+		run.requests.Go(func() { run.one(priority) })
+		time.Sleep(every)
+	}
+}
+
+func (run *overloadRun) one(priority settings.Priority) {
+	begun := time.Now()
+	place, err := run.dispatcher.Take(context.Background(), Demand{Priority: priority, Deadline: run.dispatcher.clock.Now().Add(2 * clock.Second)})
+	waited := time.Since(begun)
+	if err == nil {
+		time.Sleep(run.service)
+		place.Release(Succeeded)
+	}
+	run.mutex.Lock()
+	defer run.mutex.Unlock()
+	counted := run.counted[priority]
+	counted.sent++
+	switch {
+	case err == nil:
+		counted.served++
+		counted.longest = max(counted.longest, waited)
+	case waited <= 5*time.Millisecond:
+		counted.refusedAtOnce++
+	default:
+		counted.refusedLate++
+	}
+}
+
+func (run *overloadRun) take() map[settings.Priority]*overload {
+	run.mutex.Lock()
+	defer run.mutex.Unlock()
+	counted := run.counted
+	run.counted = map[settings.Priority]*overload{0: {}, 2: {}}
+	return counted
+}
+
+// Twice as many requests come as all backend servers can run. Every slot stays busy, payments go first, and what can't
+// be served is refused when it comes; were it all let in, each request would wait its whole limit and most would be
+// refused late, and after the load has fallen the queue would still be served to callers who have gone.
+func TestOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		run := &overloadRun{service: 10 * time.Millisecond}
+		run.dispatcher = NewDispatcher(Options{
+			Clock: clock.New(), Rand: rand.New(rand.NewPCG(1, 1)),
+			Limits: Limits{QueueLength: 2000, QueueWait: 500, FailurePenalty: 100},
+		})
+		for number := range 10 {
+			name := settings.TargetName(fmt.Sprint(number))
+			run.dispatcher.Add(name, "127.0.0.1:1", "sofia-1")
+			run.dispatcher.SetLimit(name, TargetLimit{Limit: 2, ShareLeast: 2, OwnMost: 2}, 0)
+		}
+		run.take()
+		const capacityPerSecond = 2000
+		run.send(2*time.Second, time.Second/1000)
+		run.take()
+		run.send(3*time.Second, time.Second/(2*capacityPerSecond))
+		during := run.take()
+		payments, browses := during[0], during[2]
+		require.Equal(t, payments.sent, payments.served, "payments go first")
+		require.Less(t, payments.longest, 30*time.Millisecond)
+		require.GreaterOrEqual(t, payments.served+browses.served, 3*capacityPerSecond*9/10)
+		require.Greater(t, browses.refusedAtOnce, 100)
+		require.LessOrEqual(t, browses.refusedLate, browses.sent/100)
+
+		run.send(time.Second, time.Second/1000)
+		run.take()
+		run.send(time.Second, time.Second/1000)
+		run.requests.Wait()
+		after := run.take()
+		require.Equal(t, after[2].sent, after[2].served)
+		require.Less(t, after[2].longest, 10*time.Millisecond, "a second later nothing is left of it")
+	})
+}
--- a/internal/service/waiter.go
+++ b/internal/service/waiter.go
@@ -19,6 +19,8 @@
 // grant ends a wait: with a target whose place is already taken, or with the reason for which there will be none.
 type grant struct {
 	target *Target
+	taken  int
+	since  clock.Moment
 	err    error
 }
 
@@ -44,26 +46,28 @@
 	return true
 }
 
-// next returns the request to serve first, without removing it: of the first priority that has any, the oldest, or the
-// newest once the oldest has waited longer than patience. Under overload every request of a first-come order waits
-// almost its whole limit and the answer comes too late for all of them; serving the newest keeps most of them quick.
-func (waitQueue *waitQueue) next(now clock.Moment, patience clock.Milliseconds) *waiter {
+// next returns the request to serve first, without removing it: the oldest of the first priority that has any. Serving
+// the newest first would keep some quick under overload, but those that are overtaken would be refused late; here a
+// request that can't be served in time is refused when it comes.
+func (waitQueue *waitQueue) next() *waiter {
 	for priority := range waitQueue.lists {
-		waiting := &waitQueue.lists[priority]
-		front := waiting.Front()
-		if front == nil {
-			continue
-		}
-		oldest, _ := front.Value.(*waiter)
-		if now.Since(oldest.since) <= patience {
+		if front := waitQueue.lists[priority].Front(); front != nil {
+			oldest, _ := front.Value.(*waiter)
 			return oldest
 		}
-		newest, _ := waiting.Back().Value.(*waiter)
-		return newest
 	}
 	return nil
 }
 
+// ahead returns the number of requests that a newcomer of the given priority would wait for.
+func (waitQueue *waitQueue) ahead(priority settings.Priority) int {
+	ahead := 0
+	for before := range priority + 1 {
+		ahead += waitQueue.lists[before].Len()
+	}
+	return ahead
+}
+
 // lowerThan returns the request that is the first to be refused in favour of one with the given priority: the oldest
 // of the last priority below it. It returns nil when nothing that waits is less urgent.
 func (waitQueue *waitQueue) lowerThan(priority settings.Priority) *waiter {
--- a/internal/service/warmup.go
+++ b/internal/service/warmup.go
@@ -26,8 +26,8 @@
 // WarmShare returns the limits of one instance on a warm target whose callers are sent to serving instances. Twice an
 // even share lets callers spread unevenly, and still keeps a target that has just slowed down from collecting more
 // than a few requests, which then wait in front of it instead of going elsewhere.
-func WarmShare(slots, serving, ownMost int) TargetLimit {
+func WarmShare(policy Policy, slots, serving, ownMost int) TargetLimit {
 	even := (slots + serving - 1) / serving
-	share := min(slots, 2*even, ownMost)
+	share := min(slots, policy.evenShares()*even, ownMost)
 	return TargetLimit{Limit: share, ShareLeast: share, OwnMost: ownMost}
 }
