--- a/internal/control/controller_test.go
+++ b/internal/control/controller_test.go
@@ -376,3 +376,29 @@
 	require.Less(t, sentBy(56), sentBy(14)+sentBy(14)/10)
 	require.Greater(t, sentBy(56), 56*10, "each peer still hears it every few seconds")
 }
+
+// Measuring must cost a backend server the same whatever the number of instances: each target's report is read at the
+// settings' rate by the whole fleet, not by each instance.
+func TestMeasuringStaysWithinItsBudget(t *testing.T) {
+	for _, count := range []int{5, 15, 60} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			fleet := newFleet(t, count)
+			fleet.run(20 * clock.Second)
+			asked := map[settings.TargetName]int{}
+			for _, controller := range fleet.members {
+				controller.options.AskReport = func(request ReportRequest) bool {
+					asked[request.Target]++
+					return true
+				}
+			}
+			const seconds = 10
+			fleet.run(seconds * clock.Second)
+			require.Len(t, asked, targetCount)
+			for target, reads := range asked {
+				most := seconds*fleet.site.Measuring.ReportsPerTargetPerSecond + 1
+				require.LessOrEqual(t, float64(reads), most, target)
+				require.Positive(t, reads)
+			}
+		})
+	}
+}
