--- a/internal/routing/package.go
+++ b/internal/routing/package.go
@@ -6,6 +6,6 @@
 //
 // # Usage
 //
-//	table := routing.NewTable(routing.Options{Site: site, Services: services, Instances: instances})
+//	table := routing.NewTable(routing.Options{Site: site, Services: services, Registry: registry})
 //	route, err := table.Route(request.Host, request.Method, request.URL.Path)
 package routing
--- a/internal/service/package.go
+++ b/internal/service/package.go
@@ -10,7 +10,8 @@
 // # Usage
 //
 //	dispatcher := service.NewDispatcher(service.Options{Clock: clock.New(), Rand: rand.New(...), ...})
-//	dispatcher.SetTargets(targets)
+//	dispatcher.Add("browsing-1", "10.0.0.7:8080", "sofia-1")
+//	dispatcher.SetLimit("browsing-1", service.WarmShare(service.PolicyLeastTaken, 6, 3, 14), 0)
 //	place, err := dispatcher.Take(ctx, service.Demand{Priority: 0, Deadline: deadline})
 //	if err != nil {
 //		// Refused: nothing was sent anywhere.
