Test that a refusal does not wait for a body

Change: the stalled-body test also refuses a request that belongs to no service, whose body never comes, and asks that the connection ends.

--- a/internal/caller/refusal_test.go
+++ b/internal/caller/refusal_test.go
@@ -230,24 +230,39 @@
 }
 
 // A caller sends a part of its payment and then nothing, and never goes away. It must not hold a place on a backend
-// server, nor its connection for ever.
+// server, nor its connection for ever; and when the request is refused for another reason, the answer does not wait for
+// a body that may never come.
 func TestStalledBodyIsRefused(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		fixture := makeFixture(t, fixtureService(), "127.0.0.1:1")
-		server := NewServer(fixture.handler, settings.Callers{HeaderMost: 8 << 10, HeaderTimeout: 5000, IdleMost: 60000}, &fixture.registry.Events)
-		listener := &pipeListener{connections: make(chan net.Conn)}
-		go func() { _ = server.Serve(listener) }()
-		client, inside := net.Pipe()
-		listener.connections <- inside
-		_, err := io.WriteString(client, "POST /payments HTTP/1.1\r\nHost: "+fixtureHost+"\r\nContent-Length: 10\r\n\r\nab")
-		require.NoError(t, err)
-		response, err := http.ReadResponse(bufio.NewReader(client), nil)
-		require.NoError(t, err)
-		require.Equal(t, http.StatusBadRequest, response.StatusCode)
-		require.Equal(t, string(outcome.ReasonBodyUnreadable), response.Header.Get(outcome.HeaderReason))
-		client.Close()
-		require.NoError(t, server.Close())
-	})
+	cases := []struct {
+		name, host string
+		status     int
+		reason     outcome.Reason
+	}{
+		{"payment", fixtureHost, http.StatusBadRequest, outcome.ReasonBodyUnreadable},
+		{"payment to nobody", "else.example", http.StatusNotFound, outcome.ReasonNoService},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fixture := makeFixture(t, fixtureService(), "127.0.0.1:1")
+				limits := settings.Callers{HeaderMost: 8 << 10, HeaderTimeout: 5000, IdleMost: 60000}
+				server := NewServer(fixture.handler, limits, &fixture.registry.Events)
+				listener := &pipeListener{connections: make(chan net.Conn)}
+				go func() { _ = server.Serve(listener) }()
+				client, inside := net.Pipe()
+				listener.connections <- inside
+				_, err := io.WriteString(client, "POST /payments HTTP/1.1\r\nHost: "+testCase.host+"\r\nContent-Length: 10\r\n\r\nab")
+				require.NoError(t, err)
+				response, err := http.ReadResponse(bufio.NewReader(client), nil)
+				require.NoError(t, err)
+				require.Equal(t, testCase.status, response.StatusCode)
+				require.Equal(t, string(testCase.reason), response.Header.Get(outcome.HeaderReason))
+				require.True(t, response.Close, "the connection ends with the answer")
+				client.Close()
+				require.NoError(t, server.Close())
+			})
+		})
+	}
 }
 
 // The address answer names the serving instances, how long it may be kept, and the settings it comes from.
