Let short requests wait beside long ones

Cause: the door's judgement took the average time of a request off what the newcomer has left. In a service with long exports that is more than a lookup has in all, so every lookup was refused whenever all places were taken, even with nothing before it. Found by reading the change again.

Change: only the expected wait is compared with the time left. A test of a leaving backend server was missing although docs/PROMISES.md spoke of it; it stands now.

Before: TestShortRequestBesideLongOnes fails with "queue full". After: it passes, and TestOverload as before, three times over with -race.

--- a/internal/control/controller_test.go
+++ b/internal/control/controller_test.go
@@ -268,6 +268,26 @@
 	require.Equal(t, 6, fleet.phases("browsing-1")[phaseWarm])
 }
 
+// A backend server is on its way out, or gone from the list. From then on it gets nothing new, from any instance.
+func TestLeavingServerGetsNothing(t *testing.T) {
+	fleet := newFleet(t, 3)
+	fleet.run(15 * clock.Second)
+	require.Positive(t, fleet.limits("browsing-1"))
+	require.Positive(t, fleet.limits("browsing-2"))
+	fleet.list.Instances[0].State = platform.StateLeaving
+	fleet.list.Instances = slices.Delete(fleet.list.Instances, 1, 2)
+	fleet.sendList()
+	for passed := 0; passed < 10; passed++ {
+		for _, controller := range fleet.members {
+			targets, _ := controller.services["browsing"].dispatcher.State()
+			require.Len(t, targets, targetCount-2)
+		}
+		require.Zero(t, fleet.limits("browsing-1"))
+		require.Zero(t, fleet.limits("browsing-2"))
+		fleet.run(clock.Second)
+	}
+}
+
 // Documents come late, twice, out of order or wrong. The highest revision stays in force, and what is wrong is shown
 // and changes nothing.
 func TestSettingsNeverRevert(t *testing.T) {
--- a/internal/service/dispatcher.go
+++ b/internal/service/dispatcher.go
@@ -266,7 +266,7 @@
 // enqueue makes a request wait. One whose turn would not come in time is refused at once: it would wait for nothing, and
 // its caller could have gone elsewhere. When the queue is full, a less urgent request is refused in its favour.
 func (dispatcher *Dispatcher) enqueue(now clock.Moment, demand Demand) (*waiter, error) {
-	if dispatcher.expectedWait(demand.Priority) > admittedShare*min(dispatcher.limits.QueueWait, demand.Deadline.Since(now)-dispatcher.meanHold) {
+	if dispatcher.expectedWait(demand.Priority) > admittedShare*min(dispatcher.limits.QueueWait, demand.Deadline.Since(now)) {
 		return nil, ErrQueueFull
 	}
 	if dispatcher.waiting.length >= dispatcher.limits.QueueLength {
--- a/internal/service/overload_test.go
+++ b/internal/service/overload_test.go
@@ -74,6 +74,31 @@
 	return counted
 }
 
+// A service runs long exports and short lookups, so that a place is taken for far longer than a lookup may take in all.
+// Nothing waits before the lookup and a place may be free any moment; judged by the time an average request takes, it
+// would be refused whenever all places are taken.
+func TestShortRequestBesideLongOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dispatcher := NewDispatcher(Options{
+			Clock: clock.New(), Rand: rand.New(rand.NewPCG(1, 1)), Limits: Limits{QueueLength: 10, QueueWait: 10 * clock.Second},
+		})
+		dispatcher.Add("a", "127.0.0.1:1", "sofia-1")
+		dispatcher.SetLimit("a", TargetLimit{Limit: 1, ShareLeast: 1, OwnMost: 1}, 0)
+		demand := func() Demand { return Demand{Deadline: dispatcher.clock.Now().Add(5 * clock.Second)} }
+		for range 20 {
+			place, err := dispatcher.Take(context.Background(), demand())
+			require.NoError(t, err)
+			time.Sleep(time.Minute)
+			place.Release(Succeeded)
+		}
+		long, err := dispatcher.Take(context.Background(), demand())
+		require.NoError(t, err)
+		time.AfterFunc(time.Second, func() { long.Release(Succeeded) })
+		_, err = dispatcher.Take(context.Background(), demand())
+		require.NoError(t, err)
+	})
+}
+
 // Twice as many requests come as all backend servers can run. Every slot stays busy, payments go first, and what can't
 // be served is refused when it comes; were it all let in, each request would wait its whole limit and most would be
 // refused late, and after the load has fallen the queue would still be served to callers who have gone.
