--- /dev/null
+++ b/cmd/gateway.go
@@ -0,0 +1,127 @@
+package cmd
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+
+	"github.com/jaywheel/jaywheel/internal/gateway"
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
+	"github.com/jaywheel/jaywheel/platform"
+)
+
+const gatewayLong = `Runs one instance on the users' platform until it is told to leave: it finds the other instances by the
+seeds of its settings, and reads routes and backend servers from the platform's store. SIGTERM or SIGINT makes it leave without
+cutting off a request; a second signal ends it at once, with 4. Its settings are read anew on SIGHUP and whenever the file
+changes. Log lines are JSON on standard output.`
+
+// Running a gateway.
+const (
+	// logLines is the number of log lines that may wait to be written; more are dropped and counted, so that a slow
+	// reader of the log never holds up a request.
+	logLines = 2048
+	// logPoll is how often waiting lines are written.
+	logPoll = 20 * time.Millisecond
+	// watchFileEvery is how often the settings file is looked at: it may change without a signal, and file events are
+	// not to be had on the platform.
+	watchFileEvery = 500 * time.Millisecond
+	// gatewayGC lets garbage grow to some megabytes before it is collected: processor time is dear there, memory is not.
+	gatewayGC = 800
+)
+
+type gatewayCommand struct {
+	Settings string `long:"settings" value-name:"FILE" env:"JAYWHEEL_SETTINGS" required:"yes" description:"The instance's own settings"`
+	streams  streams
+}
+
+// Execute implements flags.Commander.
+func (gatewayCommand *gatewayCommand) Execute([]string) error {
+	file, err := settings.LoadGateway(gatewayCommand.Settings)
+	if err != nil {
+		return invalidCode(err)
+	}
+	level, err := zerolog.ParseLevel(file.LogLevel)
+	if err != nil {
+		return withCode(ExitInvalid, err)
+	}
+	debug.SetGCPercent(gatewayGC)
+	var missed int
+	writer := diode.NewWriter(gatewayCommand.streams.out, logLines, logPoll, func(count int) { missed += count })
+	defer writer.Close()
+	log := zerolog.New(writer).Level(level).With().Timestamp().Str("instance", string(file.Instance)).Logger()
+	store := platform.NewStore(file.StoreAddress)
+	started, err := gateway.New(gateway.Options{
+		Settings: file, Log: log,
+		Platform: gateway.Platform{
+			Source: store.Source(), SetStore: store.SetAddress, Dialect: platform.NewDialect(), ReadProbe: platform.ReadProbe,
+			Directory: platform.NewDirectory, Readiness: platform.NewReadiness,
+		},
+	})
+	if err != nil {
+		return err
+	}
+	log.Info().Str("callers", file.CallerAddress).Str("dataCentre", string(file.DataCentre)).Msg("started")
+	defer func() { log.Info().Int("linesDropped", missed).Msg("stopped") }()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go gatewayCommand.watchFile(ctx, started, log)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	return leaver{serve: started.Serve, leave: started.Leave}.run(signals, file.Bounds.LeaveMost+clock.Second)
+}
+
+// watchFile reads the settings anew when they have changed. A file that can't be right changes nothing.
+func (gatewayCommand *gatewayCommand) watchFile(ctx context.Context, started *gateway.Gateway, log zerolog.Logger) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	ticker := time.NewTicker(watchFileEvery)
+	defer ticker.Stop()
+	before := modified(gatewayCommand.Settings)
+	for {
+		why := "the file has changed"
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			why = "signal"
+		case <-ticker.C:
+			if modified(gatewayCommand.Settings) == before {
+				continue
+			}
+		}
+		before = modified(gatewayCommand.Settings)
+		file, err := settings.LoadGateway(gatewayCommand.Settings)
+		if err == nil {
+			err = started.Reload(ctx, file)
+		}
+		if err != nil {
+			log.Error().Str("problem", err.Error()).Str("why", why).Msg("settings refused, the last good ones stay")
+			continue
+		}
+		log.Info().Str("why", why).Msg("settings read anew")
+	}
+}
+
+// fileState tells one state of a file from another.
+type fileState struct {
+	at   time.Time
+	size int64
+}
+
+func modified(path string) fileState {
+	info, err := os.Stat(path)
+	if errors.Is(err, os.ErrNotExist) || info == nil {
+		return fileState{}
+	}
+	return fileState{at: info.ModTime(), size: info.Size()}
+}
--- a/cmd/main.go
+++ b/cmd/main.go
@@ -69,6 +69,7 @@
 func commands(streams streams) []command {
 	return []command{
 		{"serve", "Run one entry instance", serveLong, &serveCommand{streams: streams}},
+		{"gateway", "Run one instance on the users' platform", gatewayLong, &gatewayCommand{streams: streams}},
 		{"check", "Check settings and show what is in force", checkLong, &checkCommand{streams: streams}},
 		{"render", "Write the documents to publish", renderLong, &renderCommand{streams: streams}},
 		{"addresses", "Ask an instance which addresses callers should use", addressesLong, &addressesCommand{streams: streams}},
--- a/internal/backendserver/servers.go
+++ b/internal/backendserver/servers.go
@@ -83,6 +83,7 @@
 	pool       *pool
 	connection *connection
 	whole      bool
+	closed     bool
 }
 
 // Send writes the request on a connection to target, once, and returns when the answer's header has arrived. With
@@ -139,6 +140,10 @@
 // Close gives the connection back when the answer was read to its end, and closes it otherwise: what is left of the
 // answer would be taken for the start of the next one.
 func (exchange *Exchange) Close() {
+	if exchange.closed {
+		return
+	}
+	exchange.closed = true
 	exchange.Response.Body.Close()
 	exchange.pool.put(exchange.connection, exchange.whole)
 }
--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"sync"
@@ -66,7 +67,13 @@
 	exchange := attempt.exchange
 	status := exchange.Response.StatusCode
 	call.startAnswer(exchange)
-	err := call.copyAnswer(exchange)
+	call.place.Size = len(attempt.buffered)
+	if exchange.Whole() {
+		// The answer is here in full, so its server is free again.
+		exchange.Close()
+		call.release(resultOf(status, nil))
+	}
+	err := call.copyAnswer(&attempt)
 	exchange.Close()
 	call.release(resultOf(status, err))
 	if err == nil {
@@ -98,7 +105,8 @@
 func (call *call) startAnswer(exchange *backendserver.Exchange) {
 	response := exchange.Response
 	removeHopByHop(response.Header)
-	removeOwn(response.Header)
+	dialect := call.handler.options.Dialect
+	removeOwn(response.Header, dialect.Own)
 	header := call.writer.Header()
 	for name, values := range response.Header {
 		header[name] = values
@@ -107,7 +115,9 @@
 	for name := range response.Trailer {
 		header.Add("Trailer", name)
 	}
-	header.Add("Via", "1.1 "+string(call.handler.options.Instance))
+	if dialect.Explains {
+		header.Add("Via", "1.1 "+string(call.handler.options.Instance))
+	}
 	if _, given := header["Date"]; !given {
 		// The library would add one, as if the answer had been made here.
 		header["Date"] = nil
@@ -120,7 +130,18 @@
 
 // copyAnswer passes the body on as it arrives. An answer without a known length is flushed after each read, since it
 // may be a stream that somebody watches.
-func (call *call) copyAnswer(exchange *backendserver.Exchange) error {
+func (call *call) copyAnswer(attempt *attempt) error {
+	exchange := attempt.exchange
+	if len(attempt.buffered) > 0 {
+		call.armWrite()
+		if _, err := call.writer.Write(attempt.buffered); err != nil {
+			return errors.Join(errCallerWrite, err)
+		}
+	}
+	if exchange.Whole() {
+		call.copyTrailers(exchange.Response)
+		return nil
+	}
 	buffers := buffersFor(exchange.Response.ContentLength)
 	pooled := buffers.get()
 	defer buffers.put(pooled)
@@ -147,9 +168,28 @@
 	}
 }
 
+// readAhead reads the answer's body up to the given length. An answer that breaks off within it has not been passed on
+// yet, so its request can be sent again.
+func (attempt *attempt) readAhead(most int64) error {
+	length := attempt.exchange.Response.ContentLength
+	if length > most {
+		return nil
+	}
+	var body bytes.Buffer
+	if length > 0 {
+		body.Grow(int(length) + bytes.MinRead)
+	}
+	_, err := io.CopyN(&body, attempt.exchange, most+1)
+	attempt.buffered = body.Bytes()
+	if err == nil || err == io.EOF { //nolint:errorlint // io.CopyN returns it bare.
+		return nil
+	}
+	return errors.Join(errServerRead, err)
+}
+
 func (call *call) copyTrailers(response *http.Response) {
 	for name, values := range response.Trailer {
-		if !outcome.IsOwnHeader(name) {
+		if !call.handler.options.Dialect.Own(name) {
 			call.writer.Header()[http.TrailerPrefix+name] = values
 		}
 	}
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -28,6 +28,8 @@
 	id       trace.RequestID
 	started  clock.Moment
 	deadline clock.Moment
+	// aim is the moment until which an answer is worth most.
+	aim      clock.Moment
 	body     body
 	tried    *service.Target
 	attempts []trace.Attempt
@@ -105,11 +107,15 @@
 		return refusal(http.StatusMethodNotAllowed, outcome.ReasonNoService, err)
 	}
 	call.route = route
-	timeout, err := requestTimeout(call.request, route.Class.Settings.Timeout)
+	timeout, err := call.timeout(route.Class.Settings.Timeout)
 	if err != nil {
 		return refusal(http.StatusBadRequest, outcome.ReasonBadRequest, err)
 	}
 	call.deadline = call.started.Add(timeout)
+	call.aim = call.deadline
+	if aim := route.Class.Settings.Aim; aim > 0 {
+		call.aim = min(call.started.Add(aim), call.deadline)
+	}
 	return nil
 }
 
@@ -120,7 +126,7 @@
 
 var (
 	errDotSegment = errors.New("the path has a segment that goes up or stays")
-	errTimeout    = errors.Newf("%s is no whole number of milliseconds above 0", outcome.HeaderTimeout)
+	errTimeout    = errors.New("the time left is no whole number of milliseconds above 0")
 )
 
 // hasDotSegment reports whether a backend server could read the path as another than the one by which the class was
@@ -134,15 +140,16 @@
 	return false
 }
 
-// requestTimeout returns the time the request has: what its caller says, but never more than its class allows.
-func requestTimeout(request *http.Request, most clock.Milliseconds) (clock.Milliseconds, error) {
-	given := request.Header.Get(outcome.HeaderTimeout)
+// timeout returns the time the request has: what its caller says, but never more than its class allows.
+func (call *call) timeout(most clock.Milliseconds) (clock.Milliseconds, error) {
+	name := call.handler.options.Dialect.TimeoutHeader
+	given := call.request.Header.Get(name)
 	if given == "" {
 		return most, nil
 	}
 	milliseconds, err := strconv.ParseInt(given, 10, 64)
 	if err != nil || milliseconds <= 0 {
-		return 0, errors.Wrap(errTimeout, strconv.Quote(given))
+		return 0, errors.Wrapf(errTimeout, "%s: %s", name, strconv.Quote(given))
 	}
 	return min(clock.Milliseconds(milliseconds), most), nil
 }
@@ -158,7 +165,7 @@
 	call.setOwnHeaders(header, ending.outcome, ending.reason)
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	if ending.retryAfter > 0 {
-		header.Set("Retry-After", strconv.Itoa(wholeSeconds(ending.retryAfter)))
+		header.Set("Retry-After", call.handler.options.Dialect.RetryAfter(ending.retryAfter))
 	}
 	text := string(ending.outcome) + ": " + string(ending.reason) + "\n"
 	header.Set("Content-Length", strconv.Itoa(len(text)))
@@ -177,9 +184,12 @@
 }
 
 func (call *call) setOwnHeaders(header http.Header, result outcome.Outcome, reason outcome.Reason) {
-	header.Set(outcome.HeaderOutcome, string(result))
-	header.Set(outcome.HeaderReason, string(reason))
-	header.Set(outcome.HeaderRequestID, string(call.id))
+	dialect := call.handler.options.Dialect
+	if dialect.Explains {
+		header.Set(outcome.HeaderOutcome, string(result))
+		header.Set(outcome.HeaderReason, string(reason))
+	}
+	header.Set(dialect.RequestIDHeader, string(call.id))
 	if call.mustClose || call.table != nil && call.table.Leaving {
 		header.Set("Connection", "close")
 	}
@@ -207,17 +217,25 @@
 	}
 	if call.route.Class == nil {
 		call.handler.options.Registry.Events.Add("refused."+string(reason), 1)
-		call.handler.options.Traces.Add(story)
+		call.tell(&story)
 		return
 	}
 	story.Service = call.route.Service.Name
 	story.Class = call.route.Class.Name
 	story.Revision = call.route.Service.Settings.Revision
 	story.Timeout = call.deadline.Since(call.started)
-	call.handler.options.Traces.Add(story)
+	call.tell(&story)
 	call.measure(whole, result, reason)
 }
 
+// tell keeps the request's story and hands it to whoever writes it down.
+func (call *call) tell(story *trace.Request) {
+	call.handler.options.Traces.Add(*story)
+	if decided := call.handler.options.Decided; decided != nil {
+		decided(story)
+	}
+}
+
 func (call *call) measure(whole clock.Milliseconds, result outcome.Outcome, reason outcome.Reason) {
 	measures := call.route.Class.Metrics
 	measures.Count(result, reason)
--- a/internal/caller/forward.go
+++ b/internal/caller/forward.go
@@ -15,41 +15,86 @@
 
 // attempt is what came of sending the request to one backend server.
 type attempt struct {
+	place    service.Place
 	exchange *backendserver.Exchange
+	// buffered is the answer's body, as far as it was read ahead.
+	buffered []byte
 	err      error
 	// notRun says that the request truly did not run.
 	notRun bool
 	// free says that sending again costs the retry budget nothing: an idle connection had died unnoticed, which says
 	// nothing about the server.
 	free bool
+	// reached says that a connection had the request.
+	reached bool
+	story   trace.Attempt
+}
+
+// answered reports whether the attempt brought an answer that may be passed on.
+func (attempt *attempt) answered() bool {
+	return attempt.exchange != nil && attempt.err == nil && !attempt.notRun
 }
 
 // forward sends the request until it is answered or may not be sent again.
 func (call *call) forward(ctx context.Context) {
+	// failed is an earlier answer that told of a failure; it is passed on when nothing better comes.
+	var failed *attempt
 	for {
 		if problem := call.takePlace(ctx); problem != nil {
+			if failed != nil {
+				call.answer(*failed)
+				return
+			}
 			call.end(*problem)
 			return
 		}
-		attempt := call.send(ctx)
-		if attempt.exchange != nil && !attempt.notRun {
+		attempt := call.attemptOnce(ctx)
+		if attempt.answered() && !call.worthRetry(&attempt) {
+			failed.discard()
 			call.answer(attempt)
 			return
 		}
-		if !call.mayRetry(ctx, attempt) {
-			call.endFailed(ctx, attempt)
+		if !call.mayRetry(ctx, &attempt) {
+			call.endAttempts(ctx, &attempt, failed)
 			return
 		}
-		attempt.discard()
+		if attempt.answered() {
+			failed.discard()
+			failed = &attempt
+			call.release(service.Failed)
+		} else {
+			attempt.discard()
+		}
 		call.route.Class.Metrics.CountRetry()
 	}
 }
 
+// endAttempts ends a request that is not sent again: with a backend server's answer if there is any.
+func (call *call) endAttempts(ctx context.Context, last, failed *attempt) {
+	if last.answered() {
+		failed.discard()
+		call.answer(*last)
+		return
+	}
+	if failed != nil {
+		last.discard()
+		call.answer(*failed)
+		return
+	}
+	call.endFailed(ctx, last)
+}
+
+// worthRetry reports whether an answer tells of a failure that another backend server may not have. Answers are only
+// held back for that where they are read ahead.
+func (call *call) worthRetry(attempt *attempt) bool {
+	return call.route.Class.Settings.Idempotent && call.handler.options.Dialect.BufferMost > 0 &&
+		attempt.exchange.Response.StatusCode >= http.StatusInternalServerError
+}
+
 // takePlace waits for a place on a backend server.
 func (call *call) takePlace(ctx context.Context) *ending {
-	demand := service.Demand{Priority: call.route.Class.Settings.Priority, Deadline: call.deadline, Tried: call.tried}
 	before := call.now()
-	place, err := call.route.Service.Dispatcher.Take(ctx, demand)
+	place, err := call.route.Service.Take(ctx, call.demand())
 	if err == nil {
 		call.queued += place.Waited
 		call.place = place
@@ -57,6 +102,10 @@
 	}
 	call.queued += call.now().Since(before)
 	retryAfter := call.route.Service.Settings.Queue.RetryAfter
+	var refused *service.RefusedError
+	if errors.As(err, &refused) {
+		retryAfter = refused.ComeBack
+	}
 	problem := &ending{status: http.StatusServiceUnavailable, outcome: call.outcomeSoFar(), retryAfter: retryAfter, cause: err}
 	switch {
 	case errors.Is(err, service.ErrNoTarget):
@@ -71,9 +120,20 @@
 		problem.status = http.StatusGatewayTimeout
 		problem.reason = outcome.ReasonDeadline
 	}
+	if problem.outcome == outcome.Unknown && problem.status == http.StatusServiceUnavailable {
+		// That status would promise that the request did not run.
+		problem.status = http.StatusBadGateway
+	}
 	return problem
 }
 
+func (call *call) demand() service.Demand {
+	return service.Demand{
+		Priority: call.route.Class.Settings.Priority, Deadline: call.deadline, Tried: call.tried,
+		Class: call.route.Class.Name, Aim: call.aim,
+	}
+}
+
 // outcomeSoFar is Unknown once an attempt may have run.
 func (call *call) outcomeSoFar() outcome.Outcome {
 	for _, earlier := range call.attempts {
@@ -84,32 +144,56 @@
 	return outcome.NotRun
 }
 
-// send sends the request to the backend server of the place held, once.
-func (call *call) send(ctx context.Context) attempt {
-	place := call.place
+// attemptOnce sends the request to the backend server of the place held, and to a second one when the first is slow and
+// the class allows it. What it returns holds its place, unless it has failed.
+func (call *call) attemptOnce(ctx context.Context) attempt {
+	before := call.now()
+	var attempt attempt
+	if call.mayHedge() {
+		attempt = call.hedge(ctx)
+	} else {
+		hints := &hints{call: call}
+		attempt = call.send(hints.watch(ctx), call.place, call.outgoing(call.place.Target))
+		hints.end()
+	}
+	call.sending += call.now().Since(before)
+	call.note(&attempt)
+	call.place = attempt.place
+	if !attempt.answered() {
+		call.place = service.Place{}
+	}
+	return attempt
+}
+
+// note keeps what an attempt tells of the request.
+func (call *call) note(attempt *attempt) {
+	call.tried = attempt.place.Target
+	call.body.handedOver = call.body.handedOver || attempt.reached
+	if attempt.exchange != nil {
+		call.route.Class.Metrics.Attempt.Record(attempt.story.Took)
+	}
+	call.attempts = append(call.attempts, attempt.story)
+}
+
+// send sends the request to the backend server of a place, once, and judges what comes back. It leaves the call as it
+// is, so that two may run at once. The place is given back unless there is an answer to pass on.
+func (call *call) send(ctx context.Context, place service.Place, request *http.Request) attempt {
 	target := place.Target
-	request := call.outgoing(target)
 	freshOnly := !call.route.Class.Settings.Idempotent
 	before := call.now()
-	hints := &hints{call: call}
-	exchange, err := call.handler.options.Servers.Send(hints.watch(ctx), target.Name, request, freshOnly)
-	hints.end()
-	took := call.now().Since(before)
-	call.sending += took
-	call.tried = target
-	call.body.handedOver = call.body.handedOver || !neverConnected(err)
-	attempt := attempt{exchange: exchange, err: err}
-	story := trace.Attempt{
-		Target: target.Name, DataCentre: target.DataCentre,
-		Considered: place.Listed, Taken: place.Taken, Waited: place.Waited, Took: took,
-	}
-	if err != nil {
-		call.judgeError(ctx, &attempt, &story)
-	} else {
-		call.judgeAnswer(&attempt, &story)
-		call.route.Class.Metrics.Attempt.Record(took)
+	exchange, err := call.handler.options.Servers.Send(ctx, target.Name, request, freshOnly)
+	attempt := attempt{place: place, exchange: exchange, err: err, reached: !neverConnected(err)}
+	attempt.story = trace.Attempt{
+		Target: target.Name, DataCentre: target.DataCentre, Considered: place.Listed, Taken: place.Taken, Waited: place.Waited,
+		Slowdown: place.Reading.Slowdown, ReadingAge: max(place.ReadingAge(before), 0),
+	}
+	if err == nil {
+		call.judgeAnswer(&attempt)
+	}
+	if attempt.err != nil {
+		call.judgeError(ctx, &attempt)
 	}
-	call.attempts = append(call.attempts, story)
+	attempt.story.Took = call.now().Since(before)
 	return attempt
 }
 
@@ -120,18 +204,18 @@
 }
 
 // judgeError learns from a failed attempt, and gives the place back.
-func (call *call) judgeError(ctx context.Context, attempt *attempt, story *trace.Attempt) {
+func (call *call) judgeError(ctx context.Context, attempt *attempt) {
 	var failure *backendserver.Error
 	reused := errors.As(attempt.err, &failure) && failure.Reused
 	attempt.notRun = backendserver.IsErrNotWritten(attempt.err)
 	attempt.free = attempt.notRun && reused
-	story.Reused = reused
-	story.Error = attempt.err.Error()
-	story.Result = trace.ResultCut
+	attempt.story.Reused = reused
+	attempt.story.Error = attempt.err.Error()
+	attempt.story.Result = trace.ResultCut
 	if attempt.notRun {
-		story.Result = trace.ResultNotWritten
+		attempt.story.Result = trace.ResultNotWritten
 	}
-	call.release(call.blame(ctx, attempt))
+	attempt.place.Release(call.blame(ctx, attempt))
 }
 
 // blame tells whether a failed attempt counts against the backend server. One that ended because its caller went away,
@@ -149,49 +233,72 @@
 	}
 }
 
-// judgeAnswer learns from an answer's header. The place is given back when the answer has been read, or at once when
-// the server refused.
-func (call *call) judgeAnswer(attempt *attempt, story *trace.Attempt) {
+// judgeAnswer learns from an answer's header, and reads the body ahead where the dialect asks for it. The place is given
+// back when the answer has been passed on, or at once when the server refused.
+func (call *call) judgeAnswer(attempt *attempt) {
 	response := attempt.exchange.Response
-	story.Reused = attempt.exchange.Reused
-	story.Status = response.StatusCode
-	story.Result = trace.ResultAnswered
-	if response.Header.Get(call.route.Service.Settings.NotRunHeader) == "" {
+	dialect := call.handler.options.Dialect
+	attempt.story.Reused = attempt.exchange.Reused
+	attempt.story.Status = response.StatusCode
+	attempt.story.Result = trace.ResultAnswered
+	if reading, told := dialect.Load(response.Header); told {
+		reading.At = call.now()
+		attempt.place.Observe(reading)
+	}
+	if attempt.err = dialect.Check(call.id, response); attempt.err != nil {
+		attempt.discard()
 		return
 	}
-	story.Result = trace.ResultNotRun
-	attempt.notRun = true
-	call.release(service.Failed)
+	if dialect.BufferMost > 0 {
+		if attempt.err = attempt.readAhead(dialect.BufferMost); attempt.err != nil {
+			attempt.discard()
+			return
+		}
+	}
+	if dialect.NotRun(response, call.route.Service.Settings) {
+		attempt.story.Result = trace.ResultNotRun
+		attempt.notRun = true
+		attempt.place.Release(service.Failed)
+	}
 }
 
 // discard closes an answer that is not passed on.
 func (attempt *attempt) discard() {
-	if attempt.exchange != nil {
+	if attempt != nil && attempt.exchange != nil {
 		attempt.exchange.Close()
+		attempt.exchange = nil
 	}
 }
 
 // mayRetry decides whether the request is sent again. One that may have run is sent again only if it is idempotent; so
 // no payment is, whatever failed. A request that was a retry already when it came here is left to whoever retried it,
 // since nine calls deep each level's retries would multiply.
-func (call *call) mayRetry(ctx context.Context, attempt attempt) bool {
+func (call *call) mayRetry(ctx context.Context, attempt *attempt) bool {
 	if ctx.Err() != nil || !call.body.replayable() || call.body.failed() != nil {
 		return false
 	}
 	if !attempt.notRun && !call.route.Class.Settings.Idempotent {
 		return false
 	}
-	if len(call.attempts) >= min(call.route.Service.Settings.Retry.Attempts, trace.AttemptsMost) {
+	if len(call.attempts) >= call.attemptsMost() {
 		return false
 	}
 	if attempt.free {
 		return true
 	}
-	return attemptNumber(call.request) == 0 && call.route.Service.Budget.Spend()
+	return call.attemptNumber() == 0 && call.route.Service.Budget.Spend()
+}
+
+func (call *call) attemptsMost() int {
+	most := call.route.Class.Settings.Attempts
+	if most == 0 {
+		most = call.route.Service.Settings.Retry.Attempts
+	}
+	return min(most, trace.AttemptsMost)
 }
 
 // endFailed ends a request that is not sent again.
-func (call *call) endFailed(ctx context.Context, attempt attempt) {
+func (call *call) endFailed(ctx context.Context, attempt *attempt) {
 	defer attempt.discard()
 	failure := ending{status: http.StatusBadGateway, outcome: call.outcomeSoFar(), cause: attempt.err}
 	switch {
@@ -204,16 +311,19 @@
 		failure.status = http.StatusBadRequest
 		failure.reason = outcome.ReasonBodyUnreadable
 		failure.cause = call.body.failed()
+	case failure.outcome == outcome.Unknown:
+		failure.reason = outcome.ReasonCutBeforeAnswer
 	case attempt.exchange != nil:
 		failure.status = http.StatusServiceUnavailable
 		failure.reason = outcome.ReasonServerRefused
 		failure.retryAfter = call.route.Service.Settings.Queue.RetryAfter
-	case attempt.notRun:
+	default:
 		failure.status = http.StatusServiceUnavailable
 		failure.reason = outcome.ReasonConnect
 		failure.retryAfter = clock.Second
-	default:
-		failure.reason = outcome.ReasonCutBeforeAnswer
+		if call.handler.options.Dialect.BufferMost > 0 {
+			failure.retryAfter = call.route.Service.Settings.Queue.RetryAfter
+		}
 	}
 	call.end(failure)
 }
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -10,7 +10,6 @@
 	"github.com/jaywheel/jaywheel/internal/routing"
 	"github.com/jaywheel/jaywheel/internal/trace"
 	"github.com/jaywheel/jaywheel/pkg/clock"
-	"github.com/jaywheel/jaywheel/pkg/outcome"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
 
@@ -33,6 +32,10 @@
 	Instance settings.InstanceName
 	// StallMost is the longest pause within a body.
 	StallMost clock.Milliseconds
+	// Dialect is how HTTP is spoken; nil means jaywheel's own.
+	Dialect *Dialect
+	// Decided takes the story of each request as it ends; it must not block. It may be nil.
+	Decided func(*trace.Request)
 }
 
 // Handler takes callers' requests.
@@ -43,6 +46,9 @@
 
 // NewHandler returns a handler.
 func NewHandler(options Options) *Handler {
+	if options.Dialect == nil {
+		options.Dialect = NewDialect()
+	}
 	return &Handler{options: options}
 }
 
@@ -68,7 +74,7 @@
 		guarded.begin()
 		defer guarded.finish()
 	}
-	if request.URL.Path == AddressesPath {
+	if handler.options.Dialect.Reserved(request.URL.Path) {
 		handler.serveAddresses(writer, request)
 		return
 	}
@@ -96,7 +102,7 @@
 		request: request,
 		control: http.NewResponseController(writer),
 		started: handler.options.Clock.Now(),
-		id:      requestID(request),
+		id:      handler.requestID(request),
 		table:   handler.options.Table(),
 	}
 	return call
@@ -106,8 +112,8 @@
 const mostRequestID = 128
 
 // requestID returns the caller's id, or a random one when there is none fit to keep.
-func requestID(request *http.Request) trace.RequestID {
-	given := request.Header.Get(outcome.HeaderRequestID)
+func (handler *Handler) requestID(request *http.Request) trace.RequestID {
+	given := request.Header.Get(handler.options.Dialect.RequestIDHeader)
 	if given == "" || len(given) > mostRequestID {
 		return trace.RequestID(rand.Text())
 	}
--- a/internal/caller/headers.go
+++ b/internal/caller/headers.go
@@ -10,7 +10,6 @@
 	"golang.org/x/net/http/httpguts"
 
 	"github.com/jaywheel/jaywheel/internal/service"
-	"github.com/jaywheel/jaywheel/pkg/outcome"
 )
 
 // hopByHop are the headers that speak of one connection only (RFC 9110, section 7.6.1).
@@ -36,10 +35,11 @@
 // outgoing builds the request for one backend server.
 func (call *call) outgoing(target *service.Target) *http.Request {
 	incoming := call.request
+	dialect := call.handler.options.Dialect
 	header := incoming.Header.Clone()
 	wantsTrailers := httpguts.HeaderValuesContainsToken(header["Te"], "trailers")
 	removeHopByHop(header)
-	removeOwn(header)
+	removeOwn(header, dialect.Own)
 	if wantsTrailers {
 		header.Set("Te", "trailers")
 	}
@@ -47,12 +47,19 @@
 		// Without this the library would write its own name in the caller's place.
 		header["User-Agent"] = nil
 	}
-	header.Set(outcome.HeaderRequestID, string(call.id))
-	header.Set(outcome.HeaderTimeout, strconv.FormatInt(max(int64(call.deadline.Since(call.now())), 1), 10))
-	header.Set(outcome.HeaderAttempt, strconv.Itoa(attemptNumber(incoming)+len(call.attempts)))
-	header.Add("Via", "1.1 "+string(call.handler.options.Instance))
-	if caller, _, err := net.SplitHostPort(incoming.RemoteAddr); err == nil {
-		header.Add("X-Forwarded-For", caller)
+	header.Set(dialect.RequestIDHeader, string(call.id))
+	header.Set(dialect.TimeoutHeader, strconv.FormatInt(max(int64(call.deadline.Since(call.now())), 1), 10))
+	if dialect.TargetHeader != "" {
+		header.Set(dialect.TargetHeader, string(target.Name))
+	}
+	if dialect.AttemptHeader != "" {
+		header.Set(dialect.AttemptHeader, strconv.Itoa(call.attemptNumber()+len(call.attempts)))
+	}
+	if dialect.Explains {
+		header.Add("Via", "1.1 "+string(call.handler.options.Instance))
+		if caller, _, err := net.SplitHostPort(incoming.RemoteAddr); err == nil {
+			header.Add("X-Forwarded-For", caller)
+		}
 	}
 	body, length := call.body.reader(incoming.ContentLength)
 	outgoing := &http.Request{
@@ -70,17 +77,21 @@
 }
 
 // removeOwn takes out headers that only jaywheel sets, so that neither side can speak in its name.
-func removeOwn(header http.Header) {
+func removeOwn(header http.Header, own func(string) bool) {
 	for name := range header {
-		if outcome.IsOwnHeader(name) {
+		if own(name) {
 			delete(header, name)
 		}
 	}
 }
 
 // attemptNumber reads how often the request was sent before it came here; what can't be read counts as once.
-func attemptNumber(request *http.Request) int {
-	given := request.Header.Get(outcome.HeaderAttempt)
+func (call *call) attemptNumber() int {
+	name := call.handler.options.Dialect.AttemptHeader
+	if name == "" {
+		return 0
+	}
+	given := call.request.Header.Get(name)
 	if given == "" {
 		return 0
 	}
--- /dev/null
+++ b/internal/caller/hedge.go
@@ -0,0 +1,123 @@
+package caller
+
+import (
+	"context"
+	"time"
+
+	"github.com/jaywheel/jaywheel/internal/service"
+	"github.com/jaywheel/jaywheel/internal/trace"
+	"github.com/jaywheel/jaywheel/pkg/clock"
+)
+
+// Hedging.
+const (
+	// hedgeMargin is how much longer than usual the second copy is given to be in time.
+	hedgeMargin = 1.15
+	// hedgeOverdue is how many times the usual time a request may take on a target that looks calm before a second copy
+	// is sent all the same: with a spread of 0.3, 1 in 20 takes longer.
+	hedgeOverdue = 1.5
+	// hedgeLook is how often a request that is due looks whether its target has slowed down.
+	hedgeLook = 20 * clock.Millisecond
+)
+
+// mayHedge reports whether a second copy of the request could be sent while the first is under way. That protects the
+// tail: a target slows down in the midst of a request, and the answer comes too late although others are calm.
+func (call *call) mayHedge() bool {
+	return call.route.Service.Scheduler != nil && call.route.Class.Settings.Idempotent && call.body.replayable() &&
+		call.body.stream == nil && len(call.attempts)+1 < call.attemptsMost()
+}
+
+// hedge sends the request, and a second copy to another target at the last moment at which it can still be in time if
+// the first one's target is slow. The first usable answer wins and the other copy is cancelled.
+func (call *call) hedge(ctx context.Context) attempt {
+	results := make(chan attempt, 2)
+	firstCtx, cancelFirst := context.WithCancel(ctx)
+	defer cancelFirst()
+	first := call.place
+	call.place = service.Place{}
+	request := call.outgoing(first.Target)
+	go func() { results <- call.send(firstCtx, first, request) }()
+	second, winner := call.awaitFirst(ctx, first, results)
+	if winner != nil {
+		return *winner
+	}
+	secondCtx, cancelSecond := context.WithCancel(ctx)
+	defer cancelSecond()
+	copied := call.outgoing(second.Target)
+	call.attempts = append(call.attempts, trace.Attempt{
+		Target: first.Target.Name, DataCentre: first.Target.DataCentre, Considered: first.Listed, Taken: first.Taken,
+		Waited: first.Waited, Slowdown: first.Reading.Slowdown, Result: trace.ResultCut, Error: "a second copy was sent",
+	})
+	call.route.Class.Metrics.CountRetry()
+	go func() { results <- call.send(secondCtx, second, copied) }()
+	one := <-results
+	if one.answered() && !call.worthRetry(&one) {
+		go settle(results)
+		return one
+	}
+	other := <-results
+	if other.answered() {
+		settleAttempt(&one)
+		return other
+	}
+	if one.answered() {
+		settleAttempt(&other)
+		return one
+	}
+	one.discard()
+	if one.notRun != other.notRun {
+		other.notRun = false
+	}
+	return other
+}
+
+// settle waits for the copy that lost and gives back what it holds.
+func settle(results <-chan attempt) {
+	lost := <-results
+	settleAttempt(&lost)
+}
+
+func settleAttempt(lost *attempt) {
+	if lost.answered() {
+		lost.place.Release(service.Cancelled)
+	}
+	lost.discard()
+}
+
+// awaitFirst waits for the first copy. It returns a place for the second one when the first is slow, or else what came of
+// the first.
+func (call *call) awaitFirst(ctx context.Context, first service.Place, results <-chan attempt) (service.Place, *attempt) {
+	work := call.route.Service.Scheduler.Expected(call.route.Class.Name)
+	last := call.aim.Add(-hedgeMargin * work)
+	overdue := call.now().Add(hedgeOverdue * work)
+	timer := time.NewTimer(max(min(last.Since(call.now()), hedgeOverdue*work), 0).Duration())
+	defer timer.Stop()
+	for {
+		select {
+		case result := <-results:
+			return service.Place{}, &result
+		case <-timer.C:
+		}
+		now := call.now()
+		if ctx.Err() == nil && (now >= overdue || first.Slow()) {
+			demand := call.demand()
+			demand.Tried = first.Target
+			if second, taken := call.takeSecond(demand); taken {
+				return second, nil
+			}
+		}
+		timer.Reset(hedgeLook.Duration())
+	}
+}
+
+func (call *call) takeSecond(demand service.Demand) (service.Place, bool) {
+	second, taken := call.route.Service.Scheduler.TryTake(demand)
+	if !taken {
+		return service.Place{}, false
+	}
+	if !call.route.Service.Budget.Spend() {
+		second.Release(service.Cancelled)
+		return service.Place{}, false
+	}
+	return second, true
+}
--- a/internal/caller/hints.go
+++ b/internal/caller/hints.go
@@ -7,8 +7,6 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"sync"
-
-	"github.com/jaywheel/jaywheel/pkg/outcome"
 )
 
 // hints passes on informational answers (103 Early Hints and its like) while the final one is awaited. They arrive on
@@ -42,7 +40,8 @@
 	passed := http.Header(received)
 	removeHopByHop(passed)
 	header := hints.call.writer.Header()
-	maps.DeleteFunc(passed, func(name string, _ []string) bool { return outcome.IsOwnHeader(name) })
+	own := hints.call.handler.options.Dialect.Own
+	maps.DeleteFunc(passed, func(name string, _ []string) bool { return own(name) })
 	maps.Copy(header, passed)
 	hints.call.writer.WriteHeader(status)
 	for name := range passed {
--- /dev/null
+++ b/internal/catalog/reader.go
@@ -0,0 +1,405 @@
+package catalog
+
+import (
+	"context"
+	"expvar"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
+// Times of a Reader.
+const (
+	// readTimeout bounds reading everything. A slow store answers in some 250 ms; one whose connection went silent never
+	// does, and is asked again on a new connection.
+	readTimeout = clock.Second
+	// watchWait is how long a watch waits for a change, and watchSlack how much later its answer may come. A connection
+	// that has gone silent is noticed when both have passed; instances must follow changes within 3 s of that.
+	watchWait  = 2 * clock.Second
+	watchSlack = 600 * clock.Millisecond
+	// gatherFor is the pause after changes before the next call. Calls are priced and limited; changes come in bunches
+	// when servers are replaced. It is a tenth of the time in which a change must be in force.
+	gatherFor = 200 * clock.Millisecond
+	// firstBackoff and mostBackoff bound the pause after a failed call.
+	firstBackoff = 100 * clock.Millisecond
+	mostBackoff  = 500 * clock.Millisecond
+	// outageFrom is the time without an answer from which entries may have lapsed for want of the store alone.
+	outageFrom = 800 * clock.Millisecond
+	// returnWithin is the time after the store's return within which servers that live are listed again.
+	returnWithin = 2500 * clock.Millisecond
+	// askPeersAfter is the time without an answer from which peers are asked.
+	askPeersAfter = 600 * clock.Millisecond
+)
+
+// Events of a Reader.
+const (
+	EventRead       = "catalog.read"
+	EventWatch      = "catalog.watch"
+	EventFailed     = "catalog.failed"
+	EventFromPeer   = "catalog.fromPeer"
+	EventUnreadable = "catalog.unreadable"
+)
+
+// Options are what a Reader is made from.
+type Options struct {
+	Source Source
+	// FromPeer reads another instance's view, which may be older than one's own.
+	FromPeer func(ctx context.Context) (View, error)
+	// Publish takes each new view.
+	Publish func(ctx context.Context, view View) error
+	Clock   *clock.Clock
+	Events  *expvar.Map
+	Log     zerolog.Logger
+	// Jitter returns a number from 0 to 1.
+	Jitter func() float64
+}
+
+// Reader keeps a View current while it is wanted.
+type Reader struct {
+	options Options
+	wake    chan struct{}
+
+	mutex    sync.Mutex
+	wanted   bool
+	refresh  bool
+	contact  clock.Moment
+	cancelIO context.CancelFunc
+
+	// The fields below belong to the goroutine that runs Serve.
+	revision      Revision
+	whole         bool
+	configuration *Configuration
+	servers       map[Key]Server
+	out           map[Key]settings.DataCentreName
+	lapsed        map[Key]clock.Moment
+	returned      clock.Moment
+	failures      int
+	problem       string
+}
+
+// NewReader returns a reader that reads nothing until it is wanted.
+func NewReader(options Options) *Reader {
+	return &Reader{
+		options: options, wake: make(chan struct{}, 1), servers: map[Key]Server{},
+		out: map[Key]settings.DataCentreName{}, lapsed: map[Key]clock.Moment{},
+	}
+}
+
+// Want says whether the view is to be kept current.
+func (reader *Reader) Want(wanted bool) {
+	reader.mutex.Lock()
+	changed := reader.wanted != wanted
+	reader.wanted = wanted
+	cancel := reader.cancelIO
+	reader.mutex.Unlock()
+	if !changed {
+		return
+	}
+	if !wanted && cancel != nil {
+		cancel()
+	}
+	reader.nudge()
+}
+
+// Refresh has everything read anew at once: after a pause of this process, or when a peer knows a newer revision while
+// the watch stays silent.
+func (reader *Reader) Refresh() {
+	reader.mutex.Lock()
+	reader.refresh = true
+	cancel := reader.cancelIO
+	reader.mutex.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+	reader.nudge()
+}
+
+// Contact returns when the source last answered, 0 before the first time.
+func (reader *Reader) Contact() clock.Moment {
+	reader.mutex.Lock()
+	defer reader.mutex.Unlock()
+	return reader.contact
+}
+
+func (reader *Reader) nudge() {
+	select {
+	case reader.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Serve reads and watches until the context ends.
+func (reader *Reader) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if !reader.isWanted() {
+			reader.whole = false
+			select {
+			case <-reader.wake:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		if err := reader.step(ctx); err != nil && ctx.Err() == nil {
+			reader.fail(ctx, err)
+		}
+	}
+	return ctx.Err()
+}
+
+func (reader *Reader) isWanted() bool {
+	reader.mutex.Lock()
+	defer reader.mutex.Unlock()
+	if reader.refresh {
+		reader.refresh = false
+		reader.whole = false
+	}
+	return reader.wanted
+}
+
+// step makes one call to the source and publishes what came of it.
+func (reader *Reader) step(ctx context.Context) error {
+	if !reader.whole {
+		return reader.readAll(ctx)
+	}
+	ctx, cancel := reader.bounded(ctx, watchWait+watchSlack)
+	defer cancel()
+	reader.options.Events.Add(EventWatch, 1)
+	changes, err := reader.options.Source.Watch(ctx, reader.revision, watchWait)
+	if errors.Is(err, ErrGone) {
+		reader.whole = false
+		reader.options.Log.Info().Uint64("revision", uint64(reader.revision)).Msg("history is gone, reading everything")
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, "watch")
+	}
+	reader.answered()
+	return reader.applyChanges(ctx, changes)
+}
+
+// bounded returns a context that ends after the time, and when the reader is told to stop or to read anew.
+func (reader *Reader) bounded(ctx context.Context, length clock.Milliseconds) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, length.Duration())
+	reader.mutex.Lock()
+	defer reader.mutex.Unlock()
+	reader.cancelIO = cancel
+	return ctx, cancel
+}
+
+func (reader *Reader) readAll(ctx context.Context) error {
+	ctx, cancel := reader.bounded(ctx, readTimeout)
+	defer cancel()
+	reader.options.Events.Add(EventRead, 1)
+	snapshot, err := reader.options.Source.ReadAll(ctx)
+	if err != nil {
+		return errors.Wrap(err, "read everything")
+	}
+	reader.answered()
+	reader.applySnapshot(snapshot)
+	reader.whole = true
+	return reader.publish(ctx)
+}
+
+// answered notes that the source has answered. After an outage, entries that are gone may only have lapsed.
+func (reader *Reader) answered() {
+	now := reader.options.Clock.Now()
+	reader.mutex.Lock()
+	silent := now.Since(reader.contact)
+	first := reader.contact == 0
+	reader.contact = now
+	reader.mutex.Unlock()
+	if reader.failures > 0 {
+		reader.options.Log.Info().Stringer("silentFor", silent).Int("failures", reader.failures).Msg("store answers again")
+		if silent > outageFrom+watchWait || reader.failures > 1 {
+			reader.returned = now
+		}
+	}
+	if first {
+		reader.options.Log.Info().Msg("store answers")
+	}
+	reader.failures = 0
+}
+
+// mayHaveLapsed reports whether a removal seen now may be owed to the store's absence alone.
+func (reader *Reader) mayHaveLapsed(now clock.Moment) bool {
+	return reader.returned > 0 && now.Since(reader.returned) < returnWithin
+}
+
+func (reader *Reader) applySnapshot(snapshot Snapshot) {
+	present := map[Key]bool{}
+	for index := range snapshot.Items {
+		present[snapshot.Items[index].Key] = true
+		reader.set(&snapshot.Items[index])
+	}
+	for _, key := range slices.Collect(maps.Keys(reader.servers)) {
+		if !present[key] {
+			reader.remove(key)
+		}
+	}
+	for _, key := range slices.Collect(maps.Keys(reader.out)) {
+		if !present[key] {
+			delete(reader.out, key)
+		}
+	}
+	reader.revision = snapshot.Revision
+}
+
+func (reader *Reader) applyChanges(ctx context.Context, changes Changes) error {
+	for index := range changes.Set {
+		reader.set(&changes.Set[index])
+	}
+	for _, key := range changes.Removed {
+		reader.remove(key)
+	}
+	lapsed := reader.dropLapsed()
+	if changes.Revision > reader.revision {
+		reader.revision = changes.Revision
+	}
+	if len(changes.Set)+len(changes.Removed) == 0 && !lapsed {
+		return nil
+	}
+	if err := reader.publish(ctx); err != nil {
+		return err
+	}
+	sleep(ctx, gatherFor)
+	return nil
+}
+
+func (reader *Reader) set(item *Item) {
+	switch {
+	case item.Problem != nil:
+		reader.options.Events.Add(EventUnreadable, 1)
+		reader.options.Log.Warn().Str("key", string(item.Key)).Str("problem", item.Problem.Error()).Msg("entry not understood, passed over")
+		delete(reader.servers, item.Key)
+	case item.Configuration != nil:
+		reader.setConfiguration(item.Configuration)
+	case item.Server != nil:
+		delete(reader.lapsed, item.Key)
+		reader.servers[item.Key] = *item.Server
+	case item.Out != "":
+		reader.out[item.Key] = item.Out
+	}
+}
+
+// setConfiguration puts a newer configuration in force; one that is not newer is ignored, whoever says it.
+func (reader *Reader) setConfiguration(configuration *Configuration) {
+	if reader.configuration != nil && configuration.Version <= reader.configuration.Version {
+		return
+	}
+	reader.configuration = configuration
+	reader.options.Log.Info().Uint64("version", uint64(configuration.Version)).Int("routes", len(configuration.Routes)).Msg("configuration in force")
+}
+
+func (reader *Reader) remove(key Key) {
+	now := reader.options.Clock.Now()
+	delete(reader.out, key)
+	server, known := reader.servers[key]
+	if !known {
+		return
+	}
+	if server.State == ServerReady && reader.mayHaveLapsed(now) {
+		if _, noted := reader.lapsed[key]; !noted {
+			reader.lapsed[key] = reader.returned.Add(returnWithin)
+		}
+		return
+	}
+	delete(reader.servers, key)
+	delete(reader.lapsed, key)
+}
+
+// dropLapsed forgets servers that did not come back in time, and reports whether there were any.
+func (reader *Reader) dropLapsed() bool {
+	now := reader.options.Clock.Now()
+	dropped := false
+	for key, until := range reader.lapsed {
+		if now >= until {
+			delete(reader.lapsed, key)
+			delete(reader.servers, key)
+			dropped = true
+		}
+	}
+	return dropped
+}
+
+func (reader *Reader) publish(ctx context.Context) error {
+	view := View{Revision: reader.revision, Configuration: reader.configuration}
+	for _, key := range slices.Sorted(maps.Keys(reader.servers)) {
+		view.Servers = append(view.Servers, reader.servers[key])
+	}
+	view.Out = slices.Sorted(maps.Values(reader.out))
+	return reader.options.Publish(ctx, view)
+}
+
+// fail waits after a failed call, and asks a peer meanwhile when the source has been silent for long.
+func (reader *Reader) fail(ctx context.Context, err error) {
+	if reader.interrupted(err) {
+		return
+	}
+	reader.failures++
+	reader.options.Events.Add(EventFailed, 1)
+	if text := err.Error(); reader.failures == 1 || reader.problem != text {
+		reader.problem = text
+		reader.options.Log.Warn().Str("problem", text).Int("failures", reader.failures).Msg("store does not answer")
+	}
+	silent := reader.options.Clock.Now().Since(reader.Contact())
+	if reader.Contact() == 0 || silent > askPeersAfter {
+		reader.readPeer(ctx)
+	}
+	backoff := min(firstBackoff*clock.Milliseconds(int(1)<<min(reader.failures-1, 8)), mostBackoff)
+	sleep(ctx, backoff*clock.Milliseconds(0.5+reader.options.Jitter()))
+}
+
+// interrupted reports whether a call ended because the reader was told to stop or to read anew.
+func (reader *Reader) interrupted(err error) bool {
+	if !errors.Is(err, context.Canceled) {
+		return false
+	}
+	reader.mutex.Lock()
+	defer reader.mutex.Unlock()
+	return !reader.wanted || reader.refresh
+}
+
+// readPeer takes over a newer view of a peer that the source answers. The store may turn away some instances and serve
+// the others.
+func (reader *Reader) readPeer(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
+	defer cancel()
+	view, err := reader.options.FromPeer(ctx)
+	if err != nil || view.Revision <= reader.revision || view.Configuration == nil {
+		return
+	}
+	reader.options.Events.Add(EventFromPeer, 1)
+	reader.options.Log.Info().Uint64("revision", uint64(view.Revision)).Uint64("before", uint64(reader.revision)).Msg("view taken from a peer")
+	reader.setConfiguration(view.Configuration)
+	clear(reader.servers)
+	clear(reader.out)
+	clear(reader.lapsed)
+	for _, server := range view.Servers {
+		reader.servers[ServerKey(server.Name)] = server
+	}
+	for _, name := range view.Out {
+		reader.out[OutKey(name)] = name
+	}
+	reader.revision = view.Revision
+	// What the source holds beyond that is only known once everything has been read.
+	reader.whole = false
+	if err := reader.publish(ctx); err != nil {
+		reader.options.Log.Warn().Str("problem", err.Error()).Msg("view not handed on")
+	}
+}
+
+func sleep(ctx context.Context, length clock.Milliseconds) {
+	timer := time.NewTimer(length.Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/catalog/view.go
@@ -0,0 +1,90 @@
+package catalog
+
+import (
+	"slices"
+
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
+// Revision counts the changes of a source. A higher one is newer.
+type Revision uint64
+
+// Version numbers one state of the configuration. Versions rise, in uneven steps.
+type Version uint64
+
+// Configuration is everything that operators decide, complete.
+type Configuration struct {
+	Version  Version                                `json:"version"`
+	Routes   []Route                                `json:"routes"`
+	Services map[settings.ServiceName]ServiceLimits `json:"services"`
+}
+
+// Route sends the requests of a host below a path prefix to one service, or splits them.
+type Route struct {
+	Name settings.ClassName `json:"name"`
+	Host string             `json:"host"`
+	// Prefix begins and ends with a slash.
+	Prefix string `json:"prefix"`
+	// Idempotent says that a request may run more than once.
+	Idempotent bool `json:"idempotent"`
+	// Timeout is the longest time that a request may be kept without its final answer.
+	Timeout clock.Milliseconds `json:"timeout"`
+	// Aim is the time within which an answer is worth most.
+	Aim clock.Milliseconds `json:"aim"`
+	// Attempts is the largest number of backend servers that one request may be sent to.
+	Attempts int               `json:"attempts"`
+	Priority settings.Priority `json:"priority"`
+	Split    []Share           `json:"split"`
+}
+
+// Share is a service's part of a route's requests.
+type Share struct {
+	Service settings.ServiceName `json:"service"`
+	Weight  int                  `json:"weight"`
+}
+
+// ServiceLimits are what operators say of a service's backend servers.
+type ServiceLimits struct {
+	ProbePath string `json:"probePath"`
+	// ConnectionsMost is the number of connections that one backend server takes from all callers together.
+	ConnectionsMost int `json:"connectionsMost"`
+	// ColdRate is how many requests a second a cold backend server bears.
+	ColdRate float64 `json:"coldRate"`
+}
+
+// ServerState tells whether a backend server takes new work.
+type ServerState string
+
+// The states of a backend server.
+const (
+	ServerReady   ServerState = "ready"
+	ServerLeaving ServerState = "leaving"
+)
+
+// Server is one backend server. Its Name belongs to one run of it, mostly; Started tells runs under one name apart.
+type Server struct {
+	Name       settings.TargetName     `json:"name"`
+	Service    settings.ServiceName    `json:"service"`
+	Address    string                  `json:"address"`
+	DataCentre settings.DataCentreName `json:"dataCentre"`
+	Slots      int                     `json:"slots"`
+	State      ServerState             `json:"state"`
+	// ColdFor is how long it stays cold, counted from when it said so.
+	ColdFor clock.Milliseconds `json:"coldFor"`
+	// Started is when it started, by its own wall clock; only whether it changed counts.
+	Started int64 `json:"started"`
+}
+
+// View is what a source held at one revision.
+type View struct {
+	Revision      Revision                  `json:"revision"`
+	Configuration *Configuration            `json:"configuration"`
+	Servers       []Server                  `json:"servers"`
+	Out           []settings.DataCentreName `json:"out"`
+}
+
+// IsOut reports whether operators have taken the data centre out.
+func (view *View) IsOut(name settings.DataCentreName) bool {
+	return slices.Contains(view.Out, name)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,7 +14,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,6 +22,7 @@
 	"github.com/jaywheel/jaywheel/internal/backendserver"
 	"github.com/jaywheel/jaywheel/internal/caller"
 	"github.com/jaywheel/jaywheel/internal/control"
+	"github.com/jaywheel/jaywheel/internal/httppart"
 	"github.com/jaywheel/jaywheel/internal/instance"
 	"github.com/jaywheel/jaywheel/internal/metrics"
 	"github.com/jaywheel/jaywheel/internal/operator"
@@ -59,8 +59,8 @@
 	tree       *supervisor.Tree
 	control    *supervisor.Tree
 	traffic    *supervisor.Tree
-	callers    *httpPart
-	operators  *httpPart
+	callers    *httppart.Part
+	operators  *httppart.Part
 }
 
 // New binds the addresses for callers and operators and makes every part; nothing runs until Serve.
@@ -126,19 +126,19 @@
 		Table: entry.controller.Table, Servers: entry.servers, Registry: entry.registry, Traces: traces, Clock: entry.clock,
 		Instance: process.Instance, StallMost: process.Callers.StallMost,
 	})
-	operators := operator.NewHandler(operator.Options{Status: entry.controller.Status, Registry: entry.registry, Traces: traces})
+	operators := operator.NewHandler(operator.Options{Status: entry.operatorStatus, Registry: entry.registry, Traces: traces})
 	var err error
-	entry.callers, err = newHTTPPart(caller.NewServer(entry.handler, process.Callers, &entry.registry.Events), process.CallerAddress,
+	entry.callers, err = httppart.New(caller.NewServer(entry.handler, process.Callers, &entry.registry.Events), process.CallerAddress,
 		func(address string) (net.Listener, error) {
 			return caller.Listen(address, process.Callers, &entry.registry.Events)
 		})
 	if err != nil {
 		return err
 	}
-	entry.operators, err = newHTTPPart(&http.Server{Handler: operators, ReadHeaderTimeout: process.Callers.HeaderTimeout.Duration()},
+	entry.operators, err = httppart.New(&http.Server{Handler: operators, ReadHeaderTimeout: process.Callers.HeaderTimeout.Duration()},
 		process.OperatorAddress, func(address string) (net.Listener, error) { return net.Listen("tcp", address) })
 	if err != nil {
-		return errors.CombineErrors(err, entry.callers.listener.Close())
+		return errors.CombineErrors(err, entry.callers.Close())
 	}
 	branch := supervisor.New("traffic", supervisor.Options{Log: entry.options.Log, Events: &entry.registry.Events})
 	branch.Add(supervisor.Part{Name: "callers", Serve: entry.callers.Serve})
@@ -160,12 +160,12 @@
 
 // CallerAddress is where callers connect.
 func (entry *Entry) CallerAddress() string {
-	return entry.callers.address
+	return entry.callers.Address()
 }
 
 // OperatorAddress is where operators read.
 func (entry *Entry) OperatorAddress() string {
-	return entry.operators.address
+	return entry.operators.Address()
 }
 
 // PeerAddress waits until datagrams are taken and returns where.
@@ -178,6 +178,12 @@
 	return entry.controller.Status(ctx)
 }
 
+// operatorStatus returns the control state as operators read it.
+func (entry *Entry) operatorStatus(ctx context.Context) (operator.Status, error) {
+	status, err := entry.controller.Status(ctx)
+	return operator.Status{Ready: status.Ready, Leaving: status.Leaving, Detail: status}, err
+}
+
 // Metrics returns what is counted and measured.
 func (entry *Entry) Metrics() metrics.View {
 	return entry.registry.View()
@@ -195,7 +201,7 @@
 	case <-ctx.Done():
 		return errors.Wrap(ctx.Err(), "wait for address answers to lapse")
 	}
-	return errors.Wrap(entry.callers.shutdown(ctx), "wait for requests under way")
+	return errors.Wrap(entry.callers.Shutdown(ctx), "wait for requests under way")
 }
 
 // answersLapse is how long callers may still come by an answer that was given before everyone knew.
@@ -206,54 +212,3 @@
 	}
 	return table.Site.Fleet.AnswerKept + 2*table.Site.Fleet.HeartbeatEvery
 }
-
-// httpPart is an HTTP server as a part of the tree. Its address is bound at once, so that it is known before the tree
-// runs, and again when the part is started anew.
-type httpPart struct {
-	server  *http.Server
-	listen  func(address string) (net.Listener, error)
-	address string
-
-	mutex    sync.Mutex
-	listener net.Listener
-}
-
-func newHTTPPart(server *http.Server, address string, listen func(string) (net.Listener, error)) (*httpPart, error) {
-	listener, err := listen(address)
-	if err != nil {
-		return nil, err
-	}
-	return &httpPart{server: server, listen: listen, address: listener.Addr().String(), listener: listener}, nil
-}
-
-// Serve answers until the context ends, or until the part has been shut down.
-func (part *httpPart) Serve(ctx context.Context) error {
-	listener, err := part.takeListener()
-	if err != nil {
-		return err
-	}
-	stop := context.AfterFunc(ctx, func() { _ = part.server.Close() })
-	defer stop()
-	err = part.server.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		<-ctx.Done()
-		return ctx.Err()
-	}
-	return err
-}
-
-func (part *httpPart) takeListener() (net.Listener, error) {
-	part.mutex.Lock()
-	defer part.mutex.Unlock()
-	listener := part.listener
-	part.listener = nil
-	if listener != nil {
-		return listener, nil
-	}
-	return part.listen(part.address)
-}
-
-// shutdown ends listening and waits for the requests under way.
-func (part *httpPart) shutdown(ctx context.Context) error {
-	return part.server.Shutdown(ctx)
-}
--- /dev/null
+++ b/internal/fleet/controller.go
@@ -0,0 +1,444 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/jaywheel/jaywheel/internal/backendserver"
+	"github.com/jaywheel/jaywheel/internal/catalog"
+	"github.com/jaywheel/jaywheel/internal/membership"
+	"github.com/jaywheel/jaywheel/internal/metrics"
+	"github.com/jaywheel/jaywheel/internal/routing"
+	"github.com/jaywheel/jaywheel/internal/sensing"
+	"github.com/jaywheel/jaywheel/internal/service"
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
+// Times of control.
+const (
+	// tickServing is how often a serving instance looks after waiting requests and its peers, tickStandby how often
+	// the others do.
+	tickServing = 10 * clock.Millisecond
+	tickStandby = 50 * clock.Millisecond
+	// shareEvery is how often readings are told to the other serving instances. A reading that comes this much later
+	// still holds for two thirds of a spell.
+	shareEvery = 50 * clock.Millisecond
+	// probeBusy and probeIdle are the pauses between probes of a target whose service is in use or not, probeUnused
+	// that of a target which gets nothing at present.
+	probeBusy   = 45 * clock.Millisecond
+	probeIdle   = 400 * clock.Millisecond
+	probeUnused = 250 * clock.Millisecond
+	// busyWithin is how recently a service must have been used to count as in use.
+	busyWithin = 2 * clock.Second
+	// readOnFor is how long an instance that no longer serves keeps reading: callers with old answers still come.
+	readOnFor = 15 * clock.Second
+	// frozenFor is the jump between two clocks that shows that the machine stood still.
+	frozenFor = 300 * clock.Millisecond
+	// behindFor is how long a peer may know a newer revision before this instance reads anew: its watch has gone silent.
+	behindFor = 700 * clock.Millisecond
+)
+
+// inboxLength is how many events may wait for the control goroutine.
+const inboxLength = 256
+
+// Events of control.
+const (
+	EventInboxFull = "control.inboxFull"
+	EventFrozen    = "control.frozen"
+	EventBehind    = "control.behind"
+)
+
+// Options are what a Controller is made from.
+type Options struct {
+	Self        membership.Identity
+	Incarnation membership.Incarnation
+	Seeds       []netip.AddrPort
+	Bounds      settings.GatewayBounds
+	Clock       *clock.Clock
+	// Awake tells the time as Clock does, and also counts while the machine is suspended.
+	Awake    *clock.Clock
+	Rand     *rand.Rand
+	Servers  *backendserver.Servers
+	Registry *metrics.Registry
+	Log      zerolog.Logger
+	// Send sends a datagram to a peer.
+	Send func(netip.AddrPort, []byte)
+	// SetJobs tells the prober what to probe.
+	SetJobs func([]sensing.Job)
+}
+
+// Feed is the part of a catalog's reader that control steers.
+type Feed struct {
+	Want    func(bool)
+	Refresh func()
+	Contact func() clock.Moment
+}
+
+// Controller owns an instance's control state. Its methods are safe for concurrent use; its fields below the inbox belong
+// to the goroutine that runs Serve.
+type Controller struct {
+	options Options
+	feed    Feed
+	table   atomic.Pointer[routing.Table]
+	book    atomic.Pointer[addressBook]
+	touched atomic.Bool
+	ready   atomic.Bool
+	inbox   chan event
+
+	// latest are the newest readings of own targets, to be told to peers.
+	latestMutex sync.Mutex
+	latest      map[settings.TargetName]ownReading
+
+	members    *membership.Members
+	view       *catalog.View
+	viewAt     clock.Moment
+	wanted     bool
+	wantedAt   clock.Moment
+	usedUntil  clock.Moment
+	services   map[settings.ServiceName]*serviceState
+	targets    map[TargetKey]targetRef
+	known      map[settings.TargetName]catalog.Server
+	owners     map[settings.TargetName]settings.InstanceName
+	nextShare  clock.Moment
+	nextClean  clock.Moment
+	behindFrom clock.Moment
+	awakeSkew  clock.Milliseconds
+}
+
+// ownReading is what a probe has just told.
+type ownReading struct {
+	reading service.Reading
+	down    bool
+}
+
+type targetRef struct {
+	service settings.ServiceName
+	name    settings.TargetName
+}
+
+// serviceState is what stays of a service while configurations come and go.
+type serviceState struct {
+	scheduler *service.Scheduler
+	budget    *service.RetryBudget
+	settings  *settings.Service
+	limits    catalog.ServiceLimits
+}
+
+// NewController returns a controller that knows nothing yet.
+func NewController(options Options) *Controller {
+	return &Controller{
+		options: options,
+		inbox:   make(chan event, inboxLength),
+		latest:  map[settings.TargetName]ownReading{},
+		members: membership.New(membership.Options{
+			Self: options.Self, Incarnation: options.Incarnation, Seeds: options.Seeds, Clock: options.Clock,
+		}),
+		services:  map[settings.ServiceName]*serviceState{},
+		targets:   map[TargetKey]targetRef{},
+		known:     map[settings.TargetName]catalog.Server{},
+		awakeSkew: awakeSkew(options),
+	}
+}
+
+func awakeSkew(options Options) clock.Milliseconds {
+	return clock.Milliseconds(options.Awake.Now()) - clock.Milliseconds(options.Clock.Now())
+}
+
+// SetFeed names the reader; it must be called before Serve.
+func (controller *Controller) SetFeed(feed Feed) {
+	controller.feed = feed
+}
+
+// Table returns the table in force, or nil while this instance doesn't know what is in force. Asking for it then makes
+// the instance find out.
+func (controller *Controller) Table() *routing.Table {
+	table := controller.table.Load()
+	if table == nil {
+		controller.touched.Store(true)
+	}
+	return table
+}
+
+// Serve runs the control goroutine until the context ends.
+func (controller *Controller) Serve(ctx context.Context) error {
+	timer := time.NewTimer(tickStandby.Duration())
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case arrived := <-controller.inbox:
+			arrived(controller)
+		case <-timer.C:
+			controller.tick()
+			every := tickStandby
+			if controller.members.State() == membership.Serving {
+				every = tickServing
+			}
+			timer.Reset(every.Duration())
+		}
+	}
+}
+
+// event is something that reaches the control goroutine.
+type event func(*Controller)
+
+// post waits until the event is taken.
+func (controller *Controller) post(ctx context.Context, arrived event) error {
+	select {
+	case controller.inbox <- arrived:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// ViewRead takes a new view of the catalog.
+func (controller *Controller) ViewRead(ctx context.Context, view catalog.View) error {
+	return controller.post(ctx, func(controller *Controller) { controller.applyView(&view) })
+}
+
+// Receive takes a peer's datagram. It never blocks: what is dropped is soon said again.
+func (controller *Controller) Receive(datagram []byte) {
+	message, err := Decode(datagram)
+	if err != nil {
+		controller.options.Registry.Events.Add("datagram.notUnderstood", 1)
+		return
+	}
+	select {
+	case controller.inbox <- func(controller *Controller) { controller.hear(message) }:
+	default:
+		controller.options.Registry.Events.Add(EventInboxFull, 1)
+	}
+}
+
+// Probed takes the result of a probe, on the prober's goroutine.
+func (controller *Controller) Probed(result sensing.Result) {
+	table := controller.table.Load()
+	if table == nil {
+		return
+	}
+	entry, known := table.Service(result.Service)
+	if !known {
+		return
+	}
+	if result.Err == nil {
+		entry.Scheduler.Observe(result.Target, result.Health.Reading)
+	}
+	entry.Scheduler.SetDown(result.Target, result.Down)
+	controller.latestMutex.Lock()
+	defer controller.latestMutex.Unlock()
+	if result.Err == nil || result.Down {
+		controller.latest[result.Target] = ownReading{reading: result.Health.Reading, down: result.Down}
+	}
+}
+
+// SetSettings takes settings that may change while the instance runs.
+func (controller *Controller) SetSettings(ctx context.Context, seeds []netip.AddrPort, bounds settings.GatewayBounds) error {
+	return controller.post(ctx, func(controller *Controller) {
+		controller.options.Bounds = bounds
+		controller.members.SetSeeds(seeds)
+		controller.publish()
+	})
+}
+
+// Leave takes the instance out of address answers, here and at its peers. Requests are served as before.
+func (controller *Controller) Leave(ctx context.Context) error {
+	return controller.post(ctx, func(controller *Controller) {
+		controller.options.Log.Info().Msg("leaving: out of address answers, requests under way go on")
+		controller.members.SetState(membership.Leaving)
+		controller.sendBeats()
+		controller.publish()
+	})
+}
+
+// tick looks after everything that depends on time.
+func (controller *Controller) tick() {
+	now := controller.options.Clock.Now()
+	controller.checkFrozen()
+	if controller.members.Review() {
+		controller.fleetChanged()
+	}
+	controller.moveOn(now)
+	controller.sendBeats()
+	if controller.members.State() == membership.Serving || controller.members.State() == membership.Leaving {
+		for _, state := range controller.services {
+			state.scheduler.Sweep()
+		}
+		controller.shareReadings(now)
+	}
+	if now >= controller.nextClean {
+		controller.nextClean = now.Add(clock.Second)
+		controller.options.Servers.CloseIdle()
+	}
+}
+
+// checkFrozen finds out whether the machine stood still. Timers don't count that time, so nothing else would show that
+// all this instance knows is old: it would send work to servers that left long ago.
+func (controller *Controller) checkFrozen() {
+	skew := awakeSkew(controller.options)
+	jumped := skew - controller.awakeSkew
+	controller.awakeSkew = skew
+	if jumped < frozenFor {
+		return
+	}
+	controller.options.Registry.Events.Add(EventFrozen, 1)
+	controller.options.Log.Warn().Stringer("for", jumped).Msg("this machine stood still; reading everything anew")
+	controller.table.Store(nil)
+	controller.viewAt = 0
+	for _, state := range controller.services {
+		state.scheduler.Forget()
+	}
+	controller.feed.Refresh()
+}
+
+// moveOn changes what this instance is to the fleet, and whether it reads the catalog.
+func (controller *Controller) moveOn(now clock.Moment) {
+	state := controller.members.State()
+	if controller.touched.Swap(false) {
+		controller.usedUntil = now.Add(readOnFor)
+	}
+	needed := controller.members.Needed()
+	if needed || state == membership.Serving || state == membership.Leaving {
+		controller.usedUntil = max(controller.usedUntil, now.Add(readOnFor))
+	}
+	controller.want(now, now < controller.usedUntil)
+	current := controller.viewAt > 0 && controller.view != nil && controller.view.Configuration != nil
+	switch {
+	case state == membership.StandingBy && needed && current:
+		controller.changeState(membership.Serving)
+	case state == membership.Serving && controller.members.Unneeded():
+		controller.changeState(membership.StandingBy)
+	}
+	controller.checkBehind(now)
+	controller.noteCatalog(now)
+}
+
+func (controller *Controller) changeState(state membership.State) {
+	controller.options.Log.Info().Stringer("before", controller.members.State()).Stringer("now", state).Msg("state")
+	controller.members.SetState(state)
+	controller.fleetChanged()
+}
+
+func (controller *Controller) want(now clock.Moment, wanted bool) {
+	if controller.wanted == wanted {
+		return
+	}
+	controller.wanted = wanted
+	controller.wantedAt = now
+	if !wanted {
+		controller.table.Store(nil)
+		controller.viewAt = 0
+		controller.options.SetJobs(nil)
+	}
+	controller.feed.Want(wanted)
+}
+
+func (controller *Controller) noteCatalog(now clock.Moment) {
+	var revision catalog.Revision
+	var version catalog.Version
+	if controller.view != nil {
+		revision = controller.view.Revision
+		if controller.view.Configuration != nil {
+			version = controller.view.Configuration.Version
+		}
+	}
+	contact := controller.feed.Contact()
+	fresh := controller.wanted && contact > 0 && now.Since(contact) < freshWithin
+	controller.members.SetCatalog(revision, version, fresh)
+}
+
+// freshWithin is how recently the store must have answered an instance that says its view is fresh: one watch and its
+// slack.
+const freshWithin = 2800 * clock.Millisecond
+
+// checkBehind reads everything anew when a serving peer has known a newer revision for a while.
+func (controller *Controller) checkBehind(now clock.Moment) {
+	newer := false
+	if controller.wanted && controller.view != nil {
+		for _, peer := range controller.members.Peers() {
+			newer = newer || peer.Fresh && peer.Revision > controller.view.Revision
+		}
+	}
+	switch {
+	case !newer:
+		controller.behindFrom = 0
+	case controller.behindFrom == 0:
+		controller.behindFrom = now
+	case now.Since(controller.behindFrom) > behindFor:
+		controller.behindFrom = 0
+		controller.options.Registry.Events.Add(EventBehind, 1)
+		controller.options.Log.Warn().Uint64("revision", uint64(controller.view.Revision)).Msg("a peer knows a newer revision; reading everything anew")
+		controller.feed.Refresh()
+	}
+}
+
+// sendBeats sends what is due.
+func (controller *Controller) sendBeats() {
+	for _, address := range controller.members.Due() {
+		beat := controller.members.Beat(address)
+		controller.send(address, &Message{Beat: &beat})
+	}
+}
+
+func (controller *Controller) send(address netip.AddrPort, message *Message) {
+	datagram, err := Encode(message)
+	if err != nil {
+		controller.options.Log.Error().Str("problem", err.Error()).Msg("datagram not sent")
+		return
+	}
+	controller.options.Send(address, datagram)
+}
+
+// hear takes a peer's message.
+func (controller *Controller) hear(message *Message) {
+	now := controller.options.Clock.Now()
+	if message.Beat != nil && controller.members.Hear(*message.Beat) {
+		controller.fleetChanged()
+		controller.sendBeats()
+	}
+	for index := range message.Readings {
+		shared := &message.Readings[index]
+		ref, known := controller.targets[shared.Target]
+		if !known || controller.owners[ref.name] == controller.options.Self.Name {
+			continue
+		}
+		state := controller.services[ref.service]
+		if !shared.Down {
+			state.scheduler.Observe(ref.name, shared.reading(now))
+		}
+		state.scheduler.SetDown(ref.name, shared.Down)
+	}
+}
+
+// shareReadings tells the other serving instances what own probes have read.
+func (controller *Controller) shareReadings(now clock.Moment) {
+	if now < controller.nextShare {
+		return
+	}
+	controller.nextShare = now.Add(shareEvery)
+	controller.latestMutex.Lock()
+	latest := controller.latest
+	controller.latest = make(map[settings.TargetName]ownReading, len(latest))
+	controller.latestMutex.Unlock()
+	if len(latest) == 0 {
+		return
+	}
+	readings := make([]SharedReading, 0, len(latest))
+	for name, own := range latest {
+		readings = append(readings, share(keyOf(name), own.reading, own.down, now))
+	}
+	for start := 0; start < len(readings); start += readingsMost {
+		message := &Message{Readings: readings[start:min(start+readingsMost, len(readings))]}
+		for _, peer := range controller.members.Peers() {
+			controller.send(peer.Address, message)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/status.go
@@ -0,0 +1,132 @@
+package fleet
+
+import (
+	"context"
+	"maps"
+	"net/netip"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jaywheel/jaywheel/internal/catalog"
+	"github.com/jaywheel/jaywheel/internal/membership"
+	"github.com/jaywheel/jaywheel/internal/service"
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
+// ErrNoPeer says that no other serving instance is known.
+var ErrNoPeer = errors.New("no other serving instance is known")
+
+// errNoView says that this instance has read nothing yet.
+var errNoView = errors.New("nothing has been read yet")
+
+// Status is what operators read of an instance's control state.
+type Status struct {
+	Instance settings.InstanceName `json:"instance"`
+	State    string                `json:"state"`
+	Ready    bool                  `json:"ready"`
+	Leaving  bool                  `json:"leaving"`
+	Reads    bool                  `json:"reads"`
+	Revision catalog.Revision      `json:"revision"`
+	Version  catalog.Version       `json:"version"`
+	Peers    []PeerStatus          `json:"peers"`
+	Services []ServiceStatus       `json:"services"`
+}
+
+// PeerStatus is one other instance.
+type PeerStatus struct {
+	Name       settings.InstanceName   `json:"name"`
+	DataCentre settings.DataCentreName `json:"dataCentre"`
+	State      string                  `json:"state"`
+	Revision   catalog.Revision        `json:"revision"`
+	Version    catalog.Version         `json:"version"`
+}
+
+// ServiceStatus is one service.
+type ServiceStatus struct {
+	Name    settings.ServiceName  `json:"name"`
+	Waiting int                   `json:"waiting"`
+	Targets []service.TargetState `json:"targets"`
+}
+
+// ask has the control goroutine answer. The error is the context's when it does not in time.
+func ask[T any](ctx context.Context, controller *Controller, answer func(*Controller) T) (T, error) {
+	answered := make(chan T, 1)
+	var none T
+	if err := controller.post(ctx, func(controller *Controller) { answered <- answer(controller) }); err != nil {
+		return none, errors.Wrap(err, "ask the control goroutine")
+	}
+	select {
+	case value := <-answered:
+		return value, nil
+	case <-ctx.Done():
+		return none, errors.Wrap(ctx.Err(), "wait for the control goroutine")
+	}
+}
+
+// Status asks the control goroutine for the state that operators read.
+func (controller *Controller) Status(ctx context.Context) (Status, error) {
+	return ask(ctx, controller, (*Controller).status)
+}
+
+func (controller *Controller) status() Status {
+	state := controller.members.State()
+	status := Status{
+		Instance: controller.options.Self.Name, State: state.String(), Ready: controller.Ready(),
+		Leaving: state == membership.Leaving, Reads: controller.wanted,
+	}
+	if controller.view != nil {
+		status.Revision = controller.view.Revision
+		if controller.view.Configuration != nil {
+			status.Version = controller.view.Configuration.Version
+		}
+	}
+	for _, member := range controller.members.All() {
+		status.Peers = append(status.Peers, PeerStatus{
+			Name: member.Identity.Name, DataCentre: member.Identity.DataCentre, State: member.State.String(),
+			Revision: member.Revision, Version: member.Version,
+		})
+	}
+	for _, name := range slices.Sorted(maps.Keys(controller.services)) {
+		targets, waiting := controller.services[name].scheduler.State()
+		status.Services = append(status.Services, ServiceStatus{Name: name, Waiting: waiting, Targets: targets})
+	}
+	return status
+}
+
+// View returns what this instance has read, for another one that can't read it itself.
+func (controller *Controller) View(ctx context.Context) (catalog.View, error) {
+	view, err := ask(ctx, controller, func(controller *Controller) *catalog.View { return controller.view })
+	if err != nil {
+		return catalog.View{}, err
+	}
+	if view == nil {
+		return catalog.View{}, errNoView
+	}
+	return *view, nil
+}
+
+// FreshPeer returns a serving instance whose view is worth asking for: the one with the newest. The error is ErrNoPeer.
+func (controller *Controller) FreshPeer(ctx context.Context) (netip.AddrPort, error) {
+	best, err := ask(ctx, controller, func(controller *Controller) *membership.Member {
+		var best *membership.Member
+		for _, peer := range controller.members.Peers() {
+			if best == nil || peer.Revision > best.Revision {
+				best = peer
+			}
+		}
+		return best
+	})
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	if best == nil {
+		return netip.AddrPort{}, ErrNoPeer
+	}
+	return best.Address, nil
+}
+
+// Ready reports whether this instance serves callers.
+func (controller *Controller) Ready() bool {
+	return controller.ready.Load()
+}
--- /dev/null
+++ b/internal/httppart/httppart.go
@@ -0,0 +1,85 @@
+// Package httppart runs an HTTP server as a part of a supervisor's tree. Its address is bound at once, so that it is known
+// before the tree runs, and again when the part is started anew.
+//
+// # Usage
+//
+//	part, err := httppart.New(server, "10.0.0.4:8080", listen)
+//	tree.Add(supervisor.Part{Name: "callers", Serve: part.Serve})
+//	...
+//	part.Shutdown(ctx) // returns when no request is under way any more
+package httppart
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Part is an HTTP server as a part of a tree.
+type Part struct {
+	server  *http.Server
+	listen  func(address string) (net.Listener, error)
+	address string
+
+	mutex    sync.Mutex
+	listener net.Listener
+}
+
+// New binds the address and returns a part that answers there once it is served.
+func New(server *http.Server, address string, listen func(string) (net.Listener, error)) (*Part, error) {
+	listener, err := listen(address)
+	if err != nil {
+		return nil, err
+	}
+	return &Part{server: server, listen: listen, address: listener.Addr().String(), listener: listener}, nil
+}
+
+// Serve answers until the context ends, or until the part has been shut down.
+func (part *Part) Serve(ctx context.Context) error {
+	listener, err := part.takeListener()
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = part.server.Close() })
+	defer stop()
+	err = part.server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return err
+}
+
+// Address is where the part listens.
+func (part *Part) Address() string {
+	return part.address
+}
+
+// Close gives up the address of a part that was never served.
+func (part *Part) Close() error {
+	part.mutex.Lock()
+	defer part.mutex.Unlock()
+	if part.listener == nil {
+		return nil
+	}
+	return part.listener.Close()
+}
+
+func (part *Part) takeListener() (net.Listener, error) {
+	part.mutex.Lock()
+	defer part.mutex.Unlock()
+	listener := part.listener
+	part.listener = nil
+	if listener != nil {
+		return listener, nil
+	}
+	return part.listen(part.address)
+}
+
+// Shutdown ends listening and waits for the requests under way.
+func (part *Part) Shutdown(ctx context.Context) error {
+	return part.server.Shutdown(ctx)
+}
--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,527 @@
+// Package membership knows the instances of a fleet that finds itself: who lives, who serves callers, and who takes over.
+// It is pure: it does no I/O, and time is given.
+//
+// A few instances of each data centre serve; the others stand by. Serving instances tell each other several times a
+// second that they live. The others exchange a word with each serving one once a second, so what an instance spends does
+// not grow with those that stand by. When a serving instance falls silent, the others that serve say so to everyone at
+// once, and whoever comes next in its data centre begins to serve. No two need to agree at any moment: a data centre
+// that two serve for a while is served as well.
+//
+// # Usage
+//
+//	members := membership.New(membership.Options{Self: self, Seeds: seeds, Clock: clock})
+//	for _, address := range members.Due() { send(address, members.Beat(address)) }
+//	members.Hear(beat)
+//	members.Review()
+//	if members.Desired(self) { ... }
+package membership
+
+import (
+	"cmp"
+	"maps"
+	"net/netip"
+	"slices"
+
+	"github.com/jaywheel/jaywheel/internal/catalog"
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
+// Times of membership.
+const (
+	// servingEvery is the time between two beats of serving instances to each other: a silent one is noticed within
+	// servingSilence, which leaves room for two lost datagrams.
+	servingEvery   = 250 * clock.Millisecond
+	servingSilence = 900 * clock.Millisecond
+	// standbyEvery is the time between two beats between a serving instance and one that stands by.
+	standbyEvery   = clock.Second
+	standbySilence = 3200 * clock.Millisecond
+	// joinFor is how long an instance that has just started listens before it may serve. All of a fleet start within
+	// 0.3 s, and seeds take a round trip to tell of the others.
+	joinFor   = 1200 * clock.Millisecond
+	joinEvery = 200 * clock.Millisecond
+	// lostEvery is the time between two beats to an instance that was lost, so that it is found when it returns, and
+	// forgetAfter the time after which it is given up.
+	lostEvery   = 2 * clock.Second
+	forgetAfter = clock.Minute
+	// directlyHeard is how recent a member's own word must be to go before a serving instance's word that it is lost.
+	directlyHeard = 450 * clock.Millisecond
+	// demoteAfter is how long a serving instance is not needed before it stands by.
+	demoteAfter = 3 * clock.Second
+)
+
+// servingLeast is the number of serving instances that a fleet should have at least, whatever its data centres: the loss
+// of one should leave two thirds of the capacity at hand.
+const servingLeast = 3
+
+// mentionsMost is the number of serving and lost members that one beat tells of, mentionsOfStandby that of others, which
+// matter only when everyone who serves is lost at once.
+const (
+	mentionsMost      = 6
+	mentionsOfStandby = 2
+)
+
+// State is what an instance is to its fleet.
+type State uint8
+
+// The states of an instance.
+const (
+	// Joining instances listen; they serve nobody yet.
+	Joining State = iota
+	// StandingBy instances answer who serves, and take over.
+	StandingBy
+	// Serving instances are named to callers.
+	Serving
+	// Leaving instances finish what they have.
+	Leaving
+	// Lost is said of others only.
+	Lost
+)
+
+// String names the state.
+func (state State) String() string {
+	return [...]string{"joining", "standingBy", "serving", "leaving", "lost"}[min(int(state), int(Lost))]
+}
+
+// Incarnation tells one run of an instance from another.
+type Incarnation uint64
+
+// Identity is what does not change while an instance runs.
+type Identity struct {
+	_          struct{} `cbor:",toarray"`
+	Name       settings.InstanceName
+	DataCentre settings.DataCentreName
+	// Peer is where other instances send datagrams, Caller where callers connect.
+	Peer   string
+	Caller string
+	// Size compares instances: a thousandth of a core is 1.
+	Size int
+}
+
+// Mention is what a beat tells of another member.
+type Mention struct {
+	_        struct{} `cbor:",toarray"`
+	Identity Identity
+	State    State
+}
+
+// Beat says that its sender lives.
+type Beat struct {
+	_           struct{} `cbor:",toarray"`
+	Identity    Identity
+	Incarnation Incarnation
+	Sequence    uint64
+	State       State
+	// Revision and Version are those of the catalog that the sender has.
+	Revision catalog.Revision
+	Version  catalog.Version
+	// Fresh says that the sender itself reads the catalog and is answered.
+	Fresh    bool
+	Mentions []Mention
+}
+
+// Member is what is known of another instance.
+type Member struct {
+	Identity    Identity
+	Address     netip.AddrPort
+	State       State
+	Incarnation Incarnation
+	Sequence    uint64
+	Revision    catalog.Revision
+	Version     catalog.Version
+	Fresh       bool
+	// heard is when it last spoke itself, known when it was first heard of.
+	heard, known clock.Moment
+	next         clock.Moment
+}
+
+// Options are what Members are made from.
+type Options struct {
+	Self        Identity
+	Incarnation Incarnation
+	Seeds       []netip.AddrPort
+	Clock       *clock.Clock
+}
+
+// Members is the fleet as one instance sees it. It belongs to one goroutine.
+type Members struct {
+	options  Options
+	state    State
+	started  clock.Moment
+	sequence uint64
+	revision catalog.Revision
+	version  catalog.Version
+	fresh    bool
+	members  map[settings.InstanceName]*Member
+	seedNext map[netip.AddrPort]clock.Moment
+	// cursor is the member whose mention comes next.
+	cursor int
+	// unneeded is since when this instance serves without being needed, 0 when it is.
+	unneeded clock.Moment
+}
+
+// New returns the view of an instance that knows only its seeds.
+func New(options Options) *Members {
+	return &Members{
+		options: options, started: options.Clock.Now(), members: map[settings.InstanceName]*Member{},
+		seedNext: map[netip.AddrPort]clock.Moment{},
+	}
+}
+
+// State is this instance's own.
+func (members *Members) State() State {
+	return members.state
+}
+
+// SetState changes this instance's own state; the next beats are due at once so that everyone learns of it.
+func (members *Members) SetState(state State) {
+	if members.state == state {
+		return
+	}
+	members.state = state
+	members.unneeded = 0
+	members.hurry()
+}
+
+// SetCatalog notes what this instance knows of the catalog.
+func (members *Members) SetCatalog(revision catalog.Revision, version catalog.Version, fresh bool) {
+	members.revision = revision
+	members.version = version
+	members.fresh = fresh
+}
+
+// SetSeeds replaces the seeds.
+func (members *Members) SetSeeds(seeds []netip.AddrPort) {
+	members.options.Seeds = seeds
+}
+
+func (members *Members) hurry() {
+	for _, member := range members.members {
+		member.next = 0
+	}
+}
+
+// Hear takes another instance's beat. It reports whether anything changed that others should hear of.
+func (members *Members) Hear(beat Beat) bool {
+	if beat.Identity.Name == members.options.Self.Name {
+		return false
+	}
+	address, err := netip.ParseAddrPort(beat.Identity.Peer)
+	if err != nil {
+		return false
+	}
+	now := members.options.Clock.Now()
+	member, known := members.members[beat.Identity.Name]
+	if known && member.Incarnation == beat.Incarnation && beat.Sequence <= member.Sequence {
+		return false
+	}
+	if !known {
+		member = &Member{known: now}
+		members.members[beat.Identity.Name] = member
+	}
+	changed := !known || member.State != beat.State || member.Incarnation != beat.Incarnation
+	member.Identity = beat.Identity
+	member.Address = address
+	member.State = beat.State
+	member.Incarnation = beat.Incarnation
+	member.Sequence = beat.Sequence
+	member.Revision = beat.Revision
+	member.Version = beat.Version
+	member.Fresh = beat.Fresh
+	member.heard = now
+	if beat.State == Joining {
+		// It waits for a first word.
+		member.next = 0
+	}
+	for _, mention := range beat.Mentions {
+		changed = members.hearOf(now, beat.State, mention) || changed
+	}
+	return changed
+}
+
+// hearOf takes what another instance says of a third.
+func (members *Members) hearOf(now clock.Moment, teller State, mention Mention) bool {
+	if mention.Identity.Name == members.options.Self.Name {
+		return false
+	}
+	address, err := netip.ParseAddrPort(mention.Identity.Peer)
+	if err != nil {
+		return false
+	}
+	member, known := members.members[mention.Identity.Name]
+	switch {
+	case !known && mention.State == Lost:
+		return false
+	case !known:
+		// Hearsay makes it known and asked; it counts as alive once it has spoken, or for a while if it is said to serve.
+		members.members[mention.Identity.Name] = &Member{
+			Identity: mention.Identity, Address: address, State: mention.State, known: now, heard: members.creditFor(now, mention.State),
+		}
+		return true
+	case mention.State == Lost && teller == Serving && member.State != Lost && now.Since(member.heard) > directlyHeard:
+		member.State = Lost
+		return true
+	case member.State == Lost && mention.State == Serving && teller == Serving:
+		// It may be back; asking it at once tells.
+		member.next = 0
+	case member.State == StandingBy && mention.State == Serving:
+		member.State = Serving
+		return true
+	}
+	return false
+}
+
+// creditFor is since when a member known by hearsay alone is taken to have been heard.
+func (members *Members) creditFor(now clock.Moment, state State) clock.Moment {
+	if state == Serving {
+		return now
+	}
+	return now.Add(-standbySilence / 2)
+}
+
+// silence is how long a member may be silent before it counts as lost.
+func (members *Members) silence(member *Member) clock.Milliseconds {
+	if members.state == Serving && member.State == Serving {
+		return servingSilence
+	}
+	return standbySilence
+}
+
+// Review drops members that have fallen silent, and moves this instance on. It reports whether anything changed.
+func (members *Members) Review() bool {
+	now := members.options.Clock.Now()
+	changed := false
+	for name, member := range members.members {
+		silent := now.Since(member.heard)
+		switch {
+		case member.State == Lost && silent > forgetAfter:
+			delete(members.members, name)
+		case member.State != Lost && silent > members.silence(member):
+			member.State = Lost
+			changed = true
+		}
+	}
+	if members.state == Joining && members.joined(now) {
+		members.SetState(StandingBy)
+		changed = true
+	}
+	if changed && members.state == Serving {
+		// Those that stand by hear it from here first.
+		members.hurry()
+	}
+	return changed
+}
+
+// joined reports whether this instance has listened long enough.
+func (members *Members) joined(now clock.Moment) bool {
+	if now.Since(members.started) >= joinFor {
+		return true
+	}
+	return slices.ContainsFunc(members.living(), func(member *Member) bool { return member.State == Serving && member.heard > members.started }) &&
+		now.Since(members.started) >= joinFor/2
+}
+
+// living returns the members that count as alive, by name.
+func (members *Members) living() []*Member {
+	var living []*Member
+	for _, name := range slices.Sorted(maps.Keys(members.members)) {
+		if member := members.members[name]; member.State != Lost {
+			living = append(living, member)
+		}
+	}
+	return living
+}
+
+// Serving returns the instances that serve, this one included, by name.
+func (members *Members) Serving() []Identity {
+	var serving []Identity
+	for _, member := range members.living() {
+		if member.State == Serving {
+			serving = append(serving, member.Identity)
+		}
+	}
+	if members.state == Serving {
+		serving = append(serving, members.options.Self)
+	}
+	slices.SortFunc(serving, func(left, right Identity) int { return cmp.Compare(left.Name, right.Name) })
+	return serving
+}
+
+// Peers returns the other instances that serve.
+func (members *Members) Peers() []*Member {
+	return slices.DeleteFunc(members.living(), func(member *Member) bool { return member.State != Serving })
+}
+
+// All returns every known member, by name.
+func (members *Members) All() []*Member {
+	var all []*Member
+	for _, name := range slices.Sorted(maps.Keys(members.members)) {
+		all = append(all, members.members[name])
+	}
+	return all
+}
+
+// Alone reports whether no other instance is heard.
+func (members *Members) Alone() bool {
+	return len(members.living()) == 0
+}
+
+// ranked is an instance that could serve.
+type ranked struct {
+	identity Identity
+	serving  bool
+}
+
+// Needed reports whether this instance should serve: it is among the first of its data centre. Those that serve already
+// come before the others, so that nobody moves when an instance returns; larger ones come before smaller ones.
+func (members *Members) Needed() bool {
+	if members.state == Leaving || members.state == Joining {
+		return false
+	}
+	byDataCentre := map[settings.DataCentreName][]ranked{}
+	add := func(identity Identity, serving bool) {
+		byDataCentre[identity.DataCentre] = append(byDataCentre[identity.DataCentre], ranked{identity: identity, serving: serving})
+	}
+	add(members.options.Self, members.state == Serving)
+	for _, member := range members.living() {
+		if member.State == StandingBy || member.State == Serving {
+			add(member.Identity, member.State == Serving)
+		}
+	}
+	places := (servingLeast + len(byDataCentre) - 1) / len(byDataCentre)
+	own := byDataCentre[members.options.Self.DataCentre]
+	slices.SortFunc(own, func(left, right ranked) int {
+		return cmp.Or(
+			boolOrder(right.serving)-boolOrder(left.serving),
+			right.identity.Size-left.identity.Size,
+			cmp.Compare(left.identity.Name, right.identity.Name),
+		)
+	})
+	for _, candidate := range own[:min(places, len(own))] {
+		if candidate.identity.Name == members.options.Self.Name {
+			return true
+		}
+	}
+	return false
+}
+
+func boolOrder(value bool) int {
+	if value {
+		return 1
+	}
+	return 0
+}
+
+// Unneeded reports whether this instance has served for a while without being needed.
+func (members *Members) Unneeded() bool {
+	now := members.options.Clock.Now()
+	if members.state != Serving || members.Needed() {
+		members.unneeded = 0
+		return false
+	}
+	if members.unneeded == 0 {
+		members.unneeded = now
+	}
+	return now.Since(members.unneeded) >= demoteAfter
+}
+
+// Due returns where beats are to be sent now, and counts them as sent.
+func (members *Members) Due() []netip.AddrPort {
+	now := members.options.Clock.Now()
+	var due []netip.AddrPort
+	orphan := members.orphan()
+	heardFrom := map[netip.AddrPort]bool{}
+	for _, name := range slices.Sorted(maps.Keys(members.members)) {
+		member := members.members[name]
+		heardFrom[member.Address] = member.heard > 0 && member.State != Lost
+		every, wanted := members.pace(member, orphan)
+		if wanted && now >= member.next {
+			member.next = now.Add(every)
+			due = append(due, member.Address)
+		}
+	}
+	for _, seed := range members.options.Seeds {
+		if heardFrom[seed] || seed.String() == members.options.Self.Peer || now < members.seedNext[seed] {
+			continue
+		}
+		every := lostEvery
+		if members.state == Joining {
+			every = joinEvery
+		}
+		members.seedNext[seed] = now.Add(every)
+		due = append(due, seed)
+	}
+	return due
+}
+
+// orphan reports whether no serving instance is known, so that all must be asked.
+func (members *Members) orphan() bool {
+	return members.state != Serving && len(members.Peers()) == 0
+}
+
+// pace is how often a member is sent a beat, and whether it is at all.
+func (members *Members) pace(member *Member, orphan bool) (clock.Milliseconds, bool) {
+	switch {
+	case member.State == Lost:
+		return lostEvery, members.state == Serving || orphan
+	case members.state == Joining:
+		return joinEvery, true
+	case members.state == Serving && (member.State == Serving || member.State == Joining):
+		return servingEvery, true
+	case members.state == Serving || member.State == Serving:
+		return standbyEvery, true
+	case members.state == Leaving:
+		return standbyEvery, member.next == 0
+	default:
+		return servingEvery, orphan || member.State == Joining
+	}
+}
+
+// Beat makes the beat for one receiver.
+func (members *Members) Beat(to netip.AddrPort) Beat {
+	members.sequence++
+	beat := Beat{
+		Identity: members.options.Self, Incarnation: members.options.Incarnation, Sequence: members.sequence, State: members.state,
+		Revision: members.revision, Version: members.version, Fresh: members.fresh,
+	}
+	if members.quiet(to) {
+		return beat
+	}
+	beat.Mentions = members.mentions()
+	return beat
+}
+
+// quiet reports whether the receiver needs no word of others: a serving instance hears of all from themselves.
+func (members *Members) quiet(to netip.AddrPort) bool {
+	if members.state == StandingBy && !members.orphan() {
+		return true
+	}
+	for _, member := range members.members {
+		if member.Address == to {
+			return member.State == Serving && members.state == Serving
+		}
+	}
+	return false
+}
+
+// mentions tells of serving and newly lost members first, and of the others in turn.
+func (members *Members) mentions() []Mention {
+	now := members.options.Clock.Now()
+	var mentions, others []Mention
+	for _, member := range members.All() {
+		mention := Mention{Identity: member.Identity, State: member.State}
+		switch {
+		case member.State == Serving, member.State == Lost && now.Since(member.heard) < 2*standbySilence:
+			mentions = append(mentions, mention)
+		case member.State != Lost:
+			others = append(others, mention)
+		}
+	}
+	slices.SortStableFunc(mentions, func(left, right Mention) int { return int(left.State) - int(right.State) })
+	mentions = mentions[:min(len(mentions), mentionsMost)]
+	for range min(len(others), mentionsOfStandby) {
+		members.cursor++
+		mentions = append(mentions, others[members.cursor%len(others)])
+	}
+	return mentions
+}
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -17,7 +17,6 @@
 	"net/http/pprof"
 	"strconv"
 
-	"github.com/jaywheel/jaywheel/internal/control"
 	"github.com/jaywheel/jaywheel/internal/metrics"
 	"github.com/jaywheel/jaywheel/internal/trace"
 	"github.com/jaywheel/jaywheel/pkg/clock"
@@ -34,9 +33,17 @@
 // statusTimeout is how long the control goroutine may take to answer.
 const statusTimeout = 2 * clock.Second
 
+// Status is what an instance says of itself.
+type Status struct {
+	Ready   bool
+	Leaving bool
+	// Detail is all that operators read, written as JSON.
+	Detail any
+}
+
 // Options are what the handler reads from.
 type Options struct {
-	Status   func(context.Context) (control.Status, error)
+	Status   func(context.Context) (Status, error)
 	Registry *metrics.Registry
 	Traces   *trace.Ring
 }
@@ -73,10 +80,10 @@
 		http.Error(writer, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	writeJSON(writer, status)
+	writeJSON(writer, status.Detail)
 }
 
-func (options Options) readStatus(ctx context.Context) (control.Status, error) {
+func (options Options) readStatus(ctx context.Context) (Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout.Duration())
 	defer cancel()
 	return options.Status(ctx)
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"net"
 	"slices"
 	"strings"
@@ -34,12 +35,22 @@
 	Settings   *settings.Service
 	Dispatcher *service.Dispatcher
 	Budget     *service.RetryBudget
+	// Scheduler gives out places in place of Dispatcher where targets tell how slow they are.
+	Scheduler *service.Scheduler
 	// Serving are the instances that callers of the service are told to use.
 	Serving []Instance
 
 	rules []rule
 }
 
+// Take waits for a place on one of the service's targets.
+func (entry *Service) Take(ctx context.Context, demand service.Demand) (service.Place, error) {
+	if entry.Scheduler != nil {
+		return entry.Scheduler.Take(ctx, demand)
+	}
+	return entry.Dispatcher.Take(ctx, demand)
+}
+
 // Class is a class as traffic sees it.
 type Class struct {
 	Name     settings.ClassName
@@ -67,6 +78,7 @@
 	Leaving  bool
 	services map[settings.ServiceName]*Service
 	hosts    map[string][]*Service
+	entries  map[string][]*Entry
 }
 
 // Options are what a Table is made from.
@@ -74,6 +86,8 @@
 	Site     *settings.Site
 	Leaving  bool
 	Services []*Service
+	// Entries are routes by host and path alone. Where there are any, they go before what services claim.
+	Entries  []*Entry
 	Registry *metrics.Registry
 }
 
@@ -84,6 +98,7 @@
 		Leaving:  options.Leaving,
 		services: map[settings.ServiceName]*Service{},
 		hosts:    map[string][]*Service{},
+		entries:  entriesByHost(options.Entries),
 	}
 	for _, entry := range options.Services {
 		entry.rules = rulesOf(entry, options)
@@ -142,6 +157,9 @@
 
 // Route finds where a request belongs. The error is ErrNoService or ErrNoClass.
 func (table *Table) Route(host, method, path string) (Route, error) {
+	if len(table.entries) > 0 {
+		return table.routeByEntry(host, path)
+	}
 	for _, candidate := range table.hosts[hostName(host)] {
 		if !below(path, candidate.Settings.PathPrefix) {
 			continue
--- /dev/null
+++ b/internal/sensing/sensing.go
@@ -0,0 +1,227 @@
+// Package sensing probes backend servers: it asks those that this instance answers for how slow, how full and how warm
+// they are, often enough that the answer still holds when the next request is placed.
+//
+// One instance probes a target and tells the others, so what probing adds does not grow with the fleet. A target whose
+// service is idle is probed rarely; nobody is about to choose.
+//
+// # Usage
+//
+//	prober := sensing.NewProber(sensing.Options{Send: servers.Send, Read: platform.ReadProbe, Deliver: fleet.Probed, ...})
+//	go prober.Serve(ctx)
+//	prober.Set(jobs)
+package sensing
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jaywheel/jaywheel/internal/backendserver"
+	"github.com/jaywheel/jaywheel/internal/service"
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
+// Times of probing.
+const (
+	// probeTimeout bounds one probe. A target answers in some 10 ms even when it is full; 200 ms without an answer means
+	// that the target, its connection or its link is gone.
+	probeTimeout = 200 * clock.Millisecond
+	// downAfter is the number of failed probes in a row after which nobody is taken to be there.
+	downAfter = 2
+	// whileDown is the pause between probes of a target at which nobody is.
+	whileDown = 250 * clock.Millisecond
+)
+
+// Events of probing.
+const (
+	EventProbed = "probe.answered"
+	EventFailed = "probe.failed"
+)
+
+// errOther says that another server has the target's address.
+var errOther = errors.New("another backend server answers at the address")
+
+// Health is a target's answer to a probe.
+type Health struct {
+	// Target is who answered, empty when it doesn't say.
+	Target  settings.TargetName
+	Healthy bool
+	// NotRun says that the target refused the probe for want of room.
+	NotRun  bool
+	Reading service.Reading
+}
+
+// Job is a target to probe.
+type Job struct {
+	Service settings.ServiceName
+	Target  settings.TargetName
+	Address string
+	Path    string
+	// Pause is how long to wait until the next probe.
+	Pause func() clock.Milliseconds
+}
+
+// Result is what came of a probe.
+type Result struct {
+	Service settings.ServiceName
+	Target  settings.TargetName
+	Health  Health
+	// Down says that so many probes failed in a row that nobody is taken to be there.
+	Down bool
+	Err  error
+}
+
+// Options are what a Prober is made from.
+type Options struct {
+	Send    func(context.Context, settings.TargetName, *http.Request, bool) (*backendserver.Exchange, error)
+	Read    func(*http.Response) Health
+	Deliver func(Result)
+	Clock   *clock.Clock
+	Events  *expvar.Map
+}
+
+// Prober probes targets, each in a goroutine of its own.
+type Prober struct {
+	options Options
+
+	mutex   sync.Mutex
+	context context.Context
+	running map[settings.TargetName]*running
+	group   sync.WaitGroup
+}
+
+type running struct {
+	job    Job
+	cancel context.CancelFunc
+}
+
+// NewProber returns a prober without jobs.
+func NewProber(options Options) *Prober {
+	return &Prober{options: options, running: map[settings.TargetName]*running{}}
+}
+
+// Serve lets jobs run until the context ends.
+func (prober *Prober) Serve(ctx context.Context) error {
+	prober.mutex.Lock()
+	prober.context = ctx
+	for _, entry := range prober.running {
+		prober.start(entry)
+	}
+	prober.mutex.Unlock()
+	<-ctx.Done()
+	prober.mutex.Lock()
+	prober.context = nil
+	prober.mutex.Unlock()
+	prober.group.Wait()
+	return ctx.Err()
+}
+
+// Set replaces the jobs; those that stay the same go on.
+func (prober *Prober) Set(jobs []Job) {
+	prober.mutex.Lock()
+	defer prober.mutex.Unlock()
+	wanted := make(map[settings.TargetName]Job, len(jobs))
+	for _, job := range jobs {
+		wanted[job.Target] = job
+	}
+	for name, entry := range prober.running {
+		job, kept := wanted[name]
+		if kept && job.Path == entry.job.Path && job.Address == entry.job.Address && job.Service == entry.job.Service {
+			delete(wanted, name)
+			continue
+		}
+		if entry.cancel != nil {
+			entry.cancel()
+		}
+		delete(prober.running, name)
+	}
+	for name, job := range wanted {
+		entry := &running{job: job}
+		prober.running[name] = entry
+		if prober.context != nil {
+			prober.start(entry)
+		}
+	}
+}
+
+func (prober *Prober) start(entry *running) {
+	ctx, cancel := context.WithCancel(prober.context)
+	entry.cancel = cancel
+	job := entry.job
+	prober.group.Go(func() { prober.probeAll(ctx, job) })
+}
+
+// probeAll probes one target until the context ends.
+func (prober *Prober) probeAll(ctx context.Context, job Job) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	failures := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		health, err := prober.probe(ctx, job)
+		if ctx.Err() != nil {
+			return
+		}
+		pause := job.Pause()
+		if err != nil {
+			prober.options.Events.Add(EventFailed, 1)
+			failures++
+		} else {
+			prober.options.Events.Add(EventProbed, 1)
+			failures = 0
+		}
+		down := failures >= downAfter
+		if down {
+			pause = max(pause, whileDown)
+		}
+		prober.options.Deliver(Result{Service: job.Service, Target: job.Target, Health: health, Down: down, Err: err})
+		timer.Reset(pause.Duration())
+	}
+}
+
+func (prober *Prober) probe(ctx context.Context, job Job) (Health, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
+	defer cancel()
+	request := &http.Request{
+		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: job.Address, Path: job.Path}, Host: job.Address,
+		Header: http.Header{"User-Agent": nil}, Body: http.NoBody, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	exchange, err := prober.options.Send(ctx, job.Target, request, false)
+	if err != nil {
+		return Health{}, err
+	}
+	defer exchange.Close()
+	health := prober.options.Read(exchange.Response)
+	health.Reading.At = prober.options.Clock.Now()
+	if err := drain(exchange); err != nil {
+		return health, err
+	}
+	if health.Target != "" && health.Target != job.Target {
+		return health, errOther
+	}
+	return health, nil
+}
+
+// probeBodyMost bounds the body of a probe's answer, in bytes.
+const probeBodyMost = 4 << 10
+
+// drain reads the answer to its end, without which its connection could not be used again.
+func drain(exchange *backendserver.Exchange) error {
+	var buffer [probeBodyMost]byte
+	for !exchange.Whole() {
+		if _, err := exchange.Read(buffer[:]); err != nil && !exchange.Whole() {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/service/candidate.go
@@ -0,0 +1,177 @@
+package service
+
+import (
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
+// Offer is what the control goroutine says of a target that a Scheduler may use.
+type Offer struct {
+	Name       settings.TargetName
+	Address    string
+	DataCentre settings.DataCentreName
+	// Slots is the number of requests it runs at once.
+	Slots int
+	// Local says that it lies in this instance's own data centre.
+	Local bool
+	// Owned says that this instance answers for it: it alone starts it while it is cold.
+	Owned bool
+	// Usable is false while the target is leaving or its data centre is out: it keeps its record and gets nothing.
+	Usable bool
+	// ColdRate is the number of requests a second that it bears while cold.
+	ColdRate float64
+	// ColdFor is how long it stays cold, as far as it is known when it is first offered.
+	ColdFor clock.Milliseconds
+	// Started changes when it starts anew under its name.
+	Started int64
+}
+
+// Failures.
+const (
+	// firstAvoidance is how long a target is avoided after a first failure; it doubles with each in a row, up to
+	// mostDoublings times: 100 ms to 3.2 s. A target that crashed is back within seconds, one that shed is free sooner.
+	firstAvoidance = 100 * clock.Millisecond
+	// failureWeight is the weight of one request in the moving average of failures: some ten requests tell a target
+	// that fails a part of them from one that failed once.
+	failureWeight = 0.1
+	// failureCosts is how many times the usual work a failure costs: the time until it is noticed and the attempt that
+	// follows.
+	failureCosts = 3.0
+)
+
+// Room on a target.
+const (
+	// crowdedShare is the share of the slots above which some targets slow down, by 1.7 on the users' platform: a target
+	// with 6 slots then gets less done with 5 or 6 at once than with 4, so no more are sent there.
+	crowdedShare = 0.8
+	// crowdedSlots is the least number of slots for which the share makes sense: below, it would leave slots unused
+	// on targets that don't slow down.
+	crowdedSlots = 4
+	// othersFade is how long what others had in flight on a target is taken to last after a reading.
+	othersFade = 300 * clock.Millisecond
+	// staleReading is the age after which a reading tells nothing any more: the target may have become cold or gone.
+	staleReading = 1500 * clock.Millisecond
+	// coldBurst is how many requests may go to a cold target at once.
+	coldBurst = 1.0
+	// coldMargin is the part of what a cold target bears that is used. While views of the fleet differ two instances may
+	// take a target for theirs, and the two together must not break it.
+	coldMargin = 0.8
+	// takeoverWait is how long a new owner leaves a cold target alone: the owner before may still be sending to it.
+	takeoverWait = clock.Second
+)
+
+// candidate is one target of a Scheduler.
+type candidate struct {
+	Target
+
+	offer Offer
+	// reading is the newest one, read tells whether there is any.
+	reading Reading
+	read    bool
+	// ownAtReading is what this instance itself had in flight there then.
+	ownAtReading int
+	// coldUntil is when it is warm.
+	coldUntil clock.Moment
+	// ownedFrom is when this instance may start sending to it while it is cold.
+	ownedFrom clock.Moment
+	// tokens are the requests that a cold target may get now, filled up at tokensAt.
+	tokens   float64
+	tokensAt clock.Moment
+	// down says that probes find nobody there.
+	down bool
+	// avoidUntil, inARow and failRate follow from failures.
+	avoidUntil clock.Moment
+	inARow     int
+	failRate   float64
+}
+
+// observe takes a reading unless a newer one is known.
+func (candidate *candidate) observe(reading Reading) {
+	if candidate.read && reading.At < candidate.reading.At {
+		return
+	}
+	if reading.ColdKnown {
+		candidate.coldUntil = reading.At.Add(reading.ColdFor)
+	}
+	if reading.Slots <= 0 {
+		reading.Slots = candidate.offer.Slots
+	}
+	candidate.reading = reading
+	candidate.read = true
+	candidate.ownAtReading = candidate.own
+}
+
+// others estimates what others have in flight there.
+func (candidate *candidate) others(now clock.Moment) int {
+	if !candidate.read || now.Since(candidate.reading.At) > othersFade {
+		return 0
+	}
+	return max(candidate.reading.Running+candidate.reading.Waiting-candidate.ownAtReading, 0)
+}
+
+// room is the number of requests that may be in flight there at once.
+func (candidate *candidate) room() int {
+	slots := candidate.offer.Slots
+	if slots > crowdedSlots {
+		return int(crowdedShare * float64(slots))
+	}
+	return max(slots, 1)
+}
+
+// cold reports whether the target bears only its cold rate, or may.
+func (candidate *candidate) cold(now clock.Moment) bool {
+	return now < candidate.coldUntil || candidate.stale(now)
+}
+
+// stale reports whether so long nothing was heard of the target that it may have turned cold meanwhile.
+func (candidate *candidate) stale(now clock.Moment) bool {
+	return !candidate.read || now.Since(candidate.reading.At) > staleReading
+}
+
+// mayStart reports whether one more request may be sent to a cold target now.
+func (candidate *candidate) mayStart(now clock.Moment) bool {
+	if !candidate.offer.Owned || now < candidate.ownedFrom {
+		return false
+	}
+	candidate.refill(now)
+	return candidate.tokens >= 1
+}
+
+func (candidate *candidate) refill(now clock.Moment) {
+	earned := float64(now.Since(candidate.tokensAt)/clock.Second) * candidate.offer.ColdRate * coldMargin
+	candidate.tokens = min(candidate.tokens+earned, coldBurst)
+	candidate.tokensAt = now
+}
+
+// open reports whether a request may be sent there now.
+func (candidate *candidate) open(now clock.Moment, despiteFailures bool) bool {
+	if !candidate.offer.Usable || candidate.down {
+		return false
+	}
+	room := candidate.room()
+	if !despiteFailures && candidate.inARow >= failuresUntilTrickle {
+		room = 1
+	}
+	if candidate.own+candidate.others(now) >= room {
+		return false
+	}
+	if !despiteFailures && now < candidate.avoidUntil {
+		return false
+	}
+	return !candidate.cold(now) || candidate.mayStart(now)
+}
+
+// fail counts a failed request.
+func (candidate *candidate) fail(now clock.Moment) {
+	candidate.failRate += failureWeight * (1 - candidate.failRate)
+	candidate.inARow++
+	doublings := min(candidate.inARow-1, mostDoublings)
+	candidate.avoidUntil = now.Add(firstAvoidance * clock.Milliseconds(int(1)<<doublings))
+}
+
+// succeed counts a request that went well.
+func (candidate *candidate) succeed() {
+	candidate.failRate -= failureWeight * candidate.failRate
+	candidate.inARow = 0
+	candidate.avoidUntil = 0
+}
--- a/internal/service/dispatcher.go
+++ b/internal/service/dispatcher.go
@@ -67,6 +67,10 @@
 	Deadline clock.Moment
 	// Tried is the target on which an earlier attempt of the request failed, or nil.
 	Tried *Target
+	// Class and Aim are used by a Scheduler only: requests of one class take about the same time, and Aim is the moment
+	// until which an answer is worth most.
+	Class settings.ClassName
+	Aim   clock.Moment
 }
 
 // Place is the right to have one request in flight on a target. Release gives it back.
@@ -81,6 +85,16 @@
 	Listed int
 	// since is when it was taken.
 	since clock.Moment
+	// Size is the length of the answer in bytes, set before Release.
+	Size int
+	// Reading is what was known of the target when it was chosen.
+	Reading Reading
+
+	// scheduler and candidate stand in place of dispatcher on a place that a Scheduler gave.
+	scheduler *Scheduler
+	candidate *candidate
+	demand    Demand
+	calm      bool
 }
 
 // Dispatcher gives out the places of one service at one instance. It is safe for concurrent use.
@@ -379,6 +393,10 @@
 
 // Release gives the place back and learns from how the request ended.
 func (place Place) Release(result Result) {
+	if place.scheduler != nil {
+		place.scheduler.release(place, result)
+		return
+	}
 	place.dispatcher.release(place, result)
 }
 
--- /dev/null
+++ b/internal/service/scheduler.go
@@ -0,0 +1,415 @@
+package service
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
+// RefusedError says that a request was refused without having been sent anywhere, and when room is expected.
+type RefusedError struct {
+	Cause error
+	// ComeBack is how long from now room is expected.
+	ComeBack clock.Milliseconds
+}
+
+// Error implements error.
+func (refused *RefusedError) Error() string {
+	return refused.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (refused *RefusedError) Unwrap() error {
+	return refused.Cause
+}
+
+// SchedulerOptions are what a Scheduler is made from.
+type SchedulerOptions struct {
+	Clock *clock.Clock
+	Rand  *rand.Rand
+}
+
+// Scheduler gives out the places of one service at one instance by prediction: each request goes to the target on which
+// it is expected to be finished first, and waits here while every target is full or slow and waiting still lets it be in
+// time. It answers the load in which targets slow down several times over for spells of some 150 ms: what a target did a
+// second ago says nothing, what it said 50 ms ago says most of what there is to know. It is safe for concurrent use.
+type Scheduler struct {
+	clock *clock.Clock
+
+	mutex      sync.Mutex
+	random     *rand.Rand
+	candidates map[settings.TargetName]*candidate
+	ordered    []*candidate
+	usable     int
+	waiting    rankedQueue
+	// work is the usual time of a request on a calm target, by class; size is the usual length of its answer.
+	work map[settings.ClassName]*expectation
+	// meanSlowdown is the average over all readings.
+	meanSlowdown float64
+	// own is the number of places taken, meanHold how long one is taken.
+	own      int
+	meanHold clock.Milliseconds
+	// lastTake is when a request last asked for a place.
+	lastTake clock.Moment
+	started  startShares
+}
+
+// First guesses, until requests have told better.
+const (
+	firstWork     = 100 * clock.Millisecond
+	firstSlowdown = 1.5
+)
+
+// expectation is what is known of a class's requests.
+type expectation struct {
+	work clock.Milliseconds
+	size float64
+}
+
+// NewScheduler returns a Scheduler without targets.
+func NewScheduler(options SchedulerOptions) *Scheduler {
+	return &Scheduler{
+		clock: options.Clock, random: options.Rand, candidates: map[settings.TargetName]*candidate{},
+		work: map[settings.ClassName]*expectation{}, meanSlowdown: firstSlowdown, meanHold: firstWork,
+	}
+}
+
+// SetOffers replaces what the control goroutine says of targets. Targets that are no longer offered are forgotten, but
+// for the count of what is in flight on them.
+func (scheduler *Scheduler) SetOffers(offers []Offer) {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	now := scheduler.clock.Now()
+	kept := make(map[settings.TargetName]bool, len(offers))
+	scheduler.usable = 0
+	for index := range offers {
+		kept[offers[index].Name] = true
+		scheduler.setOffer(now, offers[index])
+		if offers[index].Usable {
+			scheduler.usable++
+		}
+	}
+	remaining := scheduler.ordered[:0]
+	for _, known := range scheduler.ordered {
+		if !kept[known.Name] {
+			known.offer.Usable = false
+			// A target that comes back while requests are in flight on it keeps their count: a fresh record would start
+			// at zero, and one that is cold again would be given more than it bears.
+			if known.own == 0 {
+				delete(scheduler.candidates, known.Name)
+				continue
+			}
+		}
+		remaining = append(remaining, known)
+	}
+	clear(scheduler.ordered[len(remaining):])
+	scheduler.ordered = remaining
+	if scheduler.usable == 0 {
+		scheduler.refuseAll(ErrNoTarget)
+	}
+	scheduler.serveWaiting(now)
+}
+
+func (scheduler *Scheduler) setOffer(now clock.Moment, offer Offer) {
+	known, found := scheduler.candidates[offer.Name]
+	if !found {
+		known = &candidate{Target: Target{Name: offer.Name, Address: offer.Address, DataCentre: offer.DataCentre}, tokensAt: now}
+		scheduler.candidates[offer.Name] = known
+		scheduler.ordered = append(scheduler.ordered, known)
+	}
+	if offer.Owned && !known.offer.Owned && found {
+		known.ownedFrom = now.Add(takeoverWait)
+	}
+	if !found || known.offer.Started != offer.Started {
+		known.coldUntil = now.Add(offer.ColdFor)
+		known.read = false
+	}
+	known.offer = offer
+	known.Address = offer.Address
+	known.DataCentre = offer.DataCentre
+}
+
+// Observe takes a reading of a target.
+func (scheduler *Scheduler) Observe(name settings.TargetName, reading Reading) {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	known, found := scheduler.candidates[name]
+	if !found {
+		return
+	}
+	known.observe(reading)
+	if reading.Slowdown > 0 {
+		scheduler.meanSlowdown += averageWeight * (reading.Slowdown - scheduler.meanSlowdown)
+	}
+	scheduler.serveWaiting(scheduler.clock.Now())
+}
+
+// SetDown notes whether probes find nobody at the target.
+func (scheduler *Scheduler) SetDown(name settings.TargetName, down bool) {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	known, found := scheduler.candidates[name]
+	if !found || known.down == down {
+		return
+	}
+	known.down = down
+	if !down {
+		known.inARow = 0
+		known.avoidUntil = 0
+	}
+}
+
+// Forget drops all readings: after this process stood still, nothing that it knew is worth anything.
+func (scheduler *Scheduler) Forget() {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	for _, known := range scheduler.ordered {
+		known.read = false
+	}
+}
+
+// Busy reports whether a request asked for a place within the given time.
+func (scheduler *Scheduler) Busy(within clock.Milliseconds) bool {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	return scheduler.lastTake > 0 && scheduler.clock.Now().Since(scheduler.lastTake) < within
+}
+
+// Take waits for a place. The error is a *RefusedError, or the context's.
+func (scheduler *Scheduler) Take(ctx context.Context, demand Demand) (Place, error) {
+	now := scheduler.clock.Now()
+	scheduler.mutex.Lock()
+	scheduler.lastTake = now
+	if scheduler.usable == 0 {
+		scheduler.mutex.Unlock()
+		return Place{}, &RefusedError{Cause: ErrNoTarget, ComeBack: comeBackNoTarget}
+	}
+	if !scheduler.waiting.anyBefore(demand.Priority) {
+		if place, found := scheduler.takeNow(now, demand); found {
+			scheduler.mutex.Unlock()
+			return place, nil
+		}
+	}
+	waiter, err := scheduler.enqueue(now, demand)
+	scheduler.mutex.Unlock()
+	if err != nil {
+		return Place{}, err
+	}
+	return scheduler.wait(ctx, waiter)
+}
+
+// TryTake takes a place for a second copy of a request, if one is free on another target that is calm.
+func (scheduler *Scheduler) TryTake(demand Demand) (Place, bool) {
+	now := scheduler.clock.Now()
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	if scheduler.waiting.length > 0 {
+		return Place{}, false
+	}
+	best, finish := scheduler.best(now, demand, false)
+	if best == nil || &best.Target == demand.Tried || finish > 2*scheduler.expect(demand.Class).work {
+		return Place{}, false
+	}
+	return scheduler.bind(now, best, demand), true
+}
+
+// Slow reports whether the place's target has slowed down or gone since the request was sent there.
+func (place Place) Slow() bool {
+	if place.scheduler == nil {
+		return false
+	}
+	return place.scheduler.slow(place.Target)
+}
+
+func (scheduler *Scheduler) slow(target *Target) bool {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	known, found := scheduler.candidates[target.Name]
+	if !found || known.down {
+		return true
+	}
+	now := scheduler.clock.Now()
+	return known.reading.slowdownAt(now, 1) >= slowFrom || known.stale(now)
+}
+
+func (scheduler *Scheduler) takeNow(now clock.Moment, demand Demand) (Place, bool) {
+	chosen := scheduler.choose(now, demand)
+	if chosen == nil {
+		return Place{}, false
+	}
+	return scheduler.bind(now, chosen, demand), true
+}
+
+// bind takes a place on the chosen target.
+func (scheduler *Scheduler) bind(now clock.Moment, chosen *candidate, demand Demand) Place {
+	if chosen.cold(now) {
+		chosen.tokens--
+	}
+	chosen.own++
+	scheduler.own++
+	scheduler.started.count(demand.Priority)
+	return Place{
+		Target: &chosen.Target, scheduler: scheduler, candidate: chosen, demand: demand,
+		Taken: chosen.own + chosen.others(now), Listed: scheduler.usable, since: now,
+		calm:    chosen.reading.slowdownAt(now, scheduler.meanSlowdown) < slowFrom && !chosen.cold(now),
+		Reading: chosen.reading,
+	}
+}
+
+// Expected is how long a request of the class takes on a calm target.
+func (scheduler *Scheduler) Expected(class settings.ClassName) clock.Milliseconds {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	return scheduler.expect(class).work
+}
+
+func (scheduler *Scheduler) expect(class settings.ClassName) *expectation {
+	known, found := scheduler.work[class]
+	if !found {
+		known = &expectation{work: firstWork}
+		scheduler.work[class] = known
+	}
+	return known
+}
+
+// release gives a place back and learns from how the request ended.
+func (scheduler *Scheduler) release(place Place, result Result) {
+	now := scheduler.clock.Now()
+	held := now.Since(place.since)
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	place.candidate.own--
+	scheduler.own--
+	scheduler.meanHold += averageWeight * (held - scheduler.meanHold)
+	switch result {
+	case Succeeded:
+		place.candidate.succeed()
+		scheduler.learn(place, held)
+	case Failed:
+		place.candidate.fail(now)
+	case Cancelled:
+	}
+	scheduler.serveWaiting(now)
+}
+
+// learnWeight is the weight of one request in what is expected of its class.
+const learnWeight = 0.03
+
+// learn takes the time of a request that started on a calm target as the usual one.
+func (scheduler *Scheduler) learn(place Place, held clock.Milliseconds) {
+	known := scheduler.expect(place.demand.Class)
+	known.size += learnWeight * (float64(place.Size) - known.size)
+	if !place.calm || held > mostOutlying*known.work && known.work > 0 {
+		// Slowed down on the way; a slow spell says nothing about the usual time. A guess that is far too low is
+		// still raised, slowly.
+		known.work += learnWeight * learnWeight * (held - known.work)
+		return
+	}
+	known.work += learnWeight * (held - known.work)
+}
+
+// mostOutlying is how many times the usual time a request may take to count as one that was not slowed down.
+const mostOutlying = 2.5
+
+// wait blocks until waiter has a place or is refused.
+func (scheduler *Scheduler) wait(ctx context.Context, waiter *rankedWaiter) (Place, error) {
+	timer := time.NewTimer(waiter.until.Since(scheduler.clock.Now()).Duration())
+	defer timer.Stop()
+	var reason error
+	select {
+	case granted := <-waiter.done:
+		return scheduler.granted(waiter, granted)
+	case <-timer.C:
+		reason = ErrQueueWait
+	case <-ctx.Done():
+		reason = ctx.Err()
+	}
+	scheduler.mutex.Lock()
+	stillWaiting := scheduler.waiting.remove(waiter)
+	comeBack := scheduler.comeBack(waiter.demand.Priority)
+	scheduler.mutex.Unlock()
+	if !stillWaiting {
+		// A place arrived at the same instant; it is used, or else it would stay taken for ever.
+		return scheduler.granted(waiter, <-waiter.done)
+	}
+	if errors.Is(reason, ErrQueueWait) {
+		return Place{}, &RefusedError{Cause: reason, ComeBack: comeBack}
+	}
+	return Place{}, reason
+}
+
+func (scheduler *Scheduler) granted(waiter *rankedWaiter, granted scheduledGrant) (Place, error) {
+	if granted.err != nil {
+		return Place{}, granted.err
+	}
+	place := granted.place
+	place.Waited = place.since.Since(waiter.since)
+	return place, nil
+}
+
+// Sweep serves requests whose reason for waiting has passed: they may now go to a slow target, or a cold one can take
+// one more. The control goroutine calls it every few milliseconds.
+func (scheduler *Scheduler) Sweep() {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	scheduler.serveWaiting(scheduler.clock.Now())
+}
+
+// serveWaiting gives free places to waiting requests, the most urgent first.
+func (scheduler *Scheduler) serveWaiting(now clock.Moment) {
+	scheduler.waiting.each(func(waiter *rankedWaiter) bool {
+		place, found := scheduler.takeNow(now, waiter.demand)
+		if !found {
+			// One that shuns its earlier target or a slow one must not keep the others; but when nothing at all is
+			// free there is no use in asking for each.
+			return scheduler.anyOpen(now)
+		}
+		scheduler.waiting.remove(waiter)
+		waiter.done <- scheduledGrant{place: place}
+		return true
+	})
+}
+
+func (scheduler *Scheduler) refuseAll(reason error) {
+	scheduler.waiting.each(func(waiter *rankedWaiter) bool {
+		scheduler.waiting.remove(waiter)
+		waiter.done <- scheduledGrant{err: &RefusedError{Cause: reason, ComeBack: comeBackNoTarget}}
+		return true
+	})
+}
+
+// State returns the state of every target, in no particular order, and the number of waiting requests.
+func (scheduler *Scheduler) State() ([]TargetState, int) {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	now := scheduler.clock.Now()
+	states := make([]TargetState, 0, len(scheduler.ordered))
+	for _, known := range scheduler.ordered {
+		states = append(states, TargetState{
+			Name: known.Name, Address: known.Address, DataCentre: known.DataCentre, Own: known.own,
+			Others: known.others(now), Limit: known.room(), Failures: known.inARow,
+		})
+	}
+	return states, scheduler.waiting.length
+}
+
+// Observe takes a reading that came with the answer to the place's request.
+func (place Place) Observe(reading Reading) {
+	if place.scheduler != nil {
+		place.scheduler.Observe(place.Target.Name, reading)
+	}
+}
+
+// ReadingAge is how old the reading was on which the choice rested, 0 when there was none.
+func (place Place) ReadingAge(now clock.Moment) clock.Milliseconds {
+	if place.Reading.At == 0 {
+		return 0
+	}
+	return now.Since(place.Reading.At)
+}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -42,6 +42,10 @@
 	Considered int `json:"considered"`
 	// Taken is the number of places then in use on the target, this one included.
 	Taken int `json:"taken"`
+	// Slowdown is how many times longer than usual work took there by the reading that decided, and ReadingAge that
+	// reading's age. Both are 0 where targets don't tell.
+	Slowdown   float64            `json:"slowdown,omitempty"`
+	ReadingAge clock.Milliseconds `json:"readingAge,omitempty"`
 	// Waited is the time spent waiting for the place.
 	Waited clock.Milliseconds `json:"waited"`
 	// Reused tells whether the connection had carried a request before.
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 // Milliseconds is a length of time. Fractions are kept: 0.15 is 150 microseconds.
@@ -101,6 +102,18 @@
 	return &Clock{Now: func() Moment { return Moment(Of(time.Since(origin))) }}
 }
 
+// NewAwake returns a clock that also counts the time for which the machine is suspended, which New's does not.
+func NewAwake() *Clock {
+	return &Clock{Now: func() Moment {
+		var since unix.Timespec
+		if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &since); err != nil {
+			// Every kernel since 2.6.39 has this clock.
+			panic(err)
+		}
+		return Moment(Of(time.Duration(since.Nano())))
+	}}
+}
+
 // Manual is a clock whose time stands still until Advance moves it. It is not safe for concurrent use.
 type Manual struct {
 	Clock
--- a/pkg/settings/schema.go
+++ b/pkg/settings/schema.go
@@ -24,17 +24,26 @@
 //go:embed process.schema.json
 var ProcessSchema []byte
 
+// GatewaySchema is the JSON Schema of an instance's own settings where a platform's store tells the rest.
+//
+//go:embed gateway.schema.json
+var GatewaySchema []byte
+
 // The definitions within the schemas against which documents are checked.
 const (
 	siteDefinition    = "site.schema.json#/$defs/Site"
 	serviceDefinition = "site.schema.json#/$defs/Service"
 	processDefinition = "process.schema.json#/$defs/Process"
+	gatewayDefinition = "gateway.schema.json#/$defs/Gateway"
 )
 
-// compiler holds both schemas. They are embedded and tested, so a failure to read them is a defect of the build.
+// compiler holds all schemas. They are embedded and tested, so a failure to read them is a defect of the build.
 var compiler = sync.OnceValue(func() map[string]*jsonschema.Schema {
 	schemas := jsonschema.NewCompiler()
-	for name, text := range map[string][]byte{"site.schema.json": SiteSchema, "process.schema.json": ProcessSchema} {
+	sources := map[string][]byte{
+		"site.schema.json": SiteSchema, "process.schema.json": ProcessSchema, "gateway.schema.json": GatewaySchema,
+	}
+	for name, text := range sources {
 		parsed, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
 		if err != nil {
 			panic(err)
@@ -44,7 +53,7 @@
 		}
 	}
 	compiled := map[string]*jsonschema.Schema{}
-	for _, definition := range []string{siteDefinition, serviceDefinition, processDefinition} {
+	for _, definition := range []string{siteDefinition, serviceDefinition, processDefinition, gatewayDefinition} {
 		compiled[definition] = schemas.MustCompile(definition)
 	}
 	return compiled
--- a/pkg/settings/schema_test.go
+++ b/pkg/settings/schema_test.go
@@ -50,6 +50,7 @@
 	}{
 		{"site.schema.json", &Site{}, SiteSchema},
 		{"process.schema.json", &Process{}, ProcessSchema},
+		{"gateway.schema.json", &Gateway{}, GatewaySchema},
 	}
 	for _, testCase := range cases {
 		t.Run(testCase.file, func(t *testing.T) {
--- a/pkg/settings/types.go
+++ b/pkg/settings/types.go
@@ -132,6 +132,10 @@
 	Priority Priority `json:"priority" jsonschema:"minimum=0,maximum=7"`
 	// Timeout is the time a request has when its caller names no shorter one.
 	Timeout clock.Milliseconds `json:"timeout"`
+	// Aim is the time within which an answer is worth most to its caller; 0 means that only the timeout counts.
+	Aim clock.Milliseconds `json:"aim,omitempty"`
+	// Attempts is the largest number of attempts of one request; 0 leaves it to the service's retry.attempts.
+	Attempts int `json:"attempts,omitempty" jsonschema:"minimum=0,maximum=10"`
 	// BodyMost is the largest request body.
 	BodyMost Bytes `json:"bodyMost,omitempty" jsonschema:"default=1MiB"`
 }
