Let instances that stand by follow a serving peer's view

Cause: every instance that takes requests is asked for its readiness and its routes; those that stood by answered 503 and so missed three duties, and 85 of 100 requests on new routes. Change: a reader leads (reads the store) or follows (reads a serving peer's view when its beat tells a newer revision); hearsay no longer makes a member serve; a target nobody told of takes one request at a time; stale idle connections are passed over, not closed.

--- a/internal/backendserver/pool.go
+++ b/internal/backendserver/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -45,7 +46,7 @@
 }
 
 // take returns a connection for one exchange: the one used last, or a new one. With freshOnly an idle connection that
-// has not shown life lately is closed instead of used, since a request that must not run twice can't be sent again
+// has not shown life lately is passed over, since a request that must not run twice can't be sent again
 // when it turns out dead.
 func (pool *pool) take(ctx context.Context, freshOnly bool) (*connection, error) {
 	options, idle, err := pool.reserve(freshOnly)
@@ -69,15 +70,23 @@
 	if pool.closed {
 		return Options{}, nil, ErrUnknownTarget
 	}
-	for len(pool.idle) > 0 {
-		last := len(pool.idle) - 1
-		candidate := pool.idle[last]
-		pool.idle[last] = nil
-		pool.idle = pool.idle[:last]
-		if pool.usable(candidate, freshOnly) {
+	for position := len(pool.idle) - 1; position >= 0; position-- {
+		candidate := pool.idle[position]
+		switch pool.judge(candidate, freshOnly) {
+		case usable:
+			pool.idle = slices.Delete(pool.idle, position, position+1)
 			return pool.options, candidate, nil
+		case dead:
+			pool.idle = slices.Delete(pool.idle, position, position+1)
+			pool.closeLocked(candidate)
+		case stale:
+			// It may still serve a request that can be sent again.
 		}
-		pool.closeLocked(candidate)
+	}
+	if pool.open >= pool.options.ConnectionsMost && len(pool.idle) > 0 {
+		// All that are idle are stale; the oldest makes room.
+		pool.closeLocked(pool.idle[0])
+		pool.idle = slices.Delete(pool.idle, 0, 1)
 	}
 	if pool.open >= pool.options.ConnectionsMost {
 		return Options{}, nil, ErrConnectionsUsed
@@ -86,11 +95,24 @@
 	return pool.options, nil, nil
 }
 
-func (pool *pool) usable(candidate *connection, freshOnly bool) bool {
-	if candidate.client.Err() != nil {
-		return false
+// verdict tells what an idle connection is good for.
+type verdict int
+
+const (
+	usable verdict = iota
+	stale
+	dead
+)
+
+func (pool *pool) judge(candidate *connection, freshOnly bool) verdict {
+	switch {
+	case candidate.client.Err() != nil:
+		return dead
+	case freshOnly && candidate.socket.lifeSince(pool.clock.Now()) > pool.options.Connections.FreshFor:
+		return stale
+	default:
+		return usable
 	}
-	return !freshOnly || candidate.socket.lifeSince(pool.clock.Now()) <= pool.options.Connections.FreshFor
 }
 
 func (pool *pool) closeLocked(connection *connection) {
--- a/internal/caller/hedge.go
+++ b/internal/caller/hedge.go
@@ -88,7 +88,7 @@
 // the first.
 func (call *call) awaitFirst(ctx context.Context, first service.Place, results <-chan attempt) (service.Place, *attempt) {
 	work := call.route.Service.Scheduler.Expected(call.route.Class.Name)
-	last := call.aim.Add(-hedgeMargin * work)
+	last := call.aim.Add(-service.CallerDistance - hedgeMargin*work)
 	overdue := call.now().Add(hedgeOverdue * work)
 	timer := time.NewTimer(max(min(last.Since(call.now()), hedgeOverdue*work), 0).Duration())
 	defer timer.Stop()
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -34,6 +34,8 @@
 	outageFrom = 800 * clock.Millisecond
 	// returnWithin is the time after the store's return within which servers that live are listed again.
 	returnWithin = 2500 * clock.Millisecond
+	// followPause is the least time between two readings of a peer's view.
+	followPause = 100 * clock.Millisecond
 	// askPeersAfter is the time without an answer from which peers are asked.
 	askPeersAfter = 600 * clock.Millisecond
 )
@@ -44,6 +46,7 @@
 	EventWatch      = "catalog.watch"
 	EventFailed     = "catalog.failed"
 	EventFromPeer   = "catalog.fromPeer"
+	EventPeerFailed = "catalog.peerFailed"
 	EventUnreadable = "catalog.unreadable"
 )
 
@@ -67,7 +70,8 @@
 	wake    chan struct{}
 
 	mutex    sync.Mutex
-	wanted   bool
+	leads    bool
+	follows  Revision
 	refresh  bool
 	contact  clock.Moment
 	cancelIO context.CancelFunc
@@ -84,7 +88,7 @@
 	problem       string
 }
 
-// NewReader returns a reader that reads nothing until it is wanted.
+// NewReader returns a reader that follows: it reads nothing until it is told to lead or what to follow.
 func NewReader(options Options) *Reader {
 	return &Reader{
 		options: options, wake: make(chan struct{}, 1), servers: map[Key]Server{},
@@ -92,22 +96,31 @@
 	}
 }
 
-// Want says whether the view is to be kept current.
-func (reader *Reader) Want(wanted bool) {
+// Lead says whether the view is to be kept current from the source. Otherwise it follows those of peers: few instances
+// read the source, whose calls are limited and priced.
+func (reader *Reader) Lead(leads bool) {
 	reader.mutex.Lock()
-	changed := reader.wanted != wanted
-	reader.wanted = wanted
+	changed := reader.leads != leads
+	reader.leads = leads
 	cancel := reader.cancelIO
 	reader.mutex.Unlock()
 	if !changed {
 		return
 	}
-	if !wanted && cancel != nil {
+	if !leads && cancel != nil {
 		cancel()
 	}
 	reader.nudge()
 }
 
+// Follow says that a peer has the given revision.
+func (reader *Reader) Follow(revision Revision) {
+	reader.mutex.Lock()
+	reader.follows = revision
+	reader.mutex.Unlock()
+	reader.nudge()
+}
+
 // Refresh has everything read anew at once: after a pause of this process, or when a peer knows a newer revision while
 // the watch stays silent.
 func (reader *Reader) Refresh() {
@@ -138,12 +151,12 @@
 // Serve reads and watches until the context ends.
 func (reader *Reader) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if !reader.isWanted() {
+		leads, refresh := reader.task()
+		if refresh {
 			reader.whole = false
-			select {
-			case <-reader.wake:
-			case <-ctx.Done():
-			}
+		}
+		if !leads {
+			reader.followOnce(ctx, refresh)
 			continue
 		}
 		if err := reader.step(ctx); err != nil && ctx.Err() == nil {
@@ -153,14 +166,30 @@
 	return ctx.Err()
 }
 
-func (reader *Reader) isWanted() bool {
+// task tells whether to lead, and whether everything is to be read anew.
+func (reader *Reader) task() (bool, bool) {
 	reader.mutex.Lock()
 	defer reader.mutex.Unlock()
-	if reader.refresh {
-		reader.refresh = false
-		reader.whole = false
+	refresh := reader.refresh
+	reader.refresh = false
+	return reader.leads, refresh
+}
+
+// followOnce reads a peer's view when it is newer, and waits until there is something to do.
+func (reader *Reader) followOnce(ctx context.Context, refresh bool) {
+	reader.whole = false
+	reader.mutex.Lock()
+	behind := reader.follows > reader.revision
+	reader.mutex.Unlock()
+	if behind || refresh {
+		reader.readPeer(ctx, refresh)
+		sleep(ctx, followPause)
+		return
+	}
+	select {
+	case <-reader.wake:
+	case <-ctx.Done():
 	}
-	return reader.wanted
 }
 
 // step makes one call to the source and publishes what came of it.
@@ -350,7 +379,7 @@
 	}
 	silent := reader.options.Clock.Now().Since(reader.Contact())
 	if reader.Contact() == 0 || silent > askPeersAfter {
-		reader.readPeer(ctx)
+		reader.readPeer(ctx, false)
 	}
 	backoff := min(firstBackoff*clock.Milliseconds(int(1)<<min(reader.failures-1, 8)), mostBackoff)
 	sleep(ctx, backoff*clock.Milliseconds(0.5+reader.options.Jitter()))
@@ -363,20 +392,25 @@
 	}
 	reader.mutex.Lock()
 	defer reader.mutex.Unlock()
-	return !reader.wanted || reader.refresh
+	return !reader.leads || reader.refresh
 }
 
 // readPeer takes over a newer view of a peer that the source answers. The store may turn away some instances and serve
 // the others.
-func (reader *Reader) readPeer(ctx context.Context) {
+func (reader *Reader) readPeer(ctx context.Context, again bool) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
 	defer cancel()
 	view, err := reader.options.FromPeer(ctx)
-	if err != nil || view.Revision <= reader.revision || view.Configuration == nil {
+	if err != nil {
+		reader.options.Events.Add(EventPeerFailed, 1)
+		return
+	}
+	known := view.Revision < reader.revision || view.Revision == reader.revision && !again
+	if known || view.Configuration == nil {
 		return
 	}
 	reader.options.Events.Add(EventFromPeer, 1)
-	reader.options.Log.Info().Uint64("revision", uint64(view.Revision)).Uint64("before", uint64(reader.revision)).Msg("view taken from a peer")
+	reader.options.Log.Debug().Uint64("revision", uint64(view.Revision)).Uint64("before", uint64(reader.revision)).Msg("view taken from a peer")
 	reader.setConfiguration(view.Configuration)
 	clear(reader.servers)
 	clear(reader.out)
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -37,8 +37,9 @@
 	probeUnused = 250 * clock.Millisecond
 	// busyWithin is how recently a service must have been used to count as in use.
 	busyWithin = 2 * clock.Second
-	// readOnFor is how long an instance that no longer serves keeps reading: callers with old answers still come.
-	readOnFor = 15 * clock.Second
+	// unledFor is how long an instance that stands by waits for a serving one with a fresh view before it reads for
+	// itself. It is more than what passes until another one has taken over, and less than what binds those who read.
+	unledFor = 1500 * clock.Millisecond
 	// frozenFor is the jump between two clocks that shows that the machine stood still.
 	frozenFor = 300 * clock.Millisecond
 	// behindFor is how long a peer may know a newer revision before this instance reads anew: its watch has gone silent.
@@ -76,7 +77,8 @@
 
 // Feed is the part of a catalog's reader that control steers.
 type Feed struct {
-	Want    func(bool)
+	Lead    func(bool)
+	Follow  func(catalog.Revision)
 	Refresh func()
 	Contact func() clock.Moment
 }
@@ -88,7 +90,6 @@
 	feed    Feed
 	table   atomic.Pointer[routing.Table]
 	book    atomic.Pointer[addressBook]
-	touched atomic.Bool
 	ready   atomic.Bool
 	inbox   chan event
 
@@ -99,9 +100,8 @@
 	members    *membership.Members
 	view       *catalog.View
 	viewAt     clock.Moment
-	wanted     bool
-	wantedAt   clock.Moment
-	usedUntil  clock.Moment
+	leads      bool
+	unledFrom  clock.Moment
 	services   map[settings.ServiceName]*serviceState
 	targets    map[TargetKey]targetRef
 	known      map[settings.TargetName]catalog.Server
@@ -156,14 +156,9 @@
 	controller.feed = feed
 }
 
-// Table returns the table in force, or nil while this instance doesn't know what is in force. Asking for it then makes
-// the instance find out.
+// Table returns the table in force, or nil while this instance doesn't know what is in force.
 func (controller *Controller) Table() *routing.Table {
-	table := controller.table.Load()
-	if table == nil {
-		controller.touched.Store(true)
-	}
-	return table
+	return controller.table.Load()
 }
 
 // Serve runs the control goroutine until the context ends.
@@ -302,15 +297,9 @@
 // moveOn changes what this instance is to the fleet, and whether it reads the catalog.
 func (controller *Controller) moveOn(now clock.Moment) {
 	state := controller.members.State()
-	if controller.touched.Swap(false) {
-		controller.usedUntil = now.Add(readOnFor)
-	}
 	needed := controller.members.Needed()
-	if needed || state == membership.Serving || state == membership.Leaving {
-		controller.usedUntil = max(controller.usedUntil, now.Add(readOnFor))
-	}
-	controller.want(now, now < controller.usedUntil)
-	current := controller.viewAt > 0 && controller.view != nil && controller.view.Configuration != nil
+	controller.lead(now, needed || state == membership.Serving || state == membership.Leaving)
+	current := controller.viewAt > 0 && controller.view.Configuration != nil
 	switch {
 	case state == membership.StandingBy && needed && current:
 		controller.changeState(membership.Serving)
@@ -327,18 +316,24 @@
 	controller.fleetChanged()
 }
 
-func (controller *Controller) want(now clock.Moment, wanted bool) {
-	if controller.wanted == wanted {
-		return
+// lead decides whether this instance reads the store or follows a peer that does. One that finds no peer with a fresh
+// view reads for itself, since it is bound by what it would have read there.
+func (controller *Controller) lead(now clock.Moment, serves bool) {
+	newest, led := controller.members.Newest()
+	switch {
+	case serves || led:
+		controller.unledFrom = 0
+	case controller.unledFrom == 0:
+		controller.unledFrom = now
+	}
+	leads := serves || controller.unledFrom > 0 && now.Since(controller.unledFrom) >= unledFor
+	if leads != controller.leads {
+		controller.leads = leads
+		controller.feed.Lead(leads)
 	}
-	controller.wanted = wanted
-	controller.wantedAt = now
-	if !wanted {
-		controller.table.Store(nil)
-		controller.viewAt = 0
-		controller.options.SetJobs(nil)
+	if !leads && (controller.view == nil || newest > controller.view.Revision) {
+		controller.feed.Follow(newest)
 	}
-	controller.feed.Want(wanted)
 }
 
 func (controller *Controller) noteCatalog(now clock.Moment) {
@@ -351,7 +346,7 @@
 		}
 	}
 	contact := controller.feed.Contact()
-	fresh := controller.wanted && contact > 0 && now.Since(contact) < freshWithin
+	fresh := controller.leads && contact > 0 && now.Since(contact) < freshWithin
 	controller.members.SetCatalog(revision, version, fresh)
 }
 
@@ -362,10 +357,9 @@
 // checkBehind reads everything anew when a serving peer has known a newer revision for a while.
 func (controller *Controller) checkBehind(now clock.Moment) {
 	newer := false
-	if controller.wanted && controller.view != nil {
-		for _, peer := range controller.members.Peers() {
-			newer = newer || peer.Fresh && peer.Revision > controller.view.Revision
-		}
+	if controller.leads && controller.view != nil {
+		newest, _ := controller.members.Newest()
+		newer = newest > controller.view.Revision
 	}
 	switch {
 	case !newer:
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -57,10 +57,11 @@
 // publish works out owners, offers, probes and routes, and puts a new table in force.
 func (controller *Controller) publish() {
 	defer func() {
-		controller.ready.Store(controller.members.State() == membership.Serving && controller.table.Load() != nil)
+		// One that stands by is ready as well: it takes requests of callers with old answers.
+		controller.ready.Store(controller.members.State() != membership.Leaving && controller.table.Load() != nil)
 	}()
 	controller.publishAddresses()
-	if controller.view == nil || controller.view.Configuration == nil || controller.viewAt == 0 || !controller.wanted {
+	if controller.view == nil || controller.view.Configuration == nil || controller.viewAt == 0 {
 		return
 	}
 	controller.setServices()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -141,7 +141,9 @@
 		Source: gateway.options.Platform.Source, FromPeer: peers.read, Publish: gateway.controller.ViewRead,
 		Clock: gateway.clock, Events: events, Log: gateway.options.Log, Jitter: rand.Float64,
 	})
-	gateway.controller.SetFeed(fleet.Feed{Want: gateway.reader.Want, Refresh: gateway.reader.Refresh, Contact: gateway.reader.Contact})
+	gateway.controller.SetFeed(fleet.Feed{
+		Lead: gateway.reader.Lead, Follow: gateway.reader.Follow, Refresh: gateway.reader.Refresh, Contact: gateway.reader.Contact,
+	})
 }
 
 // makeParts binds the addresses.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -183,8 +183,12 @@
 	members.hurry()
 }
 
-// SetCatalog notes what this instance knows of the catalog.
+// SetCatalog notes what this instance knows of the catalog. A serving instance tells of a new revision at once: those
+// that stand by read the catalog from it.
 func (members *Members) SetCatalog(revision catalog.Revision, version catalog.Version, fresh bool) {
+	if revision != members.revision && members.state == Serving {
+		members.hurry()
+	}
 	members.revision = revision
 	members.version = version
 	members.fresh = fresh
@@ -261,12 +265,10 @@
 	case mention.State == Lost && teller == Serving && member.State != Lost && now.Since(member.heard) > directlyHeard:
 		member.State = Lost
 		return true
-	case member.State == Lost && mention.State == Serving && teller == Serving:
-		// It may be back; asking it at once tells.
+	case mention.State == Serving && member.State != Serving:
+		// Hearsay may be old: a member that has just stopped serving would seem to serve again, and then to be lost since
+		// it speaks rarely. Asking it tells.
 		member.next = 0
-	case member.State == StandingBy && mention.State == Serving:
-		member.State = Serving
-		return true
 	}
 	return false
 }
@@ -361,6 +363,20 @@
 	return all
 }
 
+// Newest returns the newest revision that a serving instance has whose view is fresh, and whether there is such an
+// instance.
+func (members *Members) Newest() (catalog.Revision, bool) {
+	var newest catalog.Revision
+	found := false
+	for _, peer := range members.Peers() {
+		if peer.Fresh {
+			found = true
+			newest = max(newest, peer.Revision)
+		}
+	}
+	return newest, found
+}
+
 // Alone reports whether no other instance is heard.
 func (members *Members) Alone() bool {
 	return len(members.living()) == 0
--- a/internal/service/admission.go
+++ b/internal/service/admission.go
@@ -129,7 +129,7 @@
 // there is room, and nothing that could still be served waits behind it.
 func (scheduler *Scheduler) enqueue(now clock.Moment, demand Demand) (*rankedWaiter, error) {
 	work := scheduler.expect(demand.Class).work
-	latestStart := demand.Aim.Add(-callerDistance - work)
+	latestStart := demand.Aim.Add(-CallerDistance - work)
 	late := now.Add(scheduler.expectedWait(rankOf(demand.Priority, false), demand.Priority)) > latestStart
 	waiter := &rankedWaiter{demand: demand, since: now, done: make(chan scheduledGrant, 1), rank: rankOf(demand.Priority, late)}
 	left := demand.Deadline.Since(now)
--- a/internal/service/candidate.go
+++ b/internal/service/candidate.go
@@ -120,7 +120,7 @@
 
 // cold reports whether the target bears only its cold rate, or may.
 func (candidate *candidate) cold(now clock.Moment) bool {
-	return now < candidate.coldUntil || candidate.stale(now)
+	return now < candidate.coldUntil || candidate.offer.Owned && candidate.stale(now)
 }
 
 // stale reports whether so long nothing was heard of the target that it may have turned cold meanwhile.
@@ -149,7 +149,8 @@
 		return false
 	}
 	room := candidate.room()
-	if !despiteFailures && candidate.inARow >= failuresUntilTrickle {
+	if !despiteFailures && candidate.inARow >= failuresUntilTrickle || candidate.stale(now) {
+		// Nothing is known of it, or nothing good; one request at a time does no harm and tells more.
 		room = 1
 	}
 	if candidate.own+candidate.others(now) >= room {
--- a/internal/service/choice.go
+++ b/internal/service/choice.go
@@ -10,9 +10,10 @@
 	slowFrom = 2.0
 	// finishMargin is how much longer than usual a request may take and still be expected in time.
 	finishMargin = 1.15
-	// callerDistance is the part of a caller's time that passes on the way between caller and instance, which is not
-	// seen here. The users' callers are up to 8 ms away, each way.
-	callerDistance = 20 * clock.Millisecond
+	// CallerDistance is the part of a caller's time that passes on the way between caller and instance, which is not
+	// seen here: three ways until the request is here on a new connection, and one for the answer. The users' callers
+	// are up to 8 ms away.
+	CallerDistance = 34 * clock.Millisecond
 	// farCost is what a target in another data centre costs against one in the own: its distance and the bytes, which
 	// are charged. bytesPerMillisecond turns the usual length of an answer into time; an answer of 90 KB costs 45 ms.
 	farCost             = 4 * clock.Millisecond
@@ -79,7 +80,7 @@
 		return nil
 	}
 	work := scheduler.expect(demand.Class).work
-	latest := demand.Aim.Add(-callerDistance)
+	latest := demand.Aim.Add(-CallerDistance)
 	if now.Add(finish) > latest && now.Add(work*finishMargin) < latest && finish > slowFrom*work {
 		// Everything open is slow, and a spell may end soon enough.
 		return nil
