Find each other again after all were restarted at once; probe less

Cause: when all instances start anew the seeds may be the last to come; whoever served by then knew only the seeds, which stood by and told of nobody: up to 14 instances served for 19 s, each probing every target. Change: whoever is asked tells who serves; seeds are sought often for 3 s; an instance joins after 0.3 s and stands by 1.5 s after it is not needed; before anyone serves, address answers name whoever is there; probes while a cadence is learnt 30 ms apart; a settled phase needs one probe in five before a boundary; a cadence is dropped on better grounds; retry budgets of a fleet start with a single retry.

--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -33,7 +33,7 @@
 	// worthTelling is how long a reading must still hold to be told.
 	worthTelling = 12 * clock.Millisecond
 	// probeLearning is the pause between probes of a target whose cadence is not known yet.
-	probeLearning = 15 * clock.Millisecond
+	probeLearning = 30 * clock.Millisecond
 	// probeBusy and probeIdle are the pauses between probes of a target whose service is in use or not, probeUnused
 	// that of a target which gets nothing at present.
 	probeBusy   = 45 * clock.Millisecond
@@ -44,6 +44,9 @@
 	// unledFor is how long an instance that stands by waits for a serving one with a fresh view before it reads for
 	// itself. It is more than what passes until another one has taken over, and less than what binds those who read.
 	unledFor = 1500 * clock.Millisecond
+	// followEvery is the least time between two readings of a peer's view for the sake of backend servers alone. An
+	// instance that stands by sends next to nothing, and changes come in bunches.
+	followEvery = clock.Second
 	// frozenFor is the jump between two clocks that shows that the machine stood still.
 	frozenFor = 300 * clock.Millisecond
 	// behindFor is how long a peer may know a newer revision before this instance reads anew: its watch has gone silent.
@@ -167,7 +170,7 @@
 
 // Serve runs the control goroutine until the context ends.
 func (controller *Controller) Serve(ctx context.Context) error {
-	timer := time.NewTimer(tickStandby.Duration())
+	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		select {
@@ -336,11 +339,21 @@
 		controller.leads = leads
 		controller.feed.Lead(leads)
 	}
-	if !leads && (controller.view == nil || newest > controller.view.Revision) {
+	if !leads && newest > controller.view.Revision && (now.Since(controller.viewAt) >= followEvery || controller.versionBehind()) {
 		controller.feed.Follow(newest)
 	}
 }
 
+// versionBehind reports whether a serving peer has a newer configuration.
+func (controller *Controller) versionBehind() bool {
+	for _, peer := range controller.members.Peers() {
+		if controller.view.Configuration == nil || peer.Version > controller.view.Configuration.Version {
+			return true
+		}
+	}
+	return false
+}
+
 func (controller *Controller) noteCatalog(now clock.Moment) {
 	var revision catalog.Revision
 	var version catalog.Version
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -36,7 +36,7 @@
 
 // budgetMargin is the part of the agreed retries that is used: instances count by themselves, and a copy that was
 // cancelled counts as well.
-const budgetMargin = 0.9
+const budgetMargin = 0.8
 
 // applyView puts a newer view in force.
 func (controller *Controller) applyView(view *catalog.View) {
@@ -89,7 +89,7 @@
 		random := rand.New(rand.NewPCG(controller.options.Rand.Uint64(), controller.options.Rand.Uint64()))
 		state = &serviceState{
 			scheduler: service.NewScheduler(service.SchedulerOptions{Clock: controller.options.Clock, Rand: random}),
-			budget:    service.NewRetryBudget(0),
+			budget:    service.NewSharedRetryBudget(0),
 		}
 		controller.services[name] = state
 	}
@@ -257,12 +257,20 @@
 // that a caller is at the wrong address for two seconds at most.
 const answerKept = 1500 * clock.Millisecond
 
+// answerKeptStarting is how long an answer may be kept that was given before anyone serves.
+const answerKeptStarting = 400 * clock.Millisecond
+
 func (controller *Controller) publishAddresses() {
 	book := &addressBook{byDataCentre: map[settings.DataCentreName][]string{}, kept: min(answerKept, controller.options.Bounds.AnswerKeptMost)}
 	for _, identity := range controller.members.Serving() {
 		book.byDataCentre[identity.DataCentre] = append(book.byDataCentre[identity.DataCentre], identity.Caller)
 		book.all = append(book.all, identity.Caller)
 	}
+	if len(book.all) == 0 {
+		// Right after all have started nobody serves yet; whoever is there and knows the routes is better than no answer.
+		book.all = controller.members.Present()
+		book.kept = min(answerKeptStarting, book.kept)
+	}
 	slices.Sort(book.all)
 	controller.book.Store(book)
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -37,9 +37,13 @@
 	standbyEvery   = clock.Second
 	standbySilence = 3200 * clock.Millisecond
 	// joinFor is how long an instance that has just started listens before it may serve. All of a fleet start within
-	// 0.3 s, and seeds take a round trip to tell of the others.
-	joinFor   = 500 * clock.Millisecond
-	joinEvery = 100 * clock.Millisecond
+	// 0.3 s, and seeds take a round trip to tell of the others. What more of it would save is two instances that serve
+	// one data centre for some seconds; what less of it saves is callers who find nobody after all were killed.
+	joinFor   = 300 * clock.Millisecond
+	joinEvery = 60 * clock.Millisecond
+	// seekSeedsFor is how long seeds that don't answer are asked often: after all were restarted at once they may be the
+	// last to be there, and nobody knows anyone else.
+	seekSeedsFor = 3 * clock.Second
 	// lostEvery is the time between two beats to an instance that was lost, so that it is found when it returns, and
 	// forgetAfter the time after which it is given up.
 	lostEvery   = 2 * clock.Second
@@ -47,7 +51,7 @@
 	// directlyHeard is how recent a member's own word must be to go before a serving instance's word that it is lost.
 	directlyHeard = 450 * clock.Millisecond
 	// demoteAfter is how long a serving instance is not needed before it stands by.
-	demoteAfter = 3 * clock.Second
+	demoteAfter = 1500 * clock.Millisecond
 )
 
 // servingLeast is the number of serving instances that a fleet should have at least, whatever its data centres: the loss
@@ -365,6 +369,20 @@
 	return serving
 }
 
+// Present returns the callers' addresses of all instances that are there and don't leave, this one included.
+func (members *Members) Present() []string {
+	var present []string
+	if members.state != Leaving {
+		present = append(present, members.options.Self.Caller)
+	}
+	for _, member := range members.living() {
+		if member.State != Leaving {
+			present = append(present, member.Identity.Caller)
+		}
+	}
+	return present
+}
+
 // Peers returns the other instances that serve.
 func (members *Members) Peers() []*Member {
 	return slices.DeleteFunc(members.living(), func(member *Member) bool { return member.State != Serving })
@@ -477,7 +495,7 @@
 			continue
 		}
 		every := lostEvery
-		if members.state == Joining {
+		if now.Since(members.started) < seekSeedsFor {
 			every = joinEvery
 		}
 		members.seedNext[seed] = now.Add(every)
@@ -516,7 +534,7 @@
 		Identity: members.options.Self, Incarnation: members.options.Incarnation, Sequence: members.sequence, State: members.state,
 		Revision: members.revision, Version: members.version, Fresh: members.fresh,
 	}
-	if members.quiet(to) || !members.newsFor(to) {
+	if !members.newsFor(to) {
 		return beat
 	}
 	beat.Mentions = members.mentions()
@@ -537,37 +555,34 @@
 	return true
 }
 
-// quiet reports whether the receiver needs no word of others: a serving instance hears of all from themselves.
-func (members *Members) quiet(to netip.AddrPort) bool {
-	if members.state == StandingBy && !members.orphan() {
-		return true
-	}
-	for _, member := range members.members {
-		if member.Address == to {
-			return member.State == Serving && members.state == Serving
-		}
-	}
-	return false
-}
-
-// mentions tells of serving and newly lost members first, and of the others in turn.
+// mentions tells of serving and newly lost members first, and of the others in turn. Whoever is asked tells of them, also
+// an instance that stands by: after all were restarted at once, those that serve may know nobody but the seeds.
 func (members *Members) mentions() []Mention {
 	now := members.options.Clock.Now()
-	var mentions, others []Mention
+	var serving, lost, others []Mention
 	for _, member := range members.All() {
 		mention := Mention{Identity: member.Identity, State: member.State}
 		switch {
-		case member.State == Serving, member.State == Lost && now.Since(member.heard) < 2*standbySilence:
-			mentions = append(mentions, mention)
+		case member.State == Serving:
+			serving = append(serving, mention)
 		case member.State != Lost:
 			others = append(others, mention)
+		case now.Since(member.heard) < 2*standbySilence:
+			lost = append(lost, mention)
 		}
 	}
-	slices.SortStableFunc(mentions, func(left, right Mention) int { return int(left.State) - int(right.State) })
-	mentions = mentions[:min(len(mentions), mentionsMost)]
-	for range min(len(others), mentionsOfStandby) {
-		members.cursor++
-		mentions = append(mentions, others[members.cursor%len(others)])
+	members.cursor++
+	mentions := inTurn(serving, members.cursor, mentionsMost)
+	mentions = append(mentions, inTurn(lost, members.cursor, mentionsMost-len(mentions))...)
+	return append(mentions, inTurn(others, members.cursor, mentionsOfStandby)...)
+}
+
+// inTurn takes a number of mentions, others each time.
+func inTurn(mentions []Mention, turn, most int) []Mention {
+	most = min(max(most, 0), len(mentions))
+	taken := make([]Mention, 0, most)
+	for offset := range most {
+		taken = append(taken, mentions[(turn*most+offset)%len(mentions)])
 	}
-	return mentions
+	return taken
 }
--- a/internal/service/budget.go
+++ b/internal/service/budget.go
@@ -24,6 +24,15 @@
 	return budget
 }
 
+// NewSharedRetryBudget returns the budget of one of many instances that share an allowance: it starts with a single retry.
+// With a full one each, a fleet that is restarted would have a storm of them to spend at once.
+func NewSharedRetryBudget(share float64) *RetryBudget {
+	budget := &RetryBudget{}
+	budget.thousandths.Store(budgetUnit)
+	budget.SetShare(share)
+	return budget
+}
+
 // SetShare changes the share of live requests that may be sent again, from 0 to 1.
 func (budget *RetryBudget) SetShare(share float64) {
 	budget.perRequest.Store(int64(share * budgetUnit))
--- a/internal/service/cadence.go
+++ b/internal/service/cadence.go
@@ -17,7 +17,7 @@
 // Learning a cadence.
 const (
 	// sharpWithin is the longest time between two readings that disagree for the change between them to tell a phase.
-	sharpWithin = 30 * clock.Millisecond
+	sharpWithin = 40 * clock.Millisecond
 	// changesKept is the number of changes kept of each target.
 	changesKept = 32
 	// changesPerTarget and changesInAll are needed before a period is looked for.
@@ -40,9 +40,15 @@
 	// edge is how near to a possible change a reading says nothing for certain about either side.
 	edge = 8 * clock.Millisecond
 	// contradictionsMost is the number of readings against a cadence after which it is dropped; one that agrees makes
-	// up for agreedWorth of one.
-	contradictionsMost = 1.5
-	agreedWorth        = 0.05
+	// up for agreedWorth of one. A wrong phase shows in 1 of 8 comparisons. A busy instance notes some readings late, which
+	// must not count for that: dropped at every second one, cadences were learnt all the time at 50 probes a second.
+	contradictionsMost = 4.0
+	agreedWorth        = 0.08
+	// settledFrom is the number of sharply seen changes, of a weight above sharpEnough, from which a phase counts as
+	// settled; then one probe in verifyEvery comes before a boundary.
+	settledFrom = 5
+	sharpEnough = 0.5
+	verifyEvery = 5
 	// edgeMargin is how long before and after a possible change a target is probed. The two readings tell the phase
 	// sharply enough to follow a period that is a little off or a clock that drifts.
 	edgeMargin = 4 * clock.Millisecond
@@ -65,6 +71,8 @@
 	changes  []change
 	last     Reading
 	against  float64
+	// settled counts the changes that were seen sharply since the phase is known, looks the probes asked for.
+	settled, looks int
 }
 
 // observe learns from a reading.
@@ -95,6 +103,9 @@
 	}
 	cadence.changes = append(cadence.changes, change{at: at, weight: weight})
 	if cadence.period > 0 {
+		if weight > sharpEnough {
+			cadence.settled++
+		}
 		cadence.boundary = cadence.boundary.Add(phaseWeight * clock.Milliseconds(weight) * cadence.offset(at))
 	}
 }
@@ -125,6 +136,7 @@
 func (cadence *cadence) forget() {
 	cadence.period = 0
 	cadence.against = 0
+	cadence.settled = 0
 	cadence.changes = nil
 }
 
@@ -165,10 +177,15 @@
 	return sine, cosine, weight
 }
 
-// nextLook is how long from now a reading tells most: just before the next boundary, or just after it.
+// nextLook is how long from now a reading tells most: just after the next boundary. While the phase is not settled, and
+// now and then later, also just before it.
 func (cadence *cadence) nextLook(now clock.Moment) clock.Milliseconds {
 	until := cadence.until(now)
-	if until > 2*edgeMargin {
+	if until <= 2*edgeMargin {
+		return until + edgeMargin
+	}
+	cadence.looks++
+	if cadence.settled < settledFrom || cadence.looks%verifyEvery == 0 {
 		return until - edgeMargin
 	}
 	return until + edgeMargin
--- a/internal/service/candidate.go
+++ b/internal/service/candidate.go
@@ -106,7 +106,7 @@
 		learnt := candidate.cadence.period > 0
 		candidate.cadence.observe(reading)
 		if learnt && candidate.cadence.period == 0 {
-			candidate.learningFrom = reading.At
+			candidate.learningFrom = reading.At.Add(relearnFor - learnFor)
 		}
 	}
 	if reading.Slowdown <= 0 {
--- a/internal/service/scheduler.go
+++ b/internal/service/scheduler.go
@@ -223,13 +223,14 @@
 // to know what is in flight on this one's targets more often than its slowness changes: every busyLook.
 const (
 	busyFrom = 2
-	busyLook = 40 * clock.Millisecond
+	busyLook = 60 * clock.Millisecond
 )
 
-// A target is probed densely for learnFor to learn its cadence. When there is none to be learnt, that is tried again
-// after learnAgain.
+// A target is probed densely for learnFor to learn its cadence, and for relearnFor when its phase was lost: the period is
+// known then. When there is none to be learnt, that is tried again after learnAgain.
 const (
-	learnFor   = 5 * clock.Second
+	relearnFor = 1500 * clock.Millisecond
+	learnFor   = 6 * clock.Second
 	learnAgain = 30 * clock.Second
 )
 
