Never hold a request back, and leave half of a shared target to its owner

Cause: requests held back for a calm target counted as a queue, so that later ones were refused while places were free (134 of 420 at a service of 9 warm servers); and instances that see only their own requests crowded each other's targets. Change: a request goes to the best open target at once; nobody is refused while a target is open; of targets with more than two places, those who don't own one use half; what others have in flight fades over 1 s; as many serving instances are named as are needed.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -354,17 +354,19 @@
 	return living
 }
 
-// Serving returns the instances that serve, this one included, by name.
+// Serving returns the instances that callers are to use and that answer for backend servers, by name: of those that
+// serve, as many in each data centre as are needed. After all were restarted at once more may serve for a while; nobody has
+// to wait until they have stopped.
 func (members *Members) Serving() []Identity {
+	byDataCentre, places := members.candidates()
 	var serving []Identity
-	for _, member := range members.living() {
-		if member.State == Serving {
-			serving = append(serving, member.Identity)
+	for _, candidates := range byDataCentre {
+		for _, candidate := range candidates[:min(places, len(candidates))] {
+			if candidate.serving {
+				serving = append(serving, candidate.identity)
+			}
 		}
 	}
-	if members.state == Serving {
-		serving = append(serving, members.options.Self)
-	}
 	slices.SortFunc(serving, func(left, right Identity) int { return cmp.Compare(left.Name, right.Name) })
 	return serving
 }
@@ -428,31 +430,42 @@
 	if members.state == Leaving || members.state == Joining {
 		return false
 	}
+	byDataCentre, places := members.candidates()
+	own := byDataCentre[members.options.Self.DataCentre]
+	for _, candidate := range own[:min(places, len(own))] {
+		if candidate.identity.Name == members.options.Self.Name {
+			return true
+		}
+	}
+	return false
+}
+
+// candidates returns the instances that serve or could, by data centre and in the order in which they should, and the
+// number that is needed in each.
+func (members *Members) candidates() (map[settings.DataCentreName][]ranked, int) {
 	byDataCentre := map[settings.DataCentreName][]ranked{}
 	add := func(identity Identity, serving bool) {
 		byDataCentre[identity.DataCentre] = append(byDataCentre[identity.DataCentre], ranked{identity: identity, serving: serving})
 	}
-	add(members.options.Self, members.state == Serving)
+	if members.state == StandingBy || members.state == Serving {
+		add(members.options.Self, members.state == Serving)
+	}
 	for _, member := range members.living() {
 		if member.State == StandingBy || member.State == Serving {
 			add(member.Identity, member.State == Serving)
 		}
 	}
-	places := (servingLeast + len(byDataCentre) - 1) / len(byDataCentre)
-	own := byDataCentre[members.options.Self.DataCentre]
-	slices.SortFunc(own, func(left, right ranked) int {
-		return cmp.Or(
-			boolOrder(right.serving)-boolOrder(left.serving),
-			right.identity.Size-left.identity.Size,
-			cmp.Compare(left.identity.Name, right.identity.Name),
-		)
-	})
-	for _, candidate := range own[:min(places, len(own))] {
-		if candidate.identity.Name == members.options.Self.Name {
-			return true
-		}
-	}
-	return false
+	for _, candidates := range byDataCentre {
+		slices.SortFunc(candidates, func(left, right ranked) int {
+			return cmp.Or(
+				boolOrder(right.serving)-boolOrder(left.serving),
+				right.identity.Size-left.identity.Size,
+				cmp.Compare(left.identity.Name, right.identity.Name),
+			)
+		})
+	}
+	dataCentres := max(len(byDataCentre), 1)
+	return byDataCentre, (servingLeast + dataCentres - 1) / dataCentres
 }
 
 func boolOrder(value bool) int {
--- a/internal/service/admission.go
+++ b/internal/service/admission.go
@@ -128,11 +128,11 @@
 // enqueue makes a request wait. One whose turn would not come in time is refused at once: its caller can come back when
 // there is room, and nothing that could still be served waits behind it.
 func (scheduler *Scheduler) enqueue(now clock.Moment, waiter *rankedWaiter) error {
-	if !waiter.late() && now.Add(scheduler.expectedWait(waiter.rank)) > waiter.latest {
+	if !waiter.late() && now.Add(scheduler.expectedWait(now, waiter.rank)) > waiter.latest {
 		waiter.rank = rankOf(waiter.demand.Priority, true)
 	}
-	if waiter.late() && scheduler.expectedWait(waiter.rank) > waiter.until.Since(now)*admittedShare {
-		return &RefusedError{Cause: ErrQueueFull, ComeBack: scheduler.comeBack()}
+	if waiter.late() && scheduler.expectedWait(now, waiter.rank) > waiter.until.Since(now)*admittedShare {
+		return &RefusedError{Cause: ErrQueueFull, ComeBack: scheduler.comeBack(now)}
 	}
 	waiter.done = make(chan scheduledGrant, 1)
 	scheduler.waiting.push(waiter)
@@ -185,7 +185,10 @@
 
 // expectedWait is how long a request of the given rank would wait: those before it, at the pace at which places become
 // free for its rank. By Little's law that pace is the number of places taken by the time each is taken.
-func (scheduler *Scheduler) expectedWait(rank rank) clock.Milliseconds {
+func (scheduler *Scheduler) expectedWait(now clock.Moment, rank rank) clock.Milliseconds {
+	if scheduler.anyOpen(now) {
+		return 0
+	}
 	ahead := clock.Milliseconds(scheduler.waiting.ahead(rank))
 	pace := float64(max(scheduler.own, 1)) * scheduler.started.left(rank)
 	return (ahead + 1) * scheduler.meanHold / clock.Milliseconds(pace) * waitBias
@@ -198,8 +201,8 @@
 
 // comeBack is when room is expected for a request that was refused now, spread by chance so that those refused together
 // don't return together.
-func (scheduler *Scheduler) comeBack() clock.Milliseconds {
-	wait := scheduler.expectedWait(ranks - 1)
+func (scheduler *Scheduler) comeBack(now clock.Moment) clock.Milliseconds {
+	wait := scheduler.expectedWait(now, ranks-1)
 	wait = min(max(wait, leastComeBack), mostComeBack)
 	return wait * clock.Milliseconds(1+comeBackSpread*scheduler.random.Float64())
 }
--- a/internal/service/candidate.go
+++ b/internal/service/candidate.go
@@ -47,8 +47,13 @@
 	// crowdedSlots is the least number of slots for which the share makes sense: below, it would leave slots unused
 	// on targets that don't slow down.
 	crowdedSlots = 4
-	// othersFade is how long what others had in flight on a target is taken to last after a reading.
-	othersFade = 300 * clock.Millisecond
+	// sharedRoom is the room above which half of it is left to the target's owner. Instances that fill a target without
+	// knowing of each other crowd it, and all that is on it slows down: emulated on 12 targets with 6 places and three
+	// instances, at 1.6 times what fits, 0.69 of the requests were in time without this and 0.80 with it.
+	sharedRoom = 2
+	// othersFade is how long what others had in flight on a target is taken to last after a reading. Emulated at 2.6 times
+	// what fits, 0.3 s brought 0.45 in time and 1 s 0.50.
+	othersFade = clock.Second
 	// staleReading is the age after which a reading tells nothing any more: the target may have become cold or gone.
 	staleReading = 1500 * clock.Millisecond
 	// coldBurst is how many requests may go to a cold target at once.
@@ -171,6 +176,9 @@
 		// Nothing is known of it, or nothing good; one request at a time does no harm and tells more.
 		room = 1
 	}
+	if !candidate.offer.Owned && room > sharedRoom {
+		room /= 2
+	}
 	if candidate.own+candidate.others(now) >= room {
 		return false
 	}
--- a/internal/service/choice.go
+++ b/internal/service/choice.go
@@ -8,11 +8,6 @@
 const (
 	// slowFrom is the slowdown from which a target counts as slow.
 	slowFrom = 2.0
-	// finishMargin is how much longer than usual a request may take and still be expected in time.
-	finishMargin = 1.15
-	// holdMost is the number of waiting requests up to which one is held back from slow targets: when many wait, a slow
-	// place used is better than none.
-	holdMost = 3
 	// CallerDistance is the part of a caller's time that passes on the way between caller and instance, which is not
 	// seen here: three ways until the request is here on a new connection, and one for the answer. The users' callers
 	// are up to 8 ms away.
@@ -82,21 +77,14 @@
 // choiceSpread is the chance in a choice, as a part of the predicted time.
 const choiceSpread = 0.02
 
-// choose picks the target for a request, or nil when it is better off waiting.
+// choose picks the target for a request, or nil when none is open. A request is not held back from a slow target in the
+// hope that a calm one opens: emulated on 9 targets with 2 places each, a third of them slow at any moment, that brought 0.79 of
+// the requests an answer in time against 0.89 without, since the place that it passes over is lost.
 func (scheduler *Scheduler) choose(now clock.Moment, demand Demand) *candidate {
-	chosen, finish := scheduler.best(now, demand, false)
-	if chosen == nil {
-		chosen, finish = scheduler.best(now, demand, true)
-	}
-	if chosen == nil {
-		return nil
-	}
-	work := scheduler.expect(demand.Class).work
-	latest := demand.Aim.Add(-CallerDistance)
-	if scheduler.waiting.length <= holdMost && now.Add(finish) > latest && now.Add(work*finishMargin) < latest && finish > slowFrom*work {
-		// Everything open is slow, and a spell may end soon enough.
-		return nil
+	if chosen, _ := scheduler.best(now, demand, false); chosen != nil {
+		return chosen
 	}
+	chosen, _ := scheduler.best(now, demand, true)
 	return chosen
 }
 
--- a/internal/service/emulation_test.go
+++ b/internal/service/emulation_test.go
@@ -127,7 +127,11 @@
 		}
 		offers = append(offers, Offer{Name: name, Slots: emulation.slots, Local: true, Owned: true, Usable: true, ColdRate: 19})
 	}
-	for range emulation.instances {
+	for instance := range emulation.instances {
+		for number := range offers {
+			offers[number].Local = number%emulation.instances == instance
+			offers[number].Owned = offers[number].Local
+		}
 		scheduler := NewScheduler(SchedulerOptions{Clock: emulation.clock, Rand: rand.New(rand.NewPCG(random.Uint64(), 1))})
 		scheduler.SetOffers(offers)
 		emulation.schedulers = append(emulation.schedulers, scheduler)
@@ -277,6 +281,43 @@
 	}
 }
 
+// statements is a service of few places: 9 servers with 2 each, a third of them slow at any moment, and work that lasts
+// longer than a spell. Three instances share it.
+func statements() emulated {
+	return emulated{
+		targets: 9, slots: 2, work: 160, aim: 400, deadline: 1200, noiseShare: 0.35, noiseTimes: 5, crowded: 1,
+		seconds: 16, instances: 3, probing: 45, settle: 5000,
+	}
+}
+
+// Three instances share servers of which each sees only its own requests at first hand, and a third of the servers is slow
+// at any moment. One that takes requests which wait for a calm server for a full queue refuses callers while places are
+// free; one that fills the others' servers crowds them.
+func TestInstancesShareFewPlaces(t *testing.T) {
+	cases := []struct {
+		name      string
+		service   emulated
+		perSecond float64
+		inTime    float64
+		refused   float64
+	}{
+		{"few places, light", statements(), 30, 0.85, 0.001},
+		{"few places, busy", statements(), 70, 0.80, 0.02},
+		{"many places, more than fits", browsing(), 435, 0.70, 0.15},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			service := testCase.service
+			service.perSecond = testCase.perSecond
+			service.instances = 3
+			result := service.run(t, 1)
+			t.Log(result)
+			require.GreaterOrEqual(t, float64(result.inTime)/float64(result.asked), testCase.inTime)
+			require.LessOrEqual(t, float64(result.refused)/float64(result.asked), testCase.refused)
+		})
+	}
+}
+
 // A site loses a data centre's servers while more callers than usual come, and all that is left is taken. A balancer that
 // lets everybody wait makes everybody late: callers see answers, but none in time. What fits must be in time, and the
 // rest be refused at once.
--- a/internal/service/scheduler.go
+++ b/internal/service/scheduler.go
@@ -420,7 +420,7 @@
 	}
 	scheduler.mutex.Lock()
 	stillWaiting := scheduler.waiting.remove(waiter)
-	comeBack := scheduler.comeBack()
+	comeBack := scheduler.comeBack(scheduler.clock.Now())
 	scheduler.mutex.Unlock()
 	if !stillWaiting {
 		// A place arrived at the same instant; it is used, or else it would stay taken for ever.
