Larger instances serve first; a smaller heap

The heap grew to nine times its live part. Change: size goes before who serves already; the collector runs at 100%.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -33,8 +33,9 @@
 	// watchFileEvery is how often the settings file is looked at: it may change without a signal, and file events are
 	// not to be had on the platform.
 	watchFileEvery = 500 * time.Millisecond
-	// gatewayGC lets garbage grow to some megabytes before it is collected: processor time is dear there, memory is not.
-	gatewayGC = 800
+	// gatewayGC is the growth of the heap between two collections, in percent. 800 was tried to save processor time: it
+	// costs 1% of a day's worth in memory and saves less than 0.1% in processor time.
+	gatewayGC = 100
 )
 
 type gatewayCommand struct {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -424,8 +424,9 @@
 	serving  bool
 }
 
-// Needed reports whether this instance should serve: it is among the first of its data centre. Those that serve already
-// come before the others, so that nobody moves when an instance returns; larger ones come before smaller ones.
+// Needed reports whether this instance should serve: it is among the first of its data centre. Larger ones come before
+// smaller ones, which can't carry as much; of equal ones those that serve already come before the others, so that nobody
+// moves when an instance returns.
 func (members *Members) Needed() bool {
 	if members.state == Leaving || members.state == Joining {
 		return false
@@ -458,8 +459,8 @@
 	for _, candidates := range byDataCentre {
 		slices.SortFunc(candidates, func(left, right ranked) int {
 			return cmp.Or(
-				boolOrder(right.serving)-boolOrder(left.serving),
 				right.identity.Size-left.identity.Size,
+				boolOrder(right.serving)-boolOrder(left.serving),
 				cmp.Compare(left.identity.Name, right.identity.Name),
 			)
 		})
