Send second copies only while room is spare

Cause: a second copy sent in a moment without waiting requests takes a place that the next one needs. Change: the reserve that is kept free of late requests is kept free of second copies as well. Kept for what it prevents: copies multiplying load when it is highest.

--- a/internal/service/scheduler.go
+++ b/internal/service/scheduler.go
@@ -294,7 +294,7 @@
 	now := scheduler.clock.Now()
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
-	if scheduler.waiting.length > 0 {
+	if scheduler.waiting.length > 0 || !scheduler.mayStartLate(now) {
 		return Place{}, false
 	}
 	best, finish := scheduler.best(now, demand, false)
