Have those that serve call the one that takes over

Cause: instances that stand by don't speak to each other and took each other for lost after 3.2 s; when one that served died, several took over in its data centre. An instance that began to serve took the others for lost until they spoke at the faster pace. Found by a test that runs the fleet in virtual time (5, 6 and 8 served in place of 3 and 4). Change: serving instances name who is to serve; silence counts from when it is expected to end; a change of state is answered at once.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -50,6 +50,13 @@
 	forgetAfter = clock.Minute
 	// directlyHeard is how recent a member's own word must be to go before a serving instance's word that it is lost.
 	directlyHeard = 450 * clock.Millisecond
+	// startsFor is how long after its start an instance decides by itself whether to serve: when all were restarted, nobody
+	// who could call it knows more.
+	startsFor = 1500 * clock.Millisecond
+	// callAfter is how long an instance serves before it calls others: it must have heard all that serve first. callHolds
+	// is how long its call is followed.
+	callAfter = 400 * clock.Millisecond
+	callHolds = 500 * clock.Millisecond
 	// demoteAfter is how long a serving instance is not needed before it stands by.
 	demoteAfter = 1500 * clock.Millisecond
 )
@@ -129,6 +136,8 @@
 	// Fresh says that the sender itself reads the catalog and is answered.
 	Fresh    bool
 	Mentions []Mention
+	// Called are instances that stand by and are to serve, in the view of a serving sender.
+	Called []settings.InstanceName
 }
 
 // Member is what is known of another instance.
@@ -141,6 +150,7 @@
 	Revision    catalog.Revision
 	Version     catalog.Version
 	Fresh       bool
+	Called      []settings.InstanceName
 	// heard is when it last spoke itself, known when it was first heard of.
 	heard, known clock.Moment
 	next         clock.Moment
@@ -167,6 +177,10 @@
 	seedNext map[netip.AddrPort]clock.Moment
 	// cursor is the member whose mention comes next.
 	cursor int
+	// stateFrom is since when the own state is what it is.
+	stateFrom clock.Moment
+	// orphanedAt is since when no serving instance is known, 0 when one is.
+	orphanedAt clock.Moment
 	// changed is when the view of the fleet last changed.
 	changed clock.Moment
 	// unneeded is since when this instance serves without being needed, 0 when it is.
@@ -192,6 +206,7 @@
 		return
 	}
 	members.state = state
+	members.stateFrom = members.options.Clock.Now()
 	members.changed = members.options.Clock.Now()
 	members.unneeded = 0
 	members.hurry()
@@ -246,9 +261,11 @@
 	member.Revision = beat.Revision
 	member.Version = beat.Version
 	member.Fresh = beat.Fresh
+	member.Called = beat.Called
 	member.heard = now
-	if beat.State == Joining {
-		// It waits for a first word.
+	if beat.State == Joining || changed {
+		// It waits for a first word, or now expects to hear from here more often than before: without one it would take
+		// this instance for lost.
 		member.next = 0
 	}
 	for _, mention := range beat.Mentions {
@@ -310,8 +327,9 @@
 func (members *Members) Review() bool {
 	now := members.options.Clock.Now()
 	changed := false
+	members.noteOrphaned(now)
 	for name, member := range members.members {
-		silent := now.Since(member.heard)
+		silent := members.silentFor(now, member)
 		switch {
 		case member.State == Lost && silent > forgetAfter:
 			delete(members.members, name)
@@ -334,6 +352,34 @@
 	return changed
 }
 
+// noteOrphaned notes since when no serving instance is known.
+func (members *Members) noteOrphaned(now clock.Moment) {
+	switch {
+	case !members.orphan():
+		members.orphanedAt = 0
+	case members.orphanedAt == 0:
+		members.orphanedAt = now
+	}
+}
+
+// silentFor is how long a member has been silent although it should have spoken. Instances that stand by don't speak to
+// each other while there are serving ones, who say when one is lost. If they counted each other as lost for that silence,
+// each would hold itself for the next to serve, and all would take over at once.
+func (members *Members) silentFor(now clock.Moment, member *Member) clock.Milliseconds {
+	silent := now.Since(member.heard)
+	if members.state == Serving && member.State == Serving {
+		// Before this instance served, the other one spoke to it rarely.
+		return min(silent, now.Since(members.stateFrom))
+	}
+	if members.state == Serving || member.State != StandingBy {
+		return silent
+	}
+	if members.orphanedAt == 0 {
+		return 0
+	}
+	return min(silent, now.Since(members.orphanedAt))
+}
+
 // joined reports whether this instance has listened long enough.
 func (members *Members) joined(now clock.Moment) bool {
 	if now.Since(members.started) >= joinFor {
@@ -424,13 +470,52 @@
 	serving  bool
 }
 
-// Needed reports whether this instance should serve: it is among the first of its data centre. Larger ones come before
+// calls returns the instances that should begin to serve. Serving ones know all that stand by; those don't know each other,
+// and several would take over from one that is lost.
+func (members *Members) calls() []settings.InstanceName {
+	if members.state != Serving || members.options.Clock.Now().Since(members.stateFrom) < callAfter {
+		return nil
+	}
+	var called []settings.InstanceName
+	byDataCentre, places := members.candidates()
+	for _, candidates := range byDataCentre {
+		for _, candidate := range candidates[:min(places, len(candidates))] {
+			if !candidate.serving {
+				called = append(called, candidate.identity.Name)
+			}
+		}
+	}
+	return called
+}
+
+// called reports whether a serving instance has just called this one to serve. Calls that are old by now, or that rest on
+// less than is known here, are not followed.
+func (members *Members) called() bool {
+	now := members.options.Clock.Now()
+	byDataCentre, places := members.candidates()
+	serving := 0
+	for _, candidate := range byDataCentre[members.options.Self.DataCentre] {
+		if candidate.serving && candidate.identity.Size >= members.options.Self.Size {
+			serving++
+		}
+	}
+	return serving < places && slices.ContainsFunc(members.Peers(), func(peer *Member) bool {
+		return now.Since(peer.heard) < callHolds && slices.Contains(peer.Called, members.options.Self.Name)
+	})
+}
+
+// Needed reports whether this instance should serve. One that stands by is called by those that serve; where nobody does,
+// and for one that serves already, it has to be among the first of its data centre. Larger ones come before
 // smaller ones, which can't carry as much; of equal ones those that serve already come before the others, so that nobody
 // moves when an instance returns.
 func (members *Members) Needed() bool {
 	if members.state == Leaving || members.state == Joining {
 		return false
 	}
+	starting := members.options.Clock.Now().Since(members.started) < startsFor
+	if members.state == StandingBy && !members.orphan() && !starting {
+		return members.called()
+	}
 	byDataCentre, places := members.candidates()
 	own := byDataCentre[members.options.Self.DataCentre]
 	for _, candidate := range own[:min(places, len(own))] {
@@ -546,7 +631,7 @@
 	members.sequence++
 	beat := Beat{
 		Identity: members.options.Self, Incarnation: members.options.Incarnation, Sequence: members.sequence, State: members.state,
-		Revision: members.revision, Version: members.version, Fresh: members.fresh,
+		Revision: members.revision, Version: members.version, Fresh: members.fresh, Called: members.calls(),
 	}
 	if !members.newsFor(to) {
 		return beat
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,278 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
+// fleet is a number of instances in virtual time. Beats take a millisecond and may be lost or cut off.
+type fleet struct {
+	clock     *clock.Manual
+	random    *rand.Rand
+	instances []*simulated
+	byAddress map[netip.AddrPort]int
+	loss      float64
+	// cut reports whether datagrams from one instance to another are lost.
+	cut  func(from, to int) bool
+	sent int
+}
+
+type simulated struct {
+	number  int
+	options Options
+	members *Members
+	address netip.AddrPort
+	startAt clock.Moment
+	dead    bool
+}
+
+const simulatedStep = 25 * clock.Millisecond
+
+// newFleet makes instances spread over data centres, of which the given ones are seeds. They start at random within 0.3 s.
+func newFleet(count, dataCentres int, seeds []int, size func(int) int) *fleet {
+	fleet := &fleet{clock: clock.NewManual(), random: rand.New(rand.NewPCG(uint64(count), 1)), cut: func(int, int) bool { return false }}
+	fleet.byAddress = map[netip.AddrPort]int{}
+	fleet.clock.Advance(clock.Second)
+	addresses := make([]netip.AddrPort, count)
+	for number := range count {
+		addresses[number] = netip.MustParseAddrPort(fmt.Sprintf("10.0.%d.%d:7000", number/250, number%250+1))
+	}
+	for number := range count {
+		options := Options{Clock: &fleet.clock.Clock, Self: Identity{
+			Name:       settings.InstanceName(fmt.Sprintf("entry-%03d", number)),
+			DataCentre: settings.DataCentreName(fmt.Sprintf("dc-%d", number%dataCentres)),
+			Peer:       addresses[number].String(), Caller: addresses[number].Addr().String() + ":80", Size: size(number),
+		}}
+		for _, seed := range seeds {
+			options.Seeds = append(options.Seeds, addresses[seed])
+		}
+		fleet.byAddress[addresses[number]] = number
+		instance := &simulated{number: number, options: options, address: addresses[number]}
+		fleet.instances = append(fleet.instances, instance)
+		fleet.start(instance, clock.Milliseconds(fleet.random.Float64()*300))
+	}
+	return fleet
+}
+
+// start starts an instance anew after a while; it knows nothing of before.
+func (fleet *fleet) start(instance *simulated, after clock.Milliseconds) {
+	instance.dead = true
+	instance.members = nil
+	instance.startAt = fleet.clock.Now().Add(after)
+}
+
+func (fleet *fleet) kill(instance *simulated) {
+	instance.dead = true
+	instance.members = nil
+	instance.startAt = clock.Moment(1e12)
+}
+
+// run lets time pass.
+func (fleet *fleet) run(length clock.Milliseconds) {
+	for end := fleet.clock.Now().Add(length); fleet.clock.Now() < end; fleet.clock.Advance(simulatedStep) {
+		for _, instance := range fleet.instances {
+			fleet.step(instance)
+		}
+	}
+}
+
+func (fleet *fleet) step(instance *simulated) {
+	if instance.dead && fleet.clock.Now() >= instance.startAt {
+		instance.dead = false
+		instance.options.Incarnation = Incarnation(fleet.random.Uint64())
+		instance.members = New(instance.options)
+	}
+	if instance.dead {
+		return
+	}
+	members := instance.members
+	members.Review()
+	if members.State() == StandingBy && members.Needed() {
+		members.SetState(Serving)
+	}
+	if members.Unneeded() {
+		members.SetState(StandingBy)
+	}
+	members.SetCatalog(1, 1, members.State() == Serving)
+	for _, address := range members.Due() {
+		beat := members.Beat(address)
+		fleet.sent++
+		index, known := fleet.byAddress[address]
+		if !known || fleet.instances[index].dead || fleet.random.Float64() < fleet.loss || fleet.cut(instance.number, index) {
+			continue
+		}
+		fleet.instances[index].members.Hear(beat)
+	}
+}
+
+// serving lists who serves, by their own word.
+func (fleet *fleet) serving() []int {
+	var serving []int
+	for _, instance := range fleet.instances {
+		if !instance.dead && instance.members.State() == Serving {
+			serving = append(serving, instance.number)
+		}
+	}
+	return serving
+}
+
+// named lists whom an instance names to callers.
+func (fleet *fleet) named(number int) []string {
+	var named []string
+	for _, identity := range fleet.instances[number].members.Serving() {
+		named = append(named, string(identity.Name))
+	}
+	return named
+}
+
+func equalSize(int) int { return 320 }
+
+// A fleet starts all at once and knows nothing but its seeds. Until it has found itself callers are told of nobody, or of
+// too many.
+func TestFleetFindsItself(t *testing.T) {
+	cases := []struct {
+		name               string
+		count, dataCentres int
+		loss               float64
+		serving            int
+	}{
+		{"13 in 3", 13, 3, 0, 3},
+		{"17 in 3, datagrams lost", 17, 3, 0.05, 3},
+		{"40 in 4", 40, 4, 0, 4},
+		{"5 in 1", 5, 1, 0, 3},
+		{"6 in 2", 6, 2, 0, 4},
+		{"1 in 1", 1, 1, 0, 1},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			fleet := newFleet(testCase.count, testCase.dataCentres, []int{0, min(1, testCase.count-1), min(2, testCase.count-1)}, equalSize)
+			fleet.loss = testCase.loss
+			fleet.run(5 * clock.Second)
+			require.Len(t, fleet.serving(), testCase.serving)
+			for number := range fleet.instances {
+				require.Len(t, fleet.named(number), testCase.serving, "as instance %d sees it", number)
+			}
+		})
+	}
+}
+
+// An instance that serves is killed. Callers that keep its address find nobody until they are told of another, and its
+// backend servers have no owner.
+func TestAnotherTakesOver(t *testing.T) {
+	fleet := newFleet(13, 3, []int{0, 1, 2}, equalSize)
+	fleet.run(5 * clock.Second)
+	victim := fleet.serving()[0]
+	fleet.kill(fleet.instances[victim])
+	fleet.run(1400 * clock.Millisecond)
+	serving := fleet.serving()
+	require.Len(t, serving, 3)
+	require.NotContains(t, serving, victim)
+	for number, instance := range fleet.instances {
+		if instance.dead {
+			continue
+		}
+		require.NotContains(t, fleet.named(number), string(fleet.instances[victim].options.Self.Name))
+	}
+
+	// When it comes back, whoever took over stays: nobody has to move.
+	fleet.start(fleet.instances[victim], 0)
+	fleet.run(6 * clock.Second)
+	require.Equal(t, serving, fleet.serving())
+}
+
+// All instances lose power, and the seeds come back last: everyone serves, knowing nobody else. Each then answers for every
+// backend server, probes them all and starts the cold ones. It has to be over soon after the seeds are there.
+func TestSeedsComeBackLast(t *testing.T) {
+	fleet := newFleet(17, 3, []int{0, 1, 2}, equalSize)
+	fleet.run(5 * clock.Second)
+	for _, instance := range fleet.instances {
+		after := clock.Milliseconds(fleet.random.Float64() * 200)
+		if instance.number < 3 {
+			after += 1500 * clock.Millisecond
+		}
+		fleet.start(instance, after)
+	}
+	fleet.run(1700*clock.Millisecond + 700*clock.Millisecond)
+	for number := range fleet.instances {
+		require.Len(t, fleet.named(number), 3, "as instance %d sees it", number)
+	}
+	fleet.run(3 * clock.Second)
+	require.Len(t, fleet.serving(), 3)
+}
+
+// Most of the fleet dies at once, all that serve among them. Those left know who else there was only by hearsay.
+func TestMostDieAtOnce(t *testing.T) {
+	fleet := newFleet(17, 3, []int{0, 1, 2}, equalSize)
+	fleet.run(8 * clock.Second)
+	serving := fleet.serving()
+	for _, instance := range fleet.instances {
+		if slices.Contains(serving, instance.number) || instance.number < 9 {
+			fleet.kill(instance)
+		}
+	}
+	fleet.run(7 * clock.Second)
+	require.Len(t, fleet.serving(), 3)
+}
+
+// A small instance serves because it was there first. It must not carry the load once a larger one is there.
+func TestLargerInstancesServe(t *testing.T) {
+	size := func(number int) int {
+		if number < 6 {
+			return 800
+		}
+		return 160
+	}
+	fleet := newFleet(30, 3, []int{0, 1, 2}, size)
+	for number := range 6 {
+		fleet.start(fleet.instances[number], 3*clock.Second)
+	}
+	fleet.run(9 * clock.Second)
+	for _, number := range fleet.serving() {
+		require.Less(t, number, 6)
+	}
+	require.Len(t, fleet.serving(), 3)
+}
+
+// A serving instance hears the others but is not heard, as when packets pass one way only. The others replace it; when the
+// cut heals, one of the two stands by again.
+func TestOneWayCut(t *testing.T) {
+	fleet := newFleet(13, 3, []int{0, 1, 2}, equalSize)
+	fleet.run(5 * clock.Second)
+	mute := fleet.serving()[0]
+	fleet.cut = func(from, _ int) bool { return from == mute }
+	fleet.run(2 * clock.Second)
+	require.Len(t, fleet.serving(), 4)
+	other := fleet.serving()[1]
+	if other == mute {
+		other = fleet.serving()[2]
+	}
+	require.NotContains(t, fleet.named(other), string(fleet.instances[mute].options.Self.Name))
+	fleet.cut = func(int, int) bool { return false }
+	fleet.run(5 * clock.Second)
+	require.Len(t, fleet.serving(), 3)
+}
+
+// What an instance sends must not grow with those that stand by: at 60 instances one that stands by sends no more than
+// at 30.
+func TestStandbyCostIsFlat(t *testing.T) {
+	perStandby := func(count int) float64 {
+		fleet := newFleet(count, 3, []int{0, 1, 2}, equalSize)
+		fleet.run(8 * clock.Second)
+		fleet.sent = 0
+		serving := len(fleet.serving())
+		fleet.run(5 * clock.Second)
+		return float64(fleet.sent) / 5 / float64(count-serving)
+	}
+	small := perStandby(30)
+	large := perStandby(60)
+	t.Logf("datagrams a second for each instance that stands by: %.1f at 30, %.1f at 60", small, large)
+	require.Less(t, large, 1.3*small)
+}
