--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -56,7 +56,10 @@
 	debug.SetGCPercent(gatewayGC)
 	var missed int
 	writer := diode.NewWriter(gatewayCommand.streams.out, logLines, logPoll, func(count int) { missed += count })
-	defer writer.Close()
+	defer func() {
+		// What was still to be written is on its way out; nobody is left to be told of a failure.
+		_ = writer.Close()
+	}()
 	log := zerolog.New(writer).Level(level).With().Timestamp().Str("instance", string(file.Instance)).Logger()
 	store := platform.NewStore(file.StoreAddress)
 	started, err := gateway.New(gateway.Options{
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -204,6 +204,8 @@
 	if errors.Is(err, ErrGone) {
 		reader.whole = false
 		reader.options.Log.Info().Uint64("revision", uint64(reader.revision)).Msg("history is gone, reading everything")
+		// A source that says so each time would be called without a pause.
+		sleep(ctx, firstBackoff)
 		return nil
 	}
 	if err != nil {
--- a/internal/service/admission.go
+++ b/internal/service/admission.go
@@ -134,7 +134,6 @@
 	if waiter.late() && scheduler.expectedWait(now, waiter.rank) > waiter.until.Since(now)*admittedShare {
 		return &RefusedError{Cause: ErrQueueFull, ComeBack: scheduler.comeBack(now)}
 	}
-	waiter.done = make(chan scheduledGrant, 1)
 	scheduler.waiting.push(waiter)
 	return nil
 }
@@ -154,14 +153,11 @@
 		if now <= waiter.latest {
 			return true
 		}
-		done := waiter.done
 		scheduler.waiting.remove(waiter)
 		waiter.rank = rankOf(waiter.demand.Priority, true)
 		if err := scheduler.enqueue(now, waiter); err != nil {
-			done <- scheduledGrant{err: err}
-			return true
+			waiter.done <- scheduledGrant{err: err}
 		}
-		waiter.done = done
 		return true
 	})
 }
--- a/internal/service/candidate.go
+++ b/internal/service/candidate.go
@@ -67,7 +67,8 @@
 
 // candidate is one target of a Scheduler.
 type candidate struct {
-	Target
+	// Target is who it is. Traffic reads it without the lock, so it is replaced and never changed.
+	*Target
 
 	offer Offer
 	// reading is the newest one, read tells whether there is any.
--- a/internal/service/choice.go
+++ b/internal/service/choice.go
@@ -54,7 +54,7 @@
 		}
 		// A little chance keeps instances with the same view from all choosing the same target.
 		finish := scheduler.finishOn(now, candidate, expected, 1)
-		if &candidate.Target == demand.Tried {
+		if candidate.Target == demand.Tried {
 			tried, triedFinish = candidate, finish
 			continue
 		}
--- a/internal/service/emulation_test.go
+++ b/internal/service/emulation_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -11,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/jaywheel/jaywheel/pkg/clock"
--- a/internal/service/scheduler.go
+++ b/internal/service/scheduler.go
@@ -125,7 +125,7 @@
 	known, found := scheduler.candidates[offer.Name]
 	if !found {
 		known = &candidate{
-			Target: Target{Name: offer.Name, Address: offer.Address, DataCentre: offer.DataCentre}, tokensAt: now, learningFrom: now,
+			Target: &Target{Name: offer.Name, Address: offer.Address, DataCentre: offer.DataCentre}, tokensAt: now, learningFrom: now,
 		}
 		scheduler.candidates[offer.Name] = known
 		scheduler.ordered = append(scheduler.ordered, known)
@@ -138,8 +138,9 @@
 		known.read = false
 	}
 	known.offer = offer
-	known.Address = offer.Address
-	known.DataCentre = offer.DataCentre
+	if known.Address != offer.Address || known.DataCentre != offer.DataCentre {
+		known.Target = &Target{Name: offer.Name, Address: offer.Address, DataCentre: offer.DataCentre}
+	}
 }
 
 // Observe takes a reading of a target.
@@ -281,6 +282,7 @@
 			return place, nil
 		}
 	}
+	waiter.done = make(chan scheduledGrant, 1)
 	err := scheduler.enqueue(now, waiter)
 	scheduler.mutex.Unlock()
 	if err != nil {
@@ -298,7 +300,7 @@
 		return Place{}, false
 	}
 	best, finish := scheduler.best(now, demand, false)
-	if best == nil || &best.Target == demand.Tried || finish > 2*scheduler.expect(demand.Class).work {
+	if best == nil || best.Target == demand.Tried || finish > 2*scheduler.expect(demand.Class).work {
 		return Place{}, false
 	}
 	return scheduler.bind(now, best, demand, rankOf(demand.Priority, false)), true
@@ -343,7 +345,7 @@
 	scheduler.own++
 	scheduler.started.count(rank)
 	return Place{
-		Target: &chosen.Target, scheduler: scheduler, candidate: chosen, demand: demand,
+		Target: chosen.Target, scheduler: scheduler, candidate: chosen, demand: demand,
 		Taken: chosen.own + chosen.others(now), Listed: scheduler.usable, since: now,
 		calm:    chosen.slowdownAt(now, scheduler.meanSlowdown) < slowFrom && !chosen.cold(now),
 		Reading: chosen.reading,
