--- a/internal/caller/refusal_test.go
+++ b/internal/caller/refusal_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -129,10 +130,12 @@
 	}
 	for _, testCase := range cases {
 		t.Run(testCase.name, func(t *testing.T) {
-			smuggled := false
+			var smuggled atomic.Bool
 			fixture := newFixture(t, fixtureService(), startBackend(t, func(_ http.ResponseWriter, request *http.Request) {
 				_, _ = io.Copy(io.Discard, request.Body)
-				smuggled = smuggled || request.URL.Path == "/smuggled"
+				if request.URL.Path == "/smuggled" {
+					smuggled.Store(true)
+				}
 			}))
 			connection, err := net.Dial("tcp", fixture.address)
 			require.NoError(t, err)
@@ -146,7 +149,7 @@
 			require.NoError(t, err)
 			require.GreaterOrEqual(t, response.StatusCode, 400)
 			require.Equal(t, 1, strings.Count(string(text), "HTTP/1.1 "), "only one answer: %s", text)
-			require.False(t, smuggled)
+			require.False(t, smuggled.Load())
 			refusedHere := strings.Contains(string(text), outcome.HeaderOutcome)
 			require.True(t, refusedHere || fixture.registry.View().Events[EventUnfinished] == 1, "it is counted")
 		})
