--- a/internal/caller/refusal_test.go
+++ b/internal/caller/refusal_test.go
@@ -8,8 +8,8 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 
