--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -416,4 +416,3 @@
 	}
 	return newest, found
 }
-
