Follow whoever the store still answers when it refuses those that serve

Ruled out: that the one that stood by was refused itself (its log shows it following). Change: a view is fresh only while the store answers; who is refused asks any instance with a newer revision, as soon as it hears of one; one that stands by reads for itself after 0.6 s without a fresh serving one; freshness and revisions are told at once.

--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -74,6 +74,7 @@
 	follows  Revision
 	refresh  bool
 	contact  clock.Moment
+	failing  bool
 	cancelIO context.CancelFunc
 
 	// The fields below belong to the goroutine that runs Serve.
@@ -141,6 +142,13 @@
 	return reader.contact
 }
 
+// Failing reports whether the source's last answer was none, or a refusal.
+func (reader *Reader) Failing() bool {
+	reader.mutex.Lock()
+	defer reader.mutex.Unlock()
+	return reader.failing
+}
+
 func (reader *Reader) nudge() {
 	select {
 	case reader.wake <- struct{}{}:
@@ -245,6 +253,7 @@
 	silent := now.Since(reader.contact)
 	first := reader.contact == 0
 	reader.contact = now
+	reader.failing = false
 	reader.mutex.Unlock()
 	if reader.failures > 0 {
 		reader.options.Log.Info().Stringer("silentFor", silent).Int("failures", reader.failures).Msg("store answers again")
@@ -379,12 +388,41 @@
 		reader.problem = text
 		reader.options.Log.Warn().Str("problem", text).Int("failures", reader.failures).Msg("store does not answer")
 	}
+	reader.mutex.Lock()
+	reader.failing = true
+	reader.mutex.Unlock()
 	silent := reader.options.Clock.Now().Since(reader.Contact())
 	if reader.Contact() == 0 || silent > askPeersAfter {
 		reader.readPeer(ctx, false)
 	}
 	backoff := min(firstBackoff*clock.Milliseconds(int(1)<<min(reader.failures-1, 8)), mostBackoff)
-	sleep(ctx, backoff*clock.Milliseconds(0.5+reader.options.Jitter()))
+	reader.pause(ctx, backoff*clock.Milliseconds(0.5+reader.options.Jitter()))
+}
+
+// pause waits after a failed call. When a peer turns out to know more meanwhile, its view is read at once: an instance that
+// the store turns away is bound by what the others know.
+func (reader *Reader) pause(ctx context.Context, length clock.Milliseconds) {
+	timer := time.NewTimer(length.Duration())
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		case <-reader.wake:
+		}
+		reader.mutex.Lock()
+		behind, leads := reader.follows > reader.revision, reader.leads && !reader.refresh
+		reader.mutex.Unlock()
+		if !leads {
+			reader.nudge()
+			return
+		}
+		if behind {
+			reader.readPeer(ctx, false)
+		}
+	}
 }
 
 // interrupted reports whether a call ended because the reader was told to stop or to read anew.
--- a/internal/catalog/reader_test.go
+++ b/internal/catalog/reader_test.go
@@ -278,6 +278,29 @@
 	})
 }
 
+// The store turns away all that serve, so that only one that stands by learns of a new configuration. Told so, a reader that is
+// refused must take it over well within the two seconds in which it has to be in force.
+func TestRefusedReaderTakesOverWhatPeersKnow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bench := newBench(t)
+		bench.reader.Lead(true)
+		pass(clock.Second)
+		before := bench.last().Revision
+		bench.source.setFaults(true, false)
+		pass(5 * clock.Second)
+		require.True(t, bench.reader.Failing())
+		bench.mutex.Lock()
+		bench.peer = &View{Revision: before + 1, Configuration: &Configuration{Version: 12}}
+		bench.mutex.Unlock()
+		bench.reader.Follow(before + 1)
+		pass(1300)
+		require.EqualValues(t, 12, bench.last().Configuration.Version)
+		bench.source.setFaults(false, false)
+		pass(2 * clock.Second)
+		require.False(t, bench.reader.Failing())
+	})
+}
+
 // An instance that stands by reads a serving peer's view when that is newer, and makes no call to the store.
 func TestFollowerReadsFromPeers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -43,7 +43,9 @@
 	busyWithin = 2 * clock.Second
 	// unledFor is how long an instance that stands by waits for a serving one with a fresh view before it reads for
 	// itself. It is more than what passes until another one has taken over, and less than what binds those who read.
-	unledFor = 1500 * clock.Millisecond
+	unledFor = 600 * clock.Millisecond
+	// helpEvery is the least time between two readings of a peer's view while the store turns this instance away.
+	helpEvery = 200 * clock.Millisecond
 	// followEvery is the least time between two readings of a peer's view for the sake of backend servers alone. An
 	// instance that stands by sends next to nothing, and changes come in bunches.
 	followEvery = clock.Second
@@ -88,6 +90,7 @@
 	Follow  func(catalog.Revision)
 	Refresh func()
 	Contact func() clock.Moment
+	Failing func() bool
 }
 
 // Controller owns an instance's control state. Its methods are safe for concurrent use; its fields below the inbox belong
@@ -109,6 +112,7 @@
 	viewAt     clock.Moment
 	leads      bool
 	unledFrom  clock.Moment
+	nextHelp   clock.Moment
 	services   map[settings.ServiceName]*serviceState
 	targets    map[TargetKey]targetRef
 	known      map[settings.TargetName]catalog.Server
@@ -339,6 +343,12 @@
 		controller.leads = leads
 		controller.feed.Lead(leads)
 	}
+	if leads && controller.feed.Failing() && controller.view != nil && now >= controller.nextHelp {
+		if known := controller.members.NewestOfAll(); known > controller.view.Revision {
+			controller.nextHelp = now.Add(helpEvery)
+			controller.feed.Follow(known)
+		}
+	}
 	if !leads && newest > controller.view.Revision && (now.Since(controller.viewAt) >= followEvery || controller.versionBehind()) {
 		controller.feed.Follow(newest)
 	}
@@ -364,7 +374,7 @@
 		}
 	}
 	contact := controller.feed.Contact()
-	fresh := controller.leads && contact > 0 && now.Since(contact) < freshWithin
+	fresh := controller.leads && !controller.feed.Failing() && contact > 0 && now.Since(contact) < freshWithin
 	controller.members.SetCatalog(revision, version, fresh)
 }
 
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -106,11 +106,12 @@
 	return *view, nil
 }
 
-// FreshPeer returns a serving instance whose view is worth asking for: the one with the newest. The error is ErrNoPeer.
+// FreshPeer returns an instance whose view is worth asking for: the one with the newest, whether it serves or not. The
+// store may turn away just those that serve. The error is ErrNoPeer.
 func (controller *Controller) FreshPeer(ctx context.Context) (netip.AddrPort, error) {
 	best, err := ask(ctx, controller, func(controller *Controller) *membership.Member {
 		var best *membership.Member
-		for _, peer := range controller.members.Peers() {
+		for _, peer := range controller.members.Living() {
 			// Bytes between data centres are charged; one's own is asked when it knows as much.
 			local := peer.Identity.DataCentre == controller.options.Self.DataCentre
 			if best == nil || peer.Revision > best.Revision || peer.Revision == best.Revision && local {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -143,6 +143,7 @@
 	})
 	gateway.controller.SetFeed(fleet.Feed{
 		Lead: gateway.reader.Lead, Follow: gateway.reader.Follow, Refresh: gateway.reader.Refresh, Contact: gateway.reader.Contact,
+		Failing: gateway.reader.Failing,
 	})
 }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -187,10 +187,10 @@
 	members.hurry()
 }
 
-// SetCatalog notes what this instance knows of the catalog. A serving instance tells of a new revision at once: those
-// that stand by read the catalog from it.
+// SetCatalog notes what this instance knows of the catalog. A serving instance, or one that reads the store itself, tells of
+// a new revision at once, and when the store begins or ceases to answer it: others read the catalog from it.
 func (members *Members) SetCatalog(revision catalog.Revision, version catalog.Version, fresh bool) {
-	if revision != members.revision && members.state == Serving {
+	if revision != members.revision && (members.state == Serving || fresh) || fresh != members.fresh {
 		members.hurry()
 	}
 	members.revision = revision
@@ -364,6 +364,20 @@
 		now.Since(members.started) >= joinFor/2
 }
 
+// Living returns the other instances that count as alive, by name.
+func (members *Members) Living() []*Member {
+	return members.living()
+}
+
+// NewestOfAll returns the newest revision that any other instance has.
+func (members *Members) NewestOfAll() catalog.Revision {
+	var newest catalog.Revision
+	for _, member := range members.living() {
+		newest = max(newest, member.Revision)
+	}
+	return newest
+}
+
 // living returns the members that count as alive, by name.
 func (members *Members) living() []*Member {
 	var living []*Member
