--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -343,17 +343,25 @@
 		controller.leads = leads
 		controller.feed.Lead(leads)
 	}
-	if leads && controller.feed.Failing() && controller.view != nil && now >= controller.nextHelp {
-		if known := controller.members.NewestOfAll(); known > controller.view.Revision {
-			controller.nextHelp = now.Add(helpEvery)
-			controller.feed.Follow(known)
-		}
+	if leads {
+		controller.seekHelp(now)
 	}
 	if !leads && newest > controller.view.Revision && (now.Since(controller.viewAt) >= followEvery || controller.versionBehind()) {
 		controller.feed.Follow(newest)
 	}
 }
 
+// seekHelp has a newer view of any other instance read while the store turns this one away.
+func (controller *Controller) seekHelp(now clock.Moment) {
+	if controller.view == nil || !controller.feed.Failing() || now < controller.nextHelp {
+		return
+	}
+	if known := controller.members.NewestOfAll(); known > controller.view.Revision {
+		controller.nextHelp = now.Add(helpEvery)
+		controller.feed.Follow(known)
+	}
+}
+
 // versionBehind reports whether a serving peer has a newer configuration.
 func (controller *Controller) versionBehind() bool {
 	for _, peer := range controller.members.Peers() {
