Let an instance on its way out answer for targets that nobody else serves

Cause: an instance that leaves is not among those that serve, so its cold targets had no owner and took no request: callers with old answers were refused with queueWait. Change: where nobody serves a service any more, the instance keeps answering for its targets.

--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -185,6 +185,16 @@
 	delete(controller.services, name)
 }
 
+// mayOwn returns the instances that may answer for a service's targets: those that serve it. Where nobody does any more,
+// an instance on its way out goes on; without an owner, targets that are still cold would take no request, and callers with
+// old answers would be refused while there is room.
+func (controller *Controller) mayOwn(serving []routing.Instance) []routing.Instance {
+	if len(serving) > 0 {
+		return serving
+	}
+	return []routing.Instance{{Name: controller.options.Name, DataCentre: controller.options.DataCentre}}
+}
+
 // publish works out everything that follows from settings, lists and peers, and puts a new table in force.
 func (controller *Controller) publish() {
 	if controller.site == nil {
@@ -195,7 +205,7 @@
 	for _, state := range controller.services {
 		controller.matchTargets(state)
 		state.serving = routing.ServingInstances(state.name, controller.eligible, controller.site.Fleet.InstancesPerService)
-		state.owners = routing.Owners(slices.Collect(maps.Keys(state.targets)), state.serving)
+		state.owners = routing.Owners(slices.Collect(maps.Keys(state.targets)), controller.mayOwn(state.serving))
 		services = append(services, &routing.Service{
 			Name: state.name, Settings: state.settings, Dispatcher: state.dispatcher, Budget: state.budget, Serving: state.serving,
 		})
