Count a cold server's slowness once

Cause: what a server tells of its slowness includes that it is cold, and the prediction doubled it again. After a data centre had come back, requests went to warm servers in a slow spell, and to cold ones last. Change: only what is expected without a reading is raised for a cold server; readings of cold ones stay out of the mean. Test: TestColdTargetIsNotCountedSlowTwice fails before, passes after.

--- a/internal/service/cadence_test.go
+++ b/internal/service/cadence_test.go
@@ -125,3 +125,21 @@
 	_, found := scheduler.TryTake(Demand{Class: "look"})
 	require.False(t, found)
 }
+
+// A data centre's servers are back, cold and half as fast as usual, and what they say of themselves includes that. Counted
+// twice, they seem slower than a warm server in a slow spell, and callers wait on that one while the cold ones idle.
+func TestColdTargetIsNotCountedSlowTwice(t *testing.T) {
+	manual := clock.NewManual()
+	manual.Advance(clock.Second)
+	scheduler := NewScheduler(SchedulerOptions{Clock: &manual.Clock, Rand: rand.New(rand.NewPCG(1, 1))})
+	scheduler.SetOffers([]Offer{
+		{Name: "cold", Slots: 2, Local: true, Owned: true, Usable: true, ColdRate: 10, ColdFor: 3 * clock.Second},
+		{Name: "slow", Slots: 2, Local: true, Owned: true, Usable: true, ColdRate: 10},
+	})
+	manual.Advance(clock.Second)
+	scheduler.Observe("cold", Reading{At: manual.Now(), Slots: 2, Slowdown: 2, SteadyFor: 299, Period: 300, ColdKnown: true, ColdFor: 2 * clock.Second})
+	scheduler.Observe("slow", Reading{At: manual.Now(), Slots: 2, Slowdown: 5, SteadyFor: 290, Period: 300, ColdKnown: true})
+	place, err := scheduler.Take(t.Context(), Demand{Class: "look", Aim: manual.Now().Add(clock.Second), Deadline: manual.Now().Add(clock.Second)})
+	require.NoError(t, err)
+	require.EqualValues(t, "cold", place.Target.Name)
+}
--- a/internal/service/choice.go
+++ b/internal/service/choice.go
@@ -25,11 +25,7 @@
 
 // finishOn predicts how long a request takes on the target that is the given number of times as long as usual.
 func (scheduler *Scheduler) finishOn(now clock.Moment, candidate *candidate, expected *expectation, times clock.Milliseconds) clock.Milliseconds {
-	work := expected.work * times
-	if candidate.cold(now) {
-		work *= coldSlowdown
-	}
-	finish := candidate.timeFor(now, work, scheduler.meanSlowdown)
+	finish := candidate.timeFor(now, expected.work*times, scheduler.meanSlowdown)
 	taken := float64(candidate.own + candidate.others(now))
 	finish += expected.work * clock.Milliseconds(crowdCost*taken/float64(candidate.room())+failureCosts*candidate.failRate)
 	return finish
--- a/internal/service/learning.go
+++ b/internal/service/learning.go
@@ -22,10 +22,10 @@
 		return
 	}
 	known.observe(reading)
-	if reading.Slowdown > 0 {
+	now := scheduler.clock.Now()
+	if reading.Slowdown > 0 && !known.cold(now) {
 		scheduler.meanSlowdown += averageWeight * (reading.Slowdown - scheduler.meanSlowdown)
 	}
-	now := scheduler.clock.Now()
 	scheduler.learnCadence(now, known)
 	scheduler.serveWaiting(now)
 }
--- a/internal/service/reading.go
+++ b/internal/service/reading.go
@@ -27,8 +27,12 @@
 // coldSlowdown is how many times longer work takes on a target that is cold.
 const coldSlowdown = 2.0
 
-// slowdownAt is the slowdown to expect at now, with mean what readings say on average.
+// slowdownAt is the slowdown to expect at now, with mean what readings of warm targets say on average. What a target tells
+// of itself includes that it is cold, so only what is expected without a reading is raised for it.
 func (candidate *candidate) slowdownAt(now clock.Moment, mean float64) float64 {
+	if candidate.cold(now) {
+		mean *= coldSlowdown
+	}
 	reading := &candidate.reading
 	age := now.Since(reading.At)
 	if !candidate.read || age >= spellLength && candidate.cadence.period == 0 || reading.Slowdown <= 0 {
@@ -56,6 +60,9 @@
 	if inSpell <= steady {
 		return inSpell
 	}
+	if candidate.cold(now) {
+		mean *= coldSlowdown
+	}
 	left := work - steady/clock.Milliseconds(slowdown)
 	return steady + left*clock.Milliseconds(mean)
 }
