Count instances that are joining as candidates to serve

Ruled out: lost datagrams, and seeds that tell of too few others. Change: an instance that is joining ranks like one that stands by. The fleet in virtual time now hands beats over a step later; it could not show the fault before.

--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -13,7 +13,7 @@
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
 
-// fleet is a number of instances in virtual time. Beats take a millisecond and may be lost or cut off.
+// fleet is a number of instances in virtual time. Beats take a step and may be lost or cut off.
 type fleet struct {
 	clock     *clock.Manual
 	random    *rand.Rand
@@ -23,6 +23,14 @@
 	// cut reports whether datagrams from one instance to another are lost.
 	cut  func(from, to int) bool
 	sent int
+	// underWay are the beats that arrive with the next step: if they arrived at once, no two could ever decide without
+	// knowing of each other.
+	underWay []delivery
+}
+
+type delivery struct {
+	to   int
+	beat Beat
 }
 
 type simulated struct {
@@ -78,6 +86,7 @@
 // run lets time pass.
 func (fleet *fleet) run(length clock.Milliseconds) {
 	for end := fleet.clock.Now().Add(length); fleet.clock.Now() < end; fleet.clock.Advance(simulatedStep) {
+		fleet.deliver()
 		for _, instance := range fleet.instances {
 			fleet.step(instance)
 		}
@@ -109,7 +118,18 @@
 		if !known || fleet.instances[index].dead || fleet.random.Float64() < fleet.loss || fleet.cut(instance.number, index) {
 			continue
 		}
-		fleet.instances[index].members.Hear(beat)
+		fleet.underWay = append(fleet.underWay, delivery{to: index, beat: beat})
+	}
+}
+
+// deliver hands over what was sent in the step before.
+func (fleet *fleet) deliver() {
+	arriving := fleet.underWay
+	fleet.underWay = nil
+	for _, delivery := range arriving {
+		if instance := fleet.instances[delivery.to]; !instance.dead {
+			instance.members.Hear(delivery.beat)
+		}
 	}
 }
 
@@ -276,3 +296,41 @@
 	t.Logf("datagrams a second for each instance that stands by: %.1f at 30, %.1f at 60", small, large)
 	require.Less(t, large, 1.3*small)
 }
+
+// All instances are restarted within a moment, the seeds among them. Those that decide before they know who else is coming back
+// all begin to serve, and for seconds each knows only a part of what is in flight on the servers: callers' requests pile up there.
+func TestFewServeAfterAllWereRestarted(t *testing.T) {
+	cases := []struct {
+		name               string
+		count, dataCentres int
+		size               func(int) int
+		most               int
+	}{
+		{"13 in 3", 13, 3, equalSize, 4},
+		{"100 in 4", 100, 4, equalSize, 6},
+		{"100 in 4, some larger", 100, 4, func(number int) int {
+			if number < 8 {
+				return 800
+			}
+			return 160
+		}, 6},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			fleet := newFleet(testCase.count, testCase.dataCentres, []int{0, 1, 2}, testCase.size)
+			fleet.run(8 * clock.Second)
+			for _, instance := range fleet.instances {
+				fleet.start(instance, clock.Milliseconds(fleet.random.Float64()*50))
+			}
+			ever := map[int]bool{}
+			for range 40 {
+				fleet.run(50 * clock.Millisecond)
+				for _, number := range fleet.serving() {
+					ever[number] = true
+				}
+			}
+			require.GreaterOrEqual(t, len(fleet.serving()), 3)
+			require.LessOrEqual(t, len(ever), testCase.most, "%v", ever)
+		})
+	}
+}
--- a/internal/membership/rank.go
+++ b/internal/membership/rank.go
@@ -106,11 +106,13 @@
 	add := func(identity Identity, serving bool) {
 		byDataCentre[identity.DataCentre] = append(byDataCentre[identity.DataCentre], ranked{identity: identity, serving: serving})
 	}
-	if members.state == StandingBy || members.state == Serving {
+	if members.state != Leaving {
 		add(members.options.Self, members.state == Serving)
 	}
 	for _, member := range members.roster.listLiving() {
-		if member.State == StandingBy || member.State == Serving {
+		// One that is joining stands by within a moment. Left out, all that were restarted together would find themselves
+		// first: they cease to join at the same time.
+		if member.State != Leaving {
 			add(member.Identity, member.State == Serving)
 		}
 	}
