--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -20,7 +20,7 @@
 
 const gatewayLong = `Runs one instance on the users' platform until it is told to leave: it finds the other instances by the
 seeds of its settings, and reads routes and backend servers from the platform's store. SIGTERM or SIGINT makes it leave without
-cutting off a request; a second signal ends it at once, with 4. Its settings are read anew on SIGHUP and whenever the file
+cutting off a request; SIGINT after that ends it at once, with 4. Its settings are read anew on SIGHUP and whenever the file
 changes. Log lines are JSON on standard output.`
 
 // Running a gateway.
@@ -80,7 +80,13 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
-	return leaver{serve: started.Serve, leave: started.Leave}.run(signals, file.Bounds.LeaveMost+clock.Second)
+	return leaver{serve: started.Serve, leave: started.Leave, forces: fromTerminal}.run(signals, file.Bounds.LeaveMost+clock.Second)
+}
+
+// fromTerminal reports whether a person has asked for the end. The platform may repeat SIGTERM while an instance leaves, as when two
+// restarts overlap; it kills what takes too long by itself. Ending at once would cut off requests that have seconds left.
+func fromTerminal(signal os.Signal) bool {
+	return signal == syscall.SIGINT
 }
 
 // watchFile reads the settings anew when they have changed. A file that can't be right changes nothing.
--- a/cmd/main_test.go
+++ b/cmd/main_test.go
@@ -67,25 +67,29 @@
 	}
 }
 
-// The first signal makes an instance leave in peace, the second ends it at once, and a part that ends by itself is told.
+// The first signal makes an instance leave in peace, the second ends it at once, and a part that ends by itself is told. Where
+// the platform may repeat its signal, that must not cut off the callers whose requests are under way.
 func TestSignals(t *testing.T) {
 	errServe := errors.New("serving ended")
 	cases := []struct {
 		name    string
-		signals int
+		signals []os.Signal
+		forces  func(os.Signal) bool
 		leaves  bool
 		serve   error
 		want    error
 	}{
-		{"one signal", 1, true, nil, nil},
-		{"two signals", 2, false, nil, errSecondSignal},
-		{"no signal", 0, false, errServe, errServe},
+		{"one signal", []os.Signal{syscall.SIGTERM}, nil, true, nil, nil},
+		{"two signals", []os.Signal{syscall.SIGTERM, syscall.SIGTERM}, nil, false, nil, errSecondSignal},
+		{"repeated by the platform", []os.Signal{syscall.SIGTERM, syscall.SIGTERM}, fromTerminal, true, nil, nil},
+		{"from a terminal", []os.Signal{syscall.SIGTERM, syscall.SIGINT}, fromTerminal, false, nil, errSecondSignal},
+		{"no signal", nil, nil, false, errServe, errServe},
 	}
 	for _, testCase := range cases {
 		t.Run(testCase.name, func(t *testing.T) {
 			signals := make(chan os.Signal, 2)
-			for range testCase.signals {
-				signals <- syscall.SIGTERM
+			for _, signal := range testCase.signals {
+				signals <- signal
 			}
 			err := leaver{
 				serve: func(ctx context.Context) error {
@@ -101,6 +105,7 @@
 					}
 					return nil
 				},
+				forces: testCase.forces,
 			}.run(signals, clock.Minute)
 			require.ErrorIs(t, err, testCase.want)
 		})
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -53,6 +53,8 @@
 type leaver struct {
 	serve func(context.Context) error
 	leave func(context.Context) error
+	// forces reports whether a second signal ends the process at once; nil stands for any.
+	forces func(os.Signal) bool
 }
 
 func serveUntil(started *entry.Entry, signals <-chan os.Signal, leaveMost clock.Milliseconds) error {
@@ -74,11 +76,15 @@
 	leaving, giveUp := context.WithTimeout(ctx, leaveMost.Duration())
 	defer giveUp()
 	go func() { left <- leaver.leave(leaving) }()
-	select {
-	case err := <-left:
-		cancel()
-		return errors.CombineErrors(err, <-served)
-	case <-signals:
-		return withCode(ExitForced, errSecondSignal)
+	for {
+		select {
+		case err := <-left:
+			cancel()
+			return errors.CombineErrors(err, <-served)
+		case second := <-signals:
+			if leaver.forces == nil || leaver.forces(second) {
+				return withCode(ExitForced, errSecondSignal)
+			}
+		}
 	}
 }
--- a/internal/gateway/decisionlog.go
+++ b/internal/gateway/decisionlog.go
@@ -68,7 +68,8 @@
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (attemptLine attemptLine) MarshalZerologObject(event *zerolog.Event) {
-	event.Str("target", string(attemptLine.Target)).Str("dataCentre", string(attemptLine.DataCentre)).Str("result", string(attemptLine.Result)).Int("status", attemptLine.Status).
+	event.Str("target", string(attemptLine.Target)).Str("dataCentre", string(attemptLine.DataCentre)).
+		Str("result", string(attemptLine.Result)).Int("status", attemptLine.Status).
 		Int("considered", attemptLine.Considered).Int("taken", attemptLine.Taken).Float64("slowdown", attemptLine.Slowdown).
 		Float64("readingAgeMs", float64(attemptLine.ReadingAge)).Float64("waitedMs", float64(attemptLine.Waited)).
 		Float64("tookMs", float64(attemptLine.Took))
