Tell only those that serve at once that servers have changed

Cause: a serving instance sent a beat to each of 99 others whenever its revision changed, up to five times a second; those that stand by read servers once a second at most, whatever they are told. Ruled out, tried and dropped: having only two of the serving instances read the store. Their silence is noticed after 2.8 s when both are cut off without a word, longer than drained servers bind the others. Change: only a new configuration, or a change of whether the store answers, is told to all at once. Before, after: 99 and 2 beats for a change of a server (TestOnlyConfigurationsAreToldToAllAtOnce).

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -191,11 +191,19 @@
 	members.hurry()
 }
 
-// SetCatalog notes what this instance knows of the catalog. A serving instance, or one that reads the store itself, tells of
-// a new revision at once, and when the store begins or ceases to answer it: others read the catalog from it.
+// SetCatalog notes what this instance knows of the catalog. A serving instance, or one that reads the store itself, tells everyone at
+// once of a new configuration, and when the store begins or ceases to answer it: others read the catalog from it. That only
+// servers have changed is told at once to those that serve; the others read it once a second at most, and a word to each of a
+// hundred for every change would be most of what an instance sends.
 func (members *Members) SetCatalog(revision catalog.Revision, version catalog.Version, fresh bool) {
-	if revision != members.revision && (members.state == Serving || fresh) || fresh != members.fresh {
+	tells := members.state == Serving || fresh
+	switch {
+	case version != members.version && tells || fresh != members.fresh:
 		members.hurry()
+	case revision != members.revision && tells:
+		for _, member := range members.roster.listServing() {
+			member.next = 0
+		}
 	}
 	members.revision = revision
 	members.version = version
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/jaywheel/jaywheel/internal/catalog"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
@@ -334,3 +335,37 @@
 		})
 	}
 }
+
+// Servers come and go several times a second when a service is released. If a serving instance told a hundred others of each
+// change at once, words would be most of what it sends; but a new configuration must be in force everywhere in time.
+func TestOnlyConfigurationsAreToldToAllAtOnce(t *testing.T) {
+	cases := []struct {
+		name             string
+		revision         catalog.Revision
+		version          catalog.Version
+		serving, standby int
+	}{
+		{"servers have changed", 2, 1, 2, 0},
+		{"a new configuration", 2, 2, 2, 97},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			fleet := newFleet(100, 3, []int{0, 1, 2}, equalSize)
+			fleet.run(8 * clock.Second)
+			teller := fleet.instances[fleet.serving()[0]]
+			teller.members.SetCatalog(1, 1, true)
+			fleet.clock.Advance(2 * clock.Second)
+			teller.members.Due()
+			teller.members.SetCatalog(testCase.revision, testCase.version, true)
+			due := teller.members.Due()
+			serving := 0
+			for _, address := range due {
+				if slices.Contains(fleet.serving(), fleet.byAddress[address]) {
+					serving++
+				}
+			}
+			require.Equal(t, testCase.serving, serving)
+			require.Equal(t, testCase.standby, len(due)-serving)
+		})
+	}
+}
