--- a/internal/fleet/controller_test.go
+++ b/internal/fleet/controller_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/jaywheel/jaywheel/internal/catalog"
 	"github.com/jaywheel/jaywheel/internal/membership"
+	"github.com/jaywheel/jaywheel/internal/service"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 )
 
@@ -34,7 +35,7 @@
 		t.Run(testCase.name, func(t *testing.T) {
 			fixture := newFixture(testCase.self, 1, 2, 3)
 			fixture.controller.options.FleetStarts = !testCase.again
-			fixture.clock.Advance(testCase.passed)
+			fixture.pass(testCase.passed)
 			if testCase.told {
 				fixture.hear(2, membership.Joining, 7)
 			}
@@ -82,3 +83,52 @@
 		})
 	}
 }
+
+// A machine is suspended for some seconds and goes on as if nothing had happened: its timers did not count that time. Servers have
+// left meanwhile, and requests sent by the old view would be lost there. Until everything was read anew it must serve by nothing.
+func TestSuspendedMachineServesByNothingOld(t *testing.T) {
+	cases := []struct {
+		name      string
+		suspended clock.Milliseconds
+		forgets   bool
+	}{
+		{"a hiccup", frozenFor / 2, false},
+		{"suspended", 4 * clock.Second, true},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			fixture := newStandby(t, 12, 30)
+			require.NotNil(t, fixture.controller.Table())
+			fixture.awake.Advance(testCase.suspended)
+			fixture.controller.tick()
+			require.Equal(t, testCase.forgets, fixture.controller.Table() == nil)
+			require.Equal(t, testCase.forgets, fixture.refreshed)
+			fixture.controller.applyView(view(30, fixtureDataCentres))
+			require.NotNil(t, fixture.controller.Table())
+		})
+	}
+}
+
+// A server ends and starts again under its name and address while a request is in flight there. It is cold and knows nothing of
+// that request; taken for the warm one that it was, it would be given its full load and crash.
+func TestBornAnewIsCold(t *testing.T) {
+	fixture := newFixture(1, 1)
+	before := view(3, 1)
+	before.Configuration.Services["lookups"] = catalog.ServiceLimits{ColdRate: 4}
+	fixture.controller.applyView(before)
+	scheduler := fixture.controller.services["lookups"].scheduler
+	warm := service.Reading{At: fixture.clock.Now(), Slots: 2, Slowdown: 1, ColdKnown: true}
+	scheduler.Observe("target-0", warm)
+	place, found := scheduler.TryTake(service.Demand{Class: "class-0", Aim: fixture.clock.Now().Add(clock.Second)})
+	require.True(t, found, "a warm server takes requests whoever owns it")
+
+	anew := view(3, 1)
+	anew.Revision = 2
+	anew.Configuration = before.Configuration
+	anew.Servers[0].Started = 99
+	anew.Servers[0].ColdFor = 3 * clock.Second
+	fixture.controller.applyView(anew)
+	_, found = scheduler.TryTake(service.Demand{Class: "class-0", Aim: fixture.clock.Now().Add(clock.Second)})
+	require.False(t, found, "this instance does not own it, so it may not start it")
+	place.Release(service.Failed)
+}
--- a/internal/fleet/fixture_test.go
+++ b/internal/fleet/fixture_test.go
@@ -22,10 +22,13 @@
 type fixture struct {
 	controller *Controller
 	clock      *clock.Manual
-	serving    []membership.Identity
-	sequence   uint64
-	leads      bool
-	follows    catalog.Revision
+	// awake also counts while the machine is suspended.
+	awake     *clock.Manual
+	serving   []membership.Identity
+	sequence  uint64
+	leads     bool
+	refreshed bool
+	follows   catalog.Revision
 }
 
 const fixtureDataCentres = 4
@@ -41,25 +44,31 @@
 
 // newFixture makes an instance that has just started and has heard nobody.
 func newFixture(self int, seeds ...int) *fixture {
-	fixture := &fixture{clock: clock.NewManual()}
-	fixture.clock.Advance(clock.Second)
+	fixture := &fixture{clock: clock.NewManual(), awake: clock.NewManual()}
+	fixture.pass(clock.Second)
 	var addresses []netip.AddrPort
 	for _, seed := range seeds {
 		addresses = append(addresses, netip.MustParseAddrPort(identity(seed).Peer))
 	}
 	fixture.controller = NewController(Options{
-		Self: identity(self), Incarnation: 1, Clock: &fixture.clock.Clock, Awake: &fixture.clock.Clock, Rand: rand.New(rand.NewPCG(1, 1)),
+		Self: identity(self), Incarnation: 1, Clock: &fixture.clock.Clock, Awake: &fixture.awake.Clock, Rand: rand.New(rand.NewPCG(1, 1)),
 		Seeds: addresses, Servers: backendserver.NewServers(&fixture.clock.Clock), Registry: metrics.NewRegistry(), Log: zerolog.Nop(),
 		Bounds: settings.GatewayBounds{ProbesPerSecond: 60, AnswerKeptMost: 5000}, FleetStarts: true,
 		Send: func(netip.AddrPort, []byte) {}, SetJobs: func([]sensing.Job) {},
 	})
 	fixture.controller.SetFeed(Feed{
 		SetRole: func(role catalog.Role) { fixture.leads = role != catalog.RoleFollow }, Follow: func(revision catalog.Revision) { fixture.follows = revision },
-		Refresh: func() {}, Contact: func() clock.Moment { return 0 }, Failing: func() bool { return false },
+		Refresh: func() { fixture.refreshed = true }, Contact: func() clock.Moment { return 0 }, Failing: func() bool { return false },
 	})
 	return fixture
 }
 
+// pass lets time pass on both clocks.
+func (fixture *fixture) pass(length clock.Milliseconds) {
+	fixture.clock.Advance(length)
+	fixture.awake.Advance(length)
+}
+
 // hear lets the instance hear another one.
 func (fixture *fixture) hear(number int, state membership.State, revision catalog.Revision) {
 	fixture.sequence++
@@ -80,7 +89,7 @@
 		fixture.hear(number, state, 1)
 	}
 	fixture.controller.applyView(view(targets, fixtureDataCentres))
-	fixture.clock.Advance(clock.Second)
+	fixture.pass(clock.Second)
 	fixture.second()
 	require.Equal(tb, membership.StandingBy, fixture.controller.members.State())
 	return fixture
@@ -113,7 +122,7 @@
 		fixture.hear(number, membership.Serving, 1)
 	}
 	for passed := clock.Milliseconds(0); passed < clock.Second; passed += tickStandby {
-		fixture.clock.Advance(tickStandby)
+		fixture.pass(tickStandby)
 		fixture.controller.tick()
 	}
 }
