--- a/internal/load/experiment.go
+++ b/internal/load/experiment.go
@@ -43,7 +43,7 @@
 func Run(ctx context.Context, experiment Experiment) Result {
 	result := Result{Rate: experiment.Rate}
 	for _, variant := range experiment.Variants {
-		result.Variants = append(result.Variants, VariantResult{Name: variant.Name, Whole: newMeasure()})
+		result.Variants = append(result.Variants, VariantResult{Name: variant.Name, Whole: NewMeasure()})
 	}
 	for round := range experiment.Rounds {
 		for offset := range experiment.Variants {
@@ -53,7 +53,7 @@
 			})
 			measured := experiment.Variants[index].run(ctx, round, func() *Measure { return generator.Run(ctx, experiment.Slice) })
 			result.Variants[index].Rounds = append(result.Variants[index].Rounds, measured)
-			result.Variants[index].Whole.merge(measured)
+			result.Variants[index].Whole.Merge(measured)
 		}
 	}
 	return result
--- a/internal/load/generator.go
+++ b/internal/load/generator.go
@@ -58,7 +58,8 @@
 	Classes map[settings.ClassName]*hdrhistogram.Histogram
 }
 
-func newMeasure() *Measure {
+// NewMeasure returns a measure of nothing.
+func NewMeasure() *Measure {
 	return &Measure{All: newHistogram(), Classes: map[settings.ClassName]*hdrhistogram.Histogram{}}
 }
 
@@ -66,8 +67,8 @@
 	return hdrhistogram.New(1, longestMicroseconds, significantDigits)
 }
 
-// record adds one call. Only answered calls have a latency: a refusal is quick and would flatter the tail.
-func (measure *Measure) record(class settings.ClassName, latency clock.Milliseconds, result outcome.Outcome) {
+// Record adds one call. Only answered calls have a latency: a refusal is quick and would flatter the tail.
+func (measure *Measure) Record(class settings.ClassName, latency clock.Milliseconds, result outcome.Outcome) {
 	switch result {
 	case outcome.Answered:
 		measure.Answered++
@@ -89,8 +90,8 @@
 	_ = measure.All.RecordValue(microseconds)
 }
 
-// merge adds what another measured.
-func (measure *Measure) merge(other *Measure) {
+// Merge adds what another measured.
+func (measure *Measure) Merge(other *Measure) {
 	measure.Answered += other.Answered
 	measure.NotRun += other.NotRun
 	measure.Unknown += other.Unknown
@@ -109,8 +110,8 @@
 	return &Generator{
 		options:  options,
 		random:   rand.New(rand.NewPCG(options.Seed, 2)),
-		whole:    newMeasure(),
-		progress: newMeasure(),
+		whole:    NewMeasure(),
+		progress: NewMeasure(),
 	}
 }
 
@@ -212,8 +213,8 @@
 		latency := clock.Of(time.Since(scheduled))
 		generator.mutex.Lock()
 		defer generator.mutex.Unlock()
-		generator.whole.record(arrival.call.Class, latency, result)
-		generator.progress.record(arrival.call.Class, latency, result)
+		generator.whole.Record(arrival.call.Class, latency, result)
+		generator.progress.Record(arrival.call.Class, latency, result)
 	})
 }
 
@@ -228,7 +229,7 @@
 	generator.mutex.Lock()
 	defer generator.mutex.Unlock()
 	since := generator.progress
-	generator.progress = newMeasure()
+	generator.progress = NewMeasure()
 	return Progress{
 		Calls:    since.Answered + since.NotRun + since.Unknown,
 		Answered: since.Answered, NotRun: since.NotRun, Unknown: since.Unknown,
--- a/internal/service/scheduler.go
+++ b/internal/service/scheduler.go
@@ -183,27 +183,11 @@
 
 // Take waits for a place. The error is a *RefusedError, or the context's.
 func (scheduler *Scheduler) Take(ctx context.Context, demand Demand) (Place, error) {
-	now := scheduler.clock.Now()
-	scheduler.mutex.Lock()
-	scheduler.lastTake = now
-	if scheduler.usable == 0 {
-		scheduler.mutex.Unlock()
-		return Place{}, &RefusedError{Cause: ErrNoTarget, ComeBack: comeBackNoTarget}
-	}
-	waiter := scheduler.newWaiter(now, demand)
-	if scheduler.waiting.ahead(waiter.rank) == 0 {
-		if place, found := scheduler.takeNow(now, waiter); found {
-			scheduler.mutex.Unlock()
-			return place, nil
-		}
-	}
-	waiter.done = make(chan scheduledGrant, 1)
-	err := scheduler.enqueue(now, waiter)
-	scheduler.mutex.Unlock()
-	if err != nil {
-		return Place{}, err
+	place, ticket, err := scheduler.Enter(demand)
+	if ticket == nil {
+		return place, err
 	}
-	return scheduler.wait(ctx, waiter)
+	return ticket.wait(ctx)
 }
 
 // TryTake takes a place for a second copy of a request, if one is free on another target that is calm.
@@ -287,31 +271,24 @@
 	scheduler.serveWaiting(now)
 }
 
-// wait blocks until waiter has a place or is refused.
-func (scheduler *Scheduler) wait(ctx context.Context, waiter *rankedWaiter) (Place, error) {
+// wait blocks until there is a place or a refusal.
+func (ticket *Ticket) wait(ctx context.Context) (Place, error) {
+	scheduler, waiter := ticket.scheduler, ticket.waiter
 	timer := time.NewTimer(waiter.until.Since(scheduler.clock.Now()).Duration())
 	defer timer.Stop()
-	var reason error
+	var cancelled error
 	select {
 	case granted := <-waiter.done:
 		return scheduler.granted(waiter, granted)
 	case <-timer.C:
-		reason = ErrQueueWait
 	case <-ctx.Done():
-		reason = ctx.Err()
-	}
-	scheduler.mutex.Lock()
-	stillWaiting := scheduler.waiting.remove(waiter)
-	comeBack := scheduler.comeBack(scheduler.clock.Now())
-	scheduler.mutex.Unlock()
-	if !stillWaiting {
-		// A place arrived at the same instant; it is used, or else it would stay taken for ever.
-		return scheduler.granted(waiter, <-waiter.done)
+		cancelled = ctx.Err()
 	}
-	if errors.Is(reason, ErrQueueWait) {
-		return Place{}, &RefusedError{Cause: reason, ComeBack: comeBack}
+	place, err := ticket.GiveUp()
+	if cancelled != nil && errors.Is(err, ErrQueueWait) {
+		return Place{}, cancelled
 	}
-	return Place{}, reason
+	return place, err
 }
 
 func (scheduler *Scheduler) granted(waiter *rankedWaiter, granted scheduledGrant) (Place, error) {
--- /dev/null
+++ b/internal/service/ticket.go
@@ -0,0 +1,61 @@
+package service
+
+import "github.com/jaywheel/jaywheel/pkg/clock"
+
+// Ticket is a request that waits for a place. Whoever holds it looks whether there is one, which needs no goroutine of its own.
+type Ticket struct {
+	scheduler *Scheduler
+	waiter    *rankedWaiter
+}
+
+// Enter asks for a place without waiting: it returns one, or a ticket, or a *RefusedError.
+func (scheduler *Scheduler) Enter(demand Demand) (Place, *Ticket, error) {
+	now := scheduler.clock.Now()
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	scheduler.lastTake = now
+	if scheduler.usable == 0 {
+		return Place{}, nil, &RefusedError{Cause: ErrNoTarget, ComeBack: comeBackNoTarget}
+	}
+	waiter := scheduler.newWaiter(now, demand)
+	if scheduler.waiting.ahead(waiter.rank) == 0 {
+		if place, found := scheduler.takeNow(now, waiter); found {
+			return place, nil, nil
+		}
+	}
+	waiter.done = make(chan scheduledGrant, 1)
+	if err := scheduler.enqueue(now, waiter); err != nil {
+		return Place{}, nil, err
+	}
+	return Place{}, &Ticket{scheduler: scheduler, waiter: waiter}, nil
+}
+
+// Poll returns the place or the refusal, if there is one by now.
+func (ticket *Ticket) Poll() (Place, bool, error) {
+	select {
+	case granted := <-ticket.waiter.done:
+		place, err := ticket.scheduler.granted(ticket.waiter, granted)
+		return place, true, err
+	default:
+		return Place{}, false, nil
+	}
+}
+
+// Until is when the wait is over.
+func (ticket *Ticket) Until() clock.Moment {
+	return ticket.waiter.until
+}
+
+// GiveUp ends the wait. A place that has come meanwhile is returned, or else it would stay taken for ever; otherwise the error is a
+// *RefusedError.
+func (ticket *Ticket) GiveUp() (Place, error) {
+	scheduler := ticket.scheduler
+	scheduler.mutex.Lock()
+	stillWaiting := scheduler.waiting.remove(ticket.waiter)
+	comeBack := scheduler.comeBack(scheduler.clock.Now())
+	scheduler.mutex.Unlock()
+	if !stillWaiting {
+		return scheduler.granted(ticket.waiter, <-ticket.waiter.done)
+	}
+	return Place{}, &RefusedError{Cause: ErrQueueWait, ComeBack: comeBack}
+}
