Leave an instance out of address answers while its data centre is out

Ruled out: too few servers (8 of 22 were left: 285 requests a second fit, 190 came). Change: such an instance is named only when there is no other. The addresses by data centre, which nobody read, are gone. Test: TestAddressesLeaveOutWhereNothingRuns.

--- a/internal/fleet/controller_test.go
+++ b/internal/fleet/controller_test.go
@@ -9,6 +9,7 @@
 	"github.com/jaywheel/jaywheel/internal/membership"
 	"github.com/jaywheel/jaywheel/internal/service"
 	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
 )
 
 // A hundred instances start within a moment. If each read the store, whose calls are limited and charged, it would turn some
@@ -132,3 +133,31 @@
 	require.False(t, found, "this instance does not own it, so it may not start it")
 	place.Release(service.Failed)
 }
+
+// Operators take a data centre out. Its instance still serves, but all servers are others' now; callers who are sent to it are refused
+// while there is room. Answers must leave it out, name it when nothing else is there, and name it again when the data centre is back.
+func TestAddressesLeaveOutWhereNothingRuns(t *testing.T) {
+	cases := []struct {
+		name  string
+		out   []settings.DataCentreName
+		named []int
+	}{
+		{"all in", nil, []int{0, 1, 2, 3}},
+		{"one out", []settings.DataCentreName{"dc-1"}, []int{0, 2, 3}},
+		{"all out", []settings.DataCentreName{"dc-0", "dc-1", "dc-2", "dc-3"}, []int{0, 1, 2, 3}},
+		{"back", nil, []int{0, 1, 2, 3}},
+	}
+	fixture := newStandby(t, 12, 30)
+	for index, testCase := range cases {
+		changed := view(30, fixtureDataCentres)
+		changed.Revision = catalog.Revision(index + 2)
+		changed.Out = testCase.out
+		fixture.controller.applyView(changed)
+		var expected []string
+		for _, number := range testCase.named {
+			expected = append(expected, identity(number).Caller)
+		}
+		named, _ := fixture.controller.Addresses("")
+		require.ElementsMatch(t, expected, named, testCase.name)
+	}
+}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -262,9 +262,8 @@
 
 // addressBook is what address answers come from.
 type addressBook struct {
-	byDataCentre map[settings.DataCentreName][]string
-	all          []string
-	kept         clock.Milliseconds
+	all  []string
+	kept clock.Milliseconds
 }
 
 // answerKept is how long callers may keep an address answer. An instance that dies is out of answers after a second, so
@@ -274,10 +273,28 @@
 // answerKeptStarting is how long an answer may be kept that was given before anyone serves.
 const answerKeptStarting = 400 * clock.Millisecond
 
-func (controller *Controller) publishAddresses() {
-	book := &addressBook{byDataCentre: map[settings.DataCentreName][]string{}, kept: min(answerKept, controller.options.Bounds.AnswerKeptMost)}
+// named are the serving instances that callers are told of. One whose data centre is out owns no server that takes work, and may fill
+// only what the owners of the others leave to it: its callers would wait and be refused while there is room for those of the
+// rest. It is named only if there is no other.
+func (controller *Controller) named() []membership.Identity {
+	if controller.view == nil {
+		return controller.serving
+	}
+	named := make([]membership.Identity, 0, len(controller.serving))
 	for _, identity := range controller.serving {
-		book.byDataCentre[identity.DataCentre] = append(book.byDataCentre[identity.DataCentre], identity.Caller)
+		if !controller.view.IsOut(identity.DataCentre) {
+			named = append(named, identity)
+		}
+	}
+	if len(named) == 0 {
+		return controller.serving
+	}
+	return named
+}
+
+func (controller *Controller) publishAddresses() {
+	book := &addressBook{kept: min(answerKept, controller.options.Bounds.AnswerKeptMost)}
+	for _, identity := range controller.named() {
 		book.all = append(book.all, identity.Caller)
 	}
 	if len(book.all) == 0 {
