Bound what all parts of a fleet give cold servers when it falls apart

Cause: each part of a fleet that can't hear the others has an owner for every server, and each paced cold ones at 0.8 of what they bear: three or four parts went past the users' 1.5 times and slack. Ruled out: bursts after a pause (one request), and owners that start anew (they wait). Change: an owner gives at most 1.5 times the part of the fleet that it sees, of which seeds never heard are a part; members out of sight are not forgotten while most are; a new owner waits 2.5 s, until it has noticed how little it sees. Tests: TestColdServersBearWhatAllOwnersSend, TestSightOfTheFleet.

--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -61,6 +61,12 @@
 	behindFor = 700 * clock.Millisecond
 )
 
+// coldShareMost is how many times the part of the fleet that is seen an instance may give cold servers of what they bear. When a fleet
+// falls apart, each part has an owner for every server, and the parts don't hear each other; but what they see of the fleet adds up to
+// all of it at most. Together they stay below 1.5 times 0.8 of what a server bears, and one request more for each part; up to a
+// third of the fleet may be gone before servers warm up more slowly for it.
+const coldShareMost = 1.5
+
 // inboxLength is how many events may wait for the control goroutine.
 const inboxLength = 256
 
@@ -290,7 +296,9 @@
 	controller.moveOn(now)
 	controller.sendBeats()
 	if controller.members.State() == membership.Serving || controller.members.State() == membership.Leaving {
+		share := min(coldShareMost*controller.members.Sight(), 1)
 		for _, state := range controller.services {
+			state.scheduler.SetColdShare(share)
 			state.scheduler.Sweep()
 		}
 		controller.shareReadings(now)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -46,6 +46,9 @@
 	// forgetAfter the time after which it is given up.
 	lostEvery   = 2 * clock.Second
 	forgetAfter = clock.Minute
+	// sightToForget is the part of the fleet that must be seen for others to be given up: whoever has lost sight of most is more
+	// likely cut off than alone.
+	sightToForget = 0.5
 	// directlyHeard is how recent a member's own word must be to go before a serving instance's word that it is lost.
 	directlyHeard = 450 * clock.Millisecond
 	// startsFor is how long after its start an instance decides by itself whether to serve: when all were restarted, nobody
@@ -323,7 +326,7 @@
 	for _, member := range members.roster.all {
 		silent := members.silentFor(now, member)
 		switch {
-		case member.State == Lost && silent > forgetAfter:
+		case member.State == Lost && silent > forgetAfter && members.Sight() >= sightToForget:
 			forgotten = append(forgotten, member.Identity.Name)
 		case member.State != Lost && silent > members.silence(member):
 			member.State = Lost
@@ -385,6 +388,18 @@
 		now.Since(members.started) >= joinFor/2
 }
 
+// Sight is the part of all instances known that count as alive, this one included. Seeds that were never heard count as known: one that
+// has just started and is cut off knows nobody else.
+func (members *Members) Sight() float64 {
+	known := len(members.roster.all) + 1
+	for _, seed := range members.options.Seeds {
+		if seed != members.self && !slices.ContainsFunc(members.roster.all, func(member *Member) bool { return member.Address == seed }) {
+			known++
+		}
+	}
+	return float64(len(members.roster.listLiving())+1) / float64(known)
+}
+
 // Living returns the other instances that count as alive, by name. The list is not to be changed.
 func (members *Members) Living() []*Member {
 	return members.roster.listLiving()
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -369,3 +369,23 @@
 		})
 	}
 }
+
+// An instance is cut off from all others, or has just started and is. It must not take the little that it sees for the whole fleet:
+// whatever is shared by all would be used by each part in full.
+func TestSightOfTheFleet(t *testing.T) {
+	fleet := newFleet(13, 3, []int{0, 1, 2}, equalSize)
+	fleet.run(8 * clock.Second)
+	one := fleet.instances[5]
+	require.InDelta(t, 1, one.members.Sight(), 0.01)
+	fleet.cut = func(from, to int) bool { return from == 5 || to == 5 }
+	fleet.run(5 * clock.Second)
+	require.Less(t, one.members.Sight(), 0.1)
+	fleet.run(2 * clock.Minute)
+	require.Less(t, one.members.Sight(), 0.1, "others that are out of sight for long were forgotten")
+	fleet.start(one, 0)
+	fleet.run(clock.Second)
+	require.InDelta(t, 0.25, one.members.Sight(), 0.01, "three seeds and itself")
+	fleet.cut = func(int, int) bool { return false }
+	fleet.run(10 * clock.Second)
+	require.InDelta(t, 1, one.members.Sight(), 0.01)
+}
--- a/internal/service/candidate.go
+++ b/internal/service/candidate.go
@@ -61,8 +61,10 @@
 	// coldMargin is the part of what a cold target bears that is used. While views of the fleet differ two instances may
 	// take a target for theirs, and the two together must not break it.
 	coldMargin = 0.8
-	// takeoverWait is how long a new owner leaves a cold target alone: the owner before may still be sending to it.
-	takeoverWait = clock.Second
+	// takeoverWait is how long a new owner leaves a cold target alone: the owner before may still be sending to it, and an
+	// instance that is cut off finds out how little of the fleet it sees only after 3.2 s, of which 0.9 s have passed when the
+	// servers of another one become its own.
+	takeoverWait = 2500 * clock.Millisecond
 )
 
 // candidate is one target of a Scheduler.
@@ -84,6 +86,8 @@
 	coldUntil clock.Moment
 	// ownedFrom is when this instance may start sending to it while it is cold.
 	ownedFrom clock.Moment
+	// coldShare is the scheduler's.
+	coldShare *float64
 	// tokens are the requests that a cold target may get now, filled up at tokensAt.
 	tokens   float64
 	tokensAt clock.Moment
@@ -162,7 +166,7 @@
 }
 
 func (candidate *candidate) refill(now clock.Moment) {
-	earned := float64(now.Since(candidate.tokensAt)/clock.Second) * candidate.offer.ColdRate * coldMargin
+	earned := float64(now.Since(candidate.tokensAt)/clock.Second) * candidate.offer.ColdRate * coldMargin * *candidate.coldShare
 	candidate.tokens = min(candidate.tokens+earned, coldBurst)
 	candidate.tokensAt = now
 }
--- a/internal/service/scheduler.go
+++ b/internal/service/scheduler.go
@@ -55,6 +55,8 @@
 	// own is the number of places taken, meanHold how long one is taken.
 	own      int
 	meanHold clock.Milliseconds
+	// coldShare is the part of what cold targets bear that this instance may use.
+	coldShare float64
 	// lastTake is when a request last asked for a place.
 	lastTake clock.Moment
 	started  startShares
@@ -73,7 +75,7 @@
 func NewScheduler(options SchedulerOptions) *Scheduler {
 	return &Scheduler{
 		clock: options.Clock, random: options.Rand, candidates: map[settings.TargetName]*candidate{},
-		work: map[settings.ClassName]*expectation{}, meanSlowdown: firstSlowdown, meanHold: firstWork,
+		work: map[settings.ClassName]*expectation{}, meanSlowdown: firstSlowdown, meanHold: firstWork, coldShare: 1,
 	}
 }
 
@@ -118,6 +120,7 @@
 	if !found {
 		known = &candidate{
 			Target: &Target{Name: offer.Name, Address: offer.Address, DataCentre: offer.DataCentre}, tokensAt: now, learningFrom: now,
+			coldShare: &scheduler.coldShare,
 		}
 		scheduler.candidates[offer.Name] = known
 		scheduler.ordered = append(scheduler.ordered, known)
@@ -165,6 +168,13 @@
 	}
 }
 
+// SetColdShare changes the part of what cold targets bear that this instance may use, from 0 to 1.
+func (scheduler *Scheduler) SetColdShare(share float64) {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	scheduler.coldShare = share
+}
+
 // Forget drops all readings: after this process stood still, nothing that it knew is worth anything.
 func (scheduler *Scheduler) Forget() {
 	scheduler.mutex.Lock()
