Take an instance that was last heard joining for one that stands by

Cause: instances that stand by don't hear each other, so those that were last heard while joining counted as lost after 3.2 s: one of 13 saw 7. Ruled out, tried: not counting their silence; they were then sent a beat four times a second for ever (TestStandbyCostIsFlat: 68 a second). Change: after twice the time for joining they count as standing by.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -326,6 +326,10 @@
 	for _, member := range members.roster.all {
 		silent := members.silentFor(now, member)
 		switch {
+		case member.State == Joining && silent > 2*joinFor:
+			// It stands by since. Those that stand by don't hear each other, so this one would take it for lost for its silence.
+			member.State = StandingBy
+			members.roster.changed()
 		case member.State == Lost && silent > forgetAfter && members.Sight() >= sightToForget:
 			forgotten = append(forgotten, member.Identity.Name)
 		case member.State != Lost && silent > members.silence(member):
