--- a/internal/fleet/controller_test.go
+++ b/internal/fleet/controller_test.go
@@ -157,7 +157,7 @@
 		for _, number := range testCase.named {
 			expected = append(expected, identity(number).Caller)
 		}
-		named, _ := fixture.controller.Addresses("")
+		named, _ := fixture.controller.Addresses()
 		require.ElementsMatch(t, expected, named, testCase.name)
 	}
 }
--- /dev/null
+++ b/internal/fleet/lead.go
@@ -0,0 +1,102 @@
+package fleet
+
+import (
+	"github.com/jaywheel/jaywheel/internal/catalog"
+	"github.com/jaywheel/jaywheel/pkg/clock"
+)
+
+// lead decides whether this instance reads the store or follows a peer that does. One that finds no peer with a fresh
+// view reads for itself, since it is bound by what it would have read there.
+func (controller *Controller) lead(now clock.Moment, serves bool) {
+	newest, led := controller.members.Newest()
+	switch {
+	case serves || led:
+		controller.unledFrom = 0
+	case controller.unledFrom == 0:
+		controller.unledFrom = now
+	}
+	role := catalog.RoleFollow
+	switch {
+	case serves || controller.view == nil && controller.startsAlone(now):
+		role = catalog.RoleLead
+	case controller.unledFrom > 0 && now.Since(controller.unledFrom) >= unledFor:
+		role = catalog.RoleStandIn
+	}
+	if role != controller.role {
+		controller.role = role
+		controller.feed.SetRole(role)
+	}
+	leads := role != catalog.RoleFollow
+	switch {
+	case leads:
+		controller.seekHelp(now)
+	case controller.view == nil:
+		controller.feed.Follow(controller.members.NewestOfAll())
+	case newest > controller.view.Revision && (now.Since(controller.viewAt) >= followEvery || controller.versionBehind()):
+		controller.feed.Follow(newest)
+	}
+}
+
+// startsAlone reports whether this instance, which knows nothing yet, reads the store for want of others who do.
+func (controller *Controller) startsAlone(now clock.Moment) bool {
+	return !controller.options.FleetStarts || controller.isSeed || now.Since(controller.started) >= startAlone
+}
+
+// seekHelp has a newer view of any other instance read while the store turns this one away.
+func (controller *Controller) seekHelp(now clock.Moment) {
+	if controller.view == nil || !controller.feed.Failing() || now < controller.nextHelp {
+		return
+	}
+	if known := controller.members.NewestOfAll(); known > controller.view.Revision {
+		controller.nextHelp = now.Add(helpEvery)
+		controller.feed.Follow(known)
+	}
+}
+
+// versionBehind reports whether a serving peer has a newer configuration.
+func (controller *Controller) versionBehind() bool {
+	for _, peer := range controller.members.Peers() {
+		if controller.view.Configuration == nil || peer.Version > controller.view.Configuration.Version {
+			return true
+		}
+	}
+	return false
+}
+
+func (controller *Controller) noteCatalog(now clock.Moment) {
+	var revision catalog.Revision
+	var version catalog.Version
+	if controller.view != nil {
+		revision = controller.view.Revision
+		if controller.view.Configuration != nil {
+			version = controller.view.Configuration.Version
+		}
+	}
+	contact := controller.feed.Contact()
+	fresh := controller.role != catalog.RoleFollow && !controller.feed.Failing() && contact > 0 && now.Since(contact) < freshWithin
+	controller.members.SetCatalog(revision, version, fresh)
+}
+
+// freshWithin is how recently the store must have answered an instance that says its view is fresh: one watch and its
+// slack.
+const freshWithin = 2800 * clock.Millisecond
+
+// checkBehind reads everything anew when a serving peer has known a newer revision for a while.
+func (controller *Controller) checkBehind(now clock.Moment) {
+	newer := false
+	if controller.role != catalog.RoleFollow && controller.view != nil {
+		newest, _ := controller.members.Newest()
+		newer = newest > controller.view.Revision
+	}
+	switch {
+	case !newer:
+		controller.behindFrom = 0
+	case controller.behindFrom == 0:
+		controller.behindFrom = now
+	case now.Since(controller.behindFrom) > behindFor:
+		controller.behindFrom = 0
+		controller.options.Registry.Events.Add(EventBehind, 1)
+		controller.options.Log.Warn().Uint64("revision", uint64(controller.view.Revision)).Msg("a peer knows a newer revision; reading everything anew")
+		controller.feed.Refresh()
+	}
+}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -306,8 +306,8 @@
 	controller.book.Store(book)
 }
 
-// Addresses returns where callers of a data centre should connect, and how long they may keep the answer.
-func (controller *Controller) Addresses(settings.DataCentreName) ([]string, clock.Milliseconds) {
+// Addresses returns where callers should connect, and how long they may keep the answer.
+func (controller *Controller) Addresses() ([]string, clock.Milliseconds) {
 	book := controller.book.Load()
 	if book == nil {
 		return nil, 0
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,7 +61,7 @@
 	ReadProbe func(*http.Response) sensing.Health
 	// Directory and Readiness return the handlers for callers that ask for addresses and for whoever asks whether this
 	// instance serves.
-	Directory func(addresses func(settings.DataCentreName) ([]string, clock.Milliseconds)) http.Handler
+	Directory func(addresses func() ([]string, clock.Milliseconds)) http.Handler
 	Readiness func(ready func() bool) http.Handler
 }
 
--- a/internal/membership/rank.go
+++ b/internal/membership/rank.go
@@ -110,8 +110,8 @@
 		add(members.options.Self, members.state == Serving)
 	}
 	for _, member := range members.roster.listLiving() {
-		// One that is joining stands by within a moment. Left out, all that were restarted together would find themselves
-		// first: they cease to join at the same time.
+		// One that is joining stands by within a moment. If it were left out, all that were restarted together would find
+		// themselves first, since they cease to join at the same time.
 		if member.State != Leaving {
 			add(member.Identity, member.State == Serving)
 		}
