--- a/internal/fleet/ownership_test.go
+++ b/internal/fleet/ownership_test.go
@@ -212,22 +212,28 @@
 // takes itself for the owner sends to them; the sum over all must stay within what the users allow, or the servers crash again.
 func TestColdServersBearWhatAllOwnersSend(t *testing.T) {
 	for seed := range uint64(40) {
-		fleet := newOwnedFleet(seed, 5)
-		var story []string
-		for step := range 3000 {
-			if step%60 == 59 {
-				story = append(story, fmt.Sprintf("%s: %s", clock.Milliseconds(fleet.clock.Now()), fleet.trouble()))
-			}
-			fleet.step()
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			playOwnedFleet(t, newOwnedFleet(seed, 5))
+		})
+	}
+}
+
+func playOwnedFleet(t *testing.T, fleet *ownedFleet) {
+	var story []string
+	for step := range 3000 {
+		if step%60 == 59 {
+			story = append(story, fmt.Sprintf("%s: %s", clock.Milliseconds(fleet.clock.Now()), fleet.trouble()))
 		}
-		total := 0
-		for name, moments := range fleet.sent {
-			total += len(moments)
-			for _, from := range moments {
-				most := ownedColdRate*ownedColdOver + ownedColdSlack
-				require.LessOrEqual(t, float64(within(moments, from, clock.Second)), most, "seed %d, %s, from %s: %v", seed, name, clock.Milliseconds(from), story)
-			}
+		fleet.step()
+	}
+	total := 0
+	for name, moments := range fleet.sent {
+		total += len(moments)
+		for _, from := range moments {
+			most := ownedColdRate*ownedColdOver + ownedColdSlack
+			require.LessOrEqual(t, float64(within(moments, from, clock.Second)), most, "%s, from %s: %v", name, clock.Milliseconds(from), story)
 		}
-		require.Greater(t, total, ownedTargets*30, "seed %d: cold servers get next to nothing", seed)
 	}
+	require.Greater(t, total, ownedTargets*30, "cold servers get next to nothing")
 }
