Show the whole fleet to operators, and what does not fit together in it

What was missing: each instance had to be asked by itself, and nobody compared the answers. The command asks one instance for the others and then all of them; instances that don't answer, have an older configuration, or have lost sight of one that answers are named, by exit code too. Test: TestFleetShowsWhatDoesNotFit.

--- /dev/null
+++ b/cmd/fleet_test.go
@@ -0,0 +1,90 @@
+package cmd
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jaywheel/jaywheel/internal/fleet"
+	"github.com/jaywheel/jaywheel/internal/operator"
+	"github.com/jaywheel/jaywheel/internal/service"
+)
+
+// statusServer answers for an instance at an address of its own; all have the same port.
+func statusServer(t *testing.T, address string, status func() fleet.Status) string {
+	listener, err := net.Listen("tcp", address)
+	require.NoError(t, err)
+	mux := http.NewServeMux()
+	mux.HandleFunc(operator.StatusPath, func(writer http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(writer).Encode(status()) })
+	server := httptest.NewUnstartedServer(mux)
+	server.Listener.Close()
+	server.Listener = listener
+	server.Start()
+	t.Cleanup(server.Close)
+	return listener.Addr().String()
+}
+
+// Operators look at the fleet when something is wrong with a part of it. An instance that does not answer, one that is stuck at an
+// old configuration, and two that don't hear each other must be named, and a script must see that by the exit code.
+func TestFleetShowsWhatDoesNotFit(t *testing.T) {
+	cases := []struct {
+		name     string
+		second   fleet.Status
+		third    string
+		code     int
+		expected []string
+	}{
+		{
+			"all fits",
+			fleet.Status{Instance: "entry-2", State: "serving", Ready: true, Version: 7},
+			"", ExitOK,
+			[]string{"entry-1   sofia-a      serving  true", "entry-2"},
+		},
+		{
+			"an old configuration",
+			fleet.Status{Instance: "entry-2", State: "standingBy", Version: 6},
+			"", ExitFailure,
+			[]string{"entry-2 has configuration 6 in force, others 7"},
+		},
+		{
+			"deaf to one that answers", fleet.Status{
+				Instance: "entry-2", State: "serving", Version: 7, Peers: []fleet.PeerStatus{{Name: "entry-1", State: "lost"}},
+			}, "", ExitFailure, []string{"entry-2 has lost sight of entry-1, which answers"},
+		},
+		{
+			"one is gone",
+			fleet.Status{Instance: "entry-2", State: "serving", Version: 7},
+			"127.7.7.3:9", ExitFailure,
+			[]string{"entry-3 does not answer"},
+		},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			first := fleet.Status{
+				Instance: "entry-1", DataCentre: "sofia-a", State: "serving", Ready: true, Version: 7,
+				Peers:    []fleet.PeerStatus{{Name: "entry-2", Address: "127.7.7.2:1", State: "serving", Version: 7}},
+				Services: []fleet.ServiceStatus{{Name: "browsing", Targets: []service.TargetState{{Own: 3}}}},
+			}
+			if testCase.third != "" {
+				first.Peers = append(first.Peers, fleet.PeerStatus{Name: "entry-3", Address: testCase.third, State: "serving", Version: 7})
+			}
+			address := statusServer(t, "127.7.7.1:0", func() fleet.Status { return first })
+			port := netip.MustParseAddrPort(address).Port()
+			statusServer(t, fmt.Sprintf("127.7.7.2:%d", port), func() fleet.Status { return testCase.second })
+			code, out, _ := runLine("fleet", "--operator", address)
+			require.Equal(t, testCase.code, code, out)
+			for _, expected := range testCase.expected {
+				require.Contains(t, out, expected)
+			}
+		})
+	}
+	code, _, err := runLine("fleet", "--operator", "127.7.7.9:1")
+	require.Equal(t, ExitFailure, code)
+	require.Contains(t, err, "127.7.7.9:1")
+}
--- a/cmd/main.go
+++ b/cmd/main.go
@@ -78,6 +78,7 @@
 		{"try", "Run a whole site on embedded stand-ins", tryLong, &tryCommand{streams: streams}},
 		{"load", "Send an open-loop load and measure it", loadLong, &loadCommand{streams: streams}},
 		{"compare", "Compare policies under noisy neighbours", compareLong, &compareCommand{streams: streams}},
+		{"fleet", "Show all instances on the users' platform", fleetLong, &fleetCommand{streams: streams}},
 		{"emulate", "Play an experiment in virtual time", emulateLong, &emulateCommand{streams: streams}},
 	}
 }
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -22,24 +22,27 @@
 
 // Status is what operators read of an instance's control state.
 type Status struct {
-	Instance settings.InstanceName `json:"instance"`
-	State    string                `json:"state"`
-	Ready    bool                  `json:"ready"`
-	Leaving  bool                  `json:"leaving"`
-	Reads    bool                  `json:"reads"`
-	Revision catalog.Revision      `json:"revision"`
-	Version  catalog.Version       `json:"version"`
-	Peers    []PeerStatus          `json:"peers"`
-	Services []ServiceStatus       `json:"services"`
+	Instance   settings.InstanceName   `json:"instance"`
+	DataCentre settings.DataCentreName `json:"dataCentre"`
+	State      string                  `json:"state"`
+	Ready      bool                    `json:"ready"`
+	Leaving    bool                    `json:"leaving"`
+	Reads      bool                    `json:"reads"`
+	Revision   catalog.Revision        `json:"revision"`
+	Version    catalog.Version         `json:"version"`
+	Peers      []PeerStatus            `json:"peers"`
+	Services   []ServiceStatus         `json:"services"`
 }
 
 // PeerStatus is one other instance.
 type PeerStatus struct {
 	Name       settings.InstanceName   `json:"name"`
 	DataCentre settings.DataCentreName `json:"dataCentre"`
-	State      string                  `json:"state"`
-	Revision   catalog.Revision        `json:"revision"`
-	Version    catalog.Version         `json:"version"`
+	// Address is where other instances reach it, IP and port.
+	Address  string           `json:"address"`
+	State    string           `json:"state"`
+	Revision catalog.Revision `json:"revision"`
+	Version  catalog.Version  `json:"version"`
 }
 
 // ServiceStatus is one service.
@@ -72,7 +75,7 @@
 func (controller *Controller) status() Status {
 	state := controller.members.State()
 	status := Status{
-		Instance: controller.options.Self.Name, State: state.String(), Ready: controller.Ready(),
+		Instance: controller.options.Self.Name, DataCentre: controller.options.Self.DataCentre, State: state.String(), Ready: controller.Ready(),
 		Leaving: state == membership.Leaving, Reads: controller.role != catalog.RoleFollow,
 	}
 	if controller.view != nil {
@@ -83,7 +86,7 @@
 	}
 	for _, member := range controller.members.All() {
 		status.Peers = append(status.Peers, PeerStatus{
-			Name: member.Identity.Name, DataCentre: member.Identity.DataCentre, State: member.State.String(),
+			Name: member.Identity.Name, DataCentre: member.Identity.DataCentre, Address: member.Address.String(), State: member.State.String(),
 			Revision: member.Revision, Version: member.Version,
 		})
 	}
