Believe only times that a peer can mean

Cause: a datagram may hold a period or a time that is no number, which made every prediction for the target one (seeds of FuzzDecode fail before). Any process that reaches the port can send one. Change: such times are passed over, as if nothing were known of when the slowness changes. After: FuzzDecode for 15 s found nothing.

--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -69,13 +69,27 @@
 	return shared
 }
 
+// steadyMost is the longest time for which a slowdown may be said to stay as it is: far beyond any period that is looked for.
+const steadyMost = clock.Minute
+
+// steady returns when the slowdown may change, if what was told of it can be meant. Any process may send a datagram, and a period that
+// is no number would make every prediction for the target one.
+func (shared *SharedReading) steady() (clock.Milliseconds, clock.Milliseconds) {
+	steady, period := clock.Milliseconds(shared.SteadyMs), clock.Milliseconds(shared.PeriodMs)
+	if believable := steady >= 0 && steady <= steadyMost && period > 0 && period <= steadyMost; !believable {
+		return 0, 0
+	}
+	return steady, period
+}
+
 // reading translates back; the time on the way is not known and taken as none.
 func (shared *SharedReading) reading(now clock.Moment) service.Reading {
+	steady, period := shared.steady()
 	return service.Reading{
 		At:      now.Add(-clock.Milliseconds(shared.AgeMs)),
 		Running: int(shared.Running), Waiting: int(shared.Waiting), Slots: int(shared.Slots),
 		Slowdown:  float64(shared.SlowdownPercent) / slowdownUnit,
-		SteadyFor: clock.Milliseconds(shared.SteadyMs), Period: clock.Milliseconds(shared.PeriodMs),
+		SteadyFor: steady, Period: period,
 		ColdKnown: shared.ColdMs != unknownCold, ColdFor: clock.Milliseconds(max(shared.ColdMs, 0)),
 	}
 }
--- a/internal/fleet/message_test.go
+++ b/internal/fleet/message_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -29,6 +30,11 @@
 	require.NoError(f, err)
 	f.Add(text)
 	f.Add([]byte{0x82, 0xf6, 0x80})
+	for _, wrong := range []float32{float32(math.NaN()), float32(math.Inf(1)), -5, 1e30} {
+		text, err := Encode(&Message{Readings: []SharedReading{{SteadyMs: wrong, PeriodMs: 150}, {SteadyMs: 40, PeriodMs: wrong}}})
+		require.NoError(f, err)
+		f.Add(text)
+	}
 	f.Fuzz(func(t *testing.T, text []byte) {
 		message, err := Decode(text)
 		if err != nil {
@@ -36,5 +42,13 @@
 			return
 		}
 		require.True(t, message.Beat != nil || len(message.Readings) > 0)
+		for index := range message.Readings {
+			reading := message.Readings[index].reading(1000)
+			for _, figure := range []float64{float64(reading.SteadyFor), float64(reading.Period), float64(reading.ColdFor), reading.Slowdown} {
+				require.False(t, math.IsNaN(figure))
+				require.GreaterOrEqual(t, figure, 0.0)
+				require.LessOrEqual(t, figure, 1e10)
+			}
+		}
 	})
 }
