--- a/internal/catalog/package.go
+++ b/internal/catalog/package.go
@@ -9,5 +9,5 @@
 //
 //	reader := catalog.NewReader(catalog.Options{Source: source, Publish: fleet.ViewRead, ...})
 //	go reader.Serve(ctx)
-//	reader.Lead(true)
+//	reader.SetRole(catalog.RoleLead)
 package catalog
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -13,7 +13,7 @@
 //	for _, address := range members.Due() { send(address, members.Beat(address)) }
 //	members.Hear(beat)
 //	members.Review()
-//	if members.Desired(self) { ... }
+//	if members.Needed() { ... }
 package membership
 
 import (
