Tell at the end of leaving what it cut off

What was missing: a request that an instance cut off at the end of its time for leaving was logged like one whose caller had gone away (`callerGone`), and one that was read and never handled left no line at all: it was counted in caller.unfinished, and the count ended with the process. Change: the line "left" with how long leaving took, how many requests were still under way, and how many connections ended within a request that was never handled. Leaving has a file of its own. No decision changes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,7 +14,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
@@ -86,6 +85,7 @@
 	datagrams  *instance.Datagrams
 	traces     *trace.Ring
 	callers    *httppart.Part
+	handler    *caller.Handler
 	parts      []namedPart
 	tree       *supervisor.Tree
 }
@@ -152,7 +152,7 @@
 		ConnectionsMost: int(callersShare * float64(file.DescriptorsMost)), HeaderMost: headerMost, HeaderTimeout: headerTimeout,
 		IdleMost: idleMost, StallMost: stallMost,
 	}
-	handler := caller.NewHandler(caller.Options{
+	gateway.handler = caller.NewHandler(caller.Options{
 		Table: gateway.controller.Table, Servers: gateway.servers, Registry: gateway.registry, Traces: gateway.traces,
 		Clock: gateway.clock, Instance: file.Instance, StallMost: stallMost, Dialect: gateway.options.Platform.Dialect,
 		Decided: newDecisionLog(gateway.options.Log, gateway.clock, &gateway.registry.Events).write,
@@ -166,7 +166,7 @@
 		server  *http.Server
 		listen  func(string) (net.Listener, error)
 	}{
-		{"callers", file.CallerAddress, caller.NewServer(handler, limits, events), guarded},
+		{"callers", file.CallerAddress, caller.NewServer(gateway.handler, limits, events), guarded},
 		{"directory", file.DirectoryAddress, small(gateway.options.Platform.Directory(gateway.controller.Addresses)), plain},
 		{"readiness", file.ReadyAddress, small(gateway.options.Platform.Readiness(gateway.controller.Ready)), plain},
 		{"peers", file.PeerAddress, small(http.HandlerFunc(gateway.serveCatalog)), plain},
@@ -246,31 +246,3 @@
 	gateway.options.Platform.SetStore(file.StoreAddress)
 	return gateway.controller.SetSettings(ctx, file.SeedAddresses(), file.Bounds)
 }
-
-// Parts of the time for leaving.
-const (
-	// listenOn is how much of it the instance still takes connections. Callers with an answer from before come for as long as
-	// they keep it, 1.5 s; some keep it three times as long and then find nobody here, which costs them an attempt. A request that
-	// is taken must still have the time to end: where routes allow some seconds, one taken at 0.7 was cut off at its server.
-	listenOn = 0.45
-	// finishIn is how much of it may have passed when the last request must have ended.
-	finishIn = 0.95
-)
-
-// Leave takes the instance out of service without cutting off any request: first out of address answers, then, when
-// the answers that callers keep have lapsed, closed to new connections, and at last it waits until the requests under
-// way have ended. The error is the context's when that took too long.
-func (gateway *Gateway) Leave(ctx context.Context) error {
-	if err := gateway.controller.Leave(ctx); err != nil {
-		return errors.Wrap(err, "leave")
-	}
-	most := gateway.options.Settings.Bounds.LeaveMost
-	ctx, cancel := context.WithTimeout(ctx, (finishIn * most).Duration())
-	defer cancel()
-	select {
-	case <-time.After((listenOn * most).Duration()):
-	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), "wait for address answers to lapse")
-	}
-	return errors.Wrap(gateway.callers.Shutdown(ctx), "wait for requests under way")
-}
