--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -238,6 +238,16 @@
 	return err
 }
 
+// Status returns the control state.
+func (gateway *Gateway) Status(ctx context.Context) (fleet.Status, error) {
+	return gateway.controller.Status(ctx)
+}
+
+// InFlight returns the number of callers' requests under way.
+func (gateway *Gateway) InFlight() int64 {
+	return gateway.handler.InFlight()
+}
+
 // Reload takes settings that have changed while the instance runs.
 func (gateway *Gateway) Reload(ctx context.Context, file *settings.Gateway) error {
 	if !gateway.options.Settings.SameIdentity(file) {
