Answer every request that an instance has read before it leaves

Cause, one class in three places: connections were ended by a clock or by a library, whatever was on them. - http.Server.Shutdown: once it has begun, conn.serve closes a connection right after having read a request, before any handler, and idle connections are closed until a request has been read to its end. Change: the listener drains by itself. It takes no more connections, gives those that wait for a request a read deadline in the past, which can't lose bytes that were read, and returns when the others have ended; only then is the server shut down. At 0.92 of the time for leaving every request is answered: 503 and a time to come back where it has not run, 504 where it may have. Requests that arrive while the instance leaves have no more time than that; after connections are no longer taken, one whose own time doesn't fit is refused at once. TestSlowHeadIsCutOff makes its server from a Handler now, which never runs in it.

--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -80,7 +80,9 @@
 		return
 	}
 	reason := outcome.ReasonCutWithinAnswer
-	if errors.Is(err, errCallerWrite) || call.request.Context().Err() != nil {
+	if leaves(call.request.Context()) {
+		reason = outcome.ReasonLeaving
+	} else if errors.Is(err, errCallerWrite) || call.request.Context().Err() != nil {
 		reason = outcome.ReasonCallerGone
 	}
 	call.record(status, outcome.Unknown, reason, err)
--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"sync"
@@ -65,7 +66,11 @@
 	// Whoever sends slowly is refused when the time of the request is over, and not only when a single read takes too long.
 	stream.until = time.Now().Add(call.deadline.Since(call.now()).Duration())
 	body.small = make([]byte, request.ContentLength)
+	defer context.AfterFunc(request.Context(), stream.expire)()
 	if _, err := io.ReadFull(stream, body.small); err != nil {
+		if leaves(request.Context()) {
+			return leavingRefusal()
+		}
 		if stream.untilOver() {
 			return refusal(http.StatusRequestTimeout, outcome.ReasonDeadline, errors.Join(errBodyRead, err))
 		}
@@ -174,6 +179,7 @@
 
 	mutex    sync.Mutex
 	finished bool
+	expired  bool
 	err      error
 }
 
@@ -213,7 +219,7 @@
 func (callerBody *callerBody) setDeadline(deadline time.Time) bool {
 	callerBody.mutex.Lock()
 	defer callerBody.mutex.Unlock()
-	if callerBody.finished {
+	if callerBody.finished || callerBody.expired {
 		return false
 	}
 	// Connections that know no deadline, as in tests, are left without one.
@@ -221,6 +227,14 @@
 	return true
 }
 
+// expire ends the read under way and every later one.
+func (callerBody *callerBody) expire() {
+	callerBody.setDeadline(longAgo)
+	callerBody.mutex.Lock()
+	defer callerBody.mutex.Unlock()
+	callerBody.expired = true
+}
+
 func (callerBody *callerBody) fail(err error) {
 	callerBody.mutex.Lock()
 	defer callerBody.mutex.Unlock()
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -122,7 +122,7 @@
 	if aim := route.Class.Settings.Aim; aim > 0 {
 		call.aim = min(route.Service.Aim(route.Class.Name, call.started, aim, given), call.deadline)
 	}
-	return nil
+	return call.boundByDrain()
 }
 
 // refusal ends a request that was never sent anywhere.
@@ -196,7 +196,7 @@
 		header.Set(outcome.HeaderReason, string(reason))
 	}
 	header.Set(dialect.RequestIDHeader, string(call.id))
-	if call.mustClose || call.table != nil && call.table.Leaving {
+	if call.mustClose || call.handler.draining() {
 		header.Set("Connection", "close")
 	}
 }
--- /dev/null
+++ b/internal/caller/drain.go
@@ -0,0 +1,63 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/outcome"
+)
+
+// errLeaving is the cause with which requests end when the time for leaving is nearly over.
+var errLeaving = errors.New("this instance leaves before the request could end")
+
+// leavingComeBack is when a caller may return whose request has not run at an instance that leaves. Others serve meanwhile.
+const leavingComeBack = 20 * clock.Millisecond
+
+// drain is what requests are held to while the instance leaves.
+type drain struct {
+	// takeUntil is when connections are no longer taken, answerBy when every request must be answered.
+	takeUntil, answerBy clock.Moment
+}
+
+// Drain has every request answered within the given time: those that arrive later than takeFor are refused unless all of their own time
+// fits. Callers are told that their connections end.
+func (handler *Handler) Drain(takeFor, answerWithin clock.Milliseconds) {
+	now := handler.options.Clock.Now()
+	if !handler.drain.CompareAndSwap(nil, &drain{takeUntil: now.Add(takeFor), answerBy: now.Add(answerWithin)}) {
+		return
+	}
+	time.AfterFunc(answerWithin.Duration(), func() { handler.endAll(errLeaving) })
+}
+
+// Draining reports whether the instance leaves.
+func (handler *Handler) draining() bool {
+	return handler.drain.Load() != nil
+}
+
+// leaves reports whether the request ended because the instance leaves.
+func leaves(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), errLeaving)
+}
+
+// boundByDrain shortens the request's time to what is left of the time for leaving, or refuses it.
+func (call *call) boundByDrain() *ending {
+	drain := call.handler.drain.Load()
+	if drain == nil || call.deadline <= drain.answerBy {
+		return nil
+	}
+	if call.started >= drain.takeUntil {
+		return leavingRefusal()
+	}
+	call.deadline = drain.answerBy
+	return nil
+}
+
+func leavingRefusal() *ending {
+	refused := refusal(http.StatusServiceUnavailable, outcome.ReasonLeaving, errLeaving)
+	refused.retryAfter = leavingComeBack
+	return refused
+}
--- /dev/null
+++ b/internal/caller/drain_test.go
@@ -0,0 +1,167 @@
+package caller
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/outcome"
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
+const lookRequest = "GET /slots HTTP/1.1\r\nHost: " + fixtureHost + "\r\n\r\n"
+
+// drained is an instance whose backend server answers when it is told to.
+type drained struct {
+	*fixture
+	listener *Listener
+	reached  chan struct{}
+	answer   chan struct{}
+}
+
+func newDrained(t *testing.T) *drained {
+	drained := &drained{reached: make(chan struct{}, 8), answer: make(chan struct{})}
+	address := startBackend(t, func(writer http.ResponseWriter, request *http.Request) {
+		drained.reached <- struct{}{}
+		select {
+		case <-drained.answer:
+		case <-request.Context().Done():
+		}
+		_, _ = io.WriteString(writer, "whole")
+	})
+	drained.fixture = makeFixture(t, fixtureService(), address)
+	limits := settings.Callers{ConnectionsMost: 100, HeaderMost: 8 << 10, HeaderTimeout: 30 * 1000, IdleMost: 60 * 1000}
+	listener, err := Listen("127.0.0.1:0", limits, &drained.registry.Events)
+	require.NoError(t, err)
+	drained.listener = listener
+	server := NewServer(drained.handler, limits, &drained.registry.Events)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { server.Close() })
+	return drained
+}
+
+// caller is one connection to the instance.
+type caller struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (drained *drained) dial(t *testing.T) *caller {
+	connection, err := net.Dial("tcp", drained.listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { connection.Close() })
+	require.NoError(t, connection.SetDeadline(time.Now().Add(time.Minute)))
+	return &caller{Conn: connection, reader: bufio.NewReader(connection)}
+}
+
+func (caller *caller) ask(t *testing.T) {
+	_, err := io.WriteString(caller, lookRequest)
+	require.NoError(t, err)
+}
+
+func (caller *caller) read() (*http.Response, error) {
+	response, err := http.ReadResponse(caller.reader, nil)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return response, err
+}
+
+// Guards against requests that are read and never answered, and against connections that hold up an instance that leaves.
+func TestDrainAnswersWhatItReadsAndEndsTheRest(t *testing.T) {
+	drained := newDrained(t)
+	idle, busy, late, silent := drained.dial(t), drained.dial(t), drained.dial(t), drained.dial(t)
+	idle.ask(t)
+	<-drained.reached
+	drained.answer <- struct{}{}
+	_, err := idle.read()
+	require.NoError(t, err)
+	busy.ask(t)
+	<-drained.reached
+	ended := make(chan error, 1)
+	drained.handler.Drain(0, clock.Minute)
+	go func() { ended <- drained.listener.Drain(context.Background()) }()
+	_, err = idle.read()
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF, "it waits for a request and none has come")
+	late.ask(t)
+	<-drained.reached
+	close(drained.answer)
+	for _, asked := range []*caller{busy, late} {
+		response, err := asked.read()
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		require.True(t, response.Close, "the caller is told that the connection ends")
+	}
+	_, err = silent.read()
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	require.NoError(t, <-ended)
+}
+
+// Guards against requests that an instance takes although they can't end before it does.
+func TestDrainRefusesWhatItCannotFinish(t *testing.T) {
+	drained := newDrained(t)
+	connection := drained.dial(t)
+	drained.handler.Drain(0, clock.Second)
+	connection.ask(t)
+	response, err := connection.read()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Equal(t, string(outcome.NotRun), response.Header.Get(outcome.HeaderOutcome))
+	require.Equal(t, string(outcome.ReasonLeaving), response.Header.Get(outcome.HeaderReason))
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+	require.Empty(t, drained.reached)
+}
+
+// Guards against a connection that is closed as idle between the arrival of a request and its handling.
+func TestRetiredConnectionKeepsTheRequestThatHasArrived(t *testing.T) {
+	cases := []struct {
+		name    string
+		before  func(*guardedConnection)
+		arrived bool
+		// ends says that the connection ends rather than wait.
+		ends bool
+	}{
+		{"nothing has come on a kept one", func(*guardedConnection) {}, false, true},
+		{"a request has come", func(*guardedConnection) {}, true, false},
+		{"a request is being handled", func(guarded *guardedConnection) { guarded.setState(http.StateActive) }, false, false},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			listener, err := Listen("127.0.0.1:0", settings.Callers{ConnectionsMost: 1}, &makeFixture(t, fixtureService()).registry.Events)
+			require.NoError(t, err)
+			t.Cleanup(func() { listener.Close() })
+			peer, err := net.Dial("tcp", listener.Addr().String())
+			require.NoError(t, err)
+			t.Cleanup(func() { peer.Close() })
+			accepted, err := listener.Accept()
+			require.NoError(t, err)
+			t.Cleanup(func() { accepted.Close() })
+			guarded, isGuarded := accepted.(*guardedConnection)
+			require.True(t, isGuarded)
+			guarded.setState(http.StateIdle)
+			buffer := make([]byte, len(lookRequest))
+			if testCase.arrived {
+				_, err = io.WriteString(peer, lookRequest)
+				require.NoError(t, err)
+				_, err = io.ReadFull(guarded, buffer)
+				require.NoError(t, err)
+			}
+			testCase.before(guarded)
+			guarded.retire(false)
+			require.NoError(t, guarded.SetReadDeadline(time.Time{}))
+			_, err = io.WriteString(peer, "more")
+			require.NoError(t, err)
+			_, err = guarded.Read(buffer)
+			require.Equal(t, testCase.ends, err != nil)
+		})
+	}
+}
--- a/internal/caller/forward.go
+++ b/internal/caller/forward.go
@@ -114,6 +114,9 @@
 		problem.reason = outcome.ReasonQueueFull
 	case errors.Is(err, service.ErrQueueWait):
 		problem.reason = outcome.ReasonQueueWait
+	case leaves(ctx):
+		problem.reason = outcome.ReasonLeaving
+		problem.retryAfter = leavingComeBack
 	case errors.Is(err, context.Canceled):
 		problem.reason = outcome.ReasonCallerGone
 	default:
@@ -302,6 +305,11 @@
 	defer attempt.discard()
 	failure := ending{status: http.StatusBadGateway, outcome: call.outcomeSoFar(), cause: attempt.err}
 	switch {
+	case leaves(ctx) && failure.outcome == outcome.NotRun:
+		failure = *leavingRefusal()
+	case leaves(ctx):
+		failure.status = http.StatusGatewayTimeout
+		failure.reason = outcome.ReasonLeaving
 	case errors.Is(ctx.Err(), context.Canceled):
 		failure.reason = outcome.ReasonCallerGone
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"crypto/rand"
 	"net/http"
 	"sync/atomic"
@@ -42,6 +43,11 @@
 type Handler struct {
 	options  Options
 	inFlight atomic.Int64
+	// drain is nil until the instance leaves.
+	drain atomic.Pointer[drain]
+	// running is the context of all requests; endAll ends it.
+	running context.Context
+	endAll  context.CancelCauseFunc
 	// heldBodies is the number of bytes of larger bodies that are held.
 	heldBodies atomic.Int64
 }
@@ -51,7 +57,9 @@
 	if options.Dialect == nil {
 		options.Dialect = NewDialect()
 	}
-	return &Handler{options: options}
+	handler := &Handler{options: options}
+	handler.running, handler.endAll = context.WithCancelCause(context.Background())
+	return handler
 }
 
 // InFlight returns the number of requests under way.
@@ -73,7 +81,7 @@
 	defer handler.inFlight.Add(-1)
 	defer handler.countPanic()
 	if guarded, isGuarded := request.Context().Value(connectionKey{}).(*guardedConnection); isGuarded {
-		guarded.begin()
+		guarded.begin(request)
 		defer guarded.finish()
 	}
 	if handler.options.Dialect.Reserved(request.URL.Path) {
--- /dev/null
+++ b/internal/caller/listener.go
@@ -0,0 +1,149 @@
+package caller
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jaywheel/jaywheel/internal/httppart"
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
+// newMost is how long a connection that has brought nothing yet is waited for once no more are taken.
+const newMost = clock.Second
+
+// Listener takes callers' connections, at most as many at once as there are tokens.
+type Listener struct {
+	*net.TCPListener
+	tokens     chan struct{}
+	closed     chan struct{}
+	once       sync.Once
+	unfinished func()
+
+	mutex sync.Mutex
+	// open are the connections that carry one request at a time.
+	open                map[*guardedConnection]struct{}
+	accepting, draining bool
+	// ended is closed when draining has left no open connection.
+	ended chan struct{}
+}
+
+// Listen listens for callers and takes no more connections than the limit. It counts those that end unfinished.
+func Listen(address string, limits settings.Callers, events *expvar.Map) (*Listener, error) {
+	resolved, err := net.ResolveTCPAddr("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for callers")
+	}
+	listener, err := net.ListenTCP("tcp", resolved)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for callers")
+	}
+	return &Listener{
+		TCPListener: listener, tokens: make(chan struct{}, limits.ConnectionsMost), closed: make(chan struct{}), ended: make(chan struct{}),
+		open: map[*guardedConnection]struct{}{}, unfinished: func() { events.Add(EventUnfinished, 1) },
+	}, nil
+}
+
+// ListenWith returns a function that listens for callers, as a part of a supervisor's tree takes it.
+func ListenWith(limits settings.Callers, events *expvar.Map) func(address string) (httppart.Listener, error) {
+	return func(address string) (httppart.Listener, error) {
+		listener, err := Listen(address, limits, events)
+		if err != nil {
+			return httppart.Listener{}, err
+		}
+		return httppart.Listener{Listener: listener, Drain: listener.Drain}, nil
+	}
+}
+
+// Accept implements net.Listener. Above the limit it takes no connection until one ends, so that a flood of them costs
+// the kernel's queue and nothing else.
+func (listener *Listener) Accept() (net.Conn, error) {
+	select {
+	case listener.tokens <- struct{}{}:
+	case <-listener.closed:
+		return nil, net.ErrClosed
+	}
+	listener.setAccepting(true)
+	defer listener.setAccepting(false)
+	connection, err := listener.AcceptTCP()
+	if err != nil {
+		<-listener.tokens
+		return nil, err
+	}
+	guarded := &guardedConnection{
+		TCPConn: connection, unfinished: listener.unfinished, release: sync.OnceFunc(func() { <-listener.tokens }),
+	}
+	guarded.forget = func() { listener.forget(guarded) }
+	guarded.guard.restart()
+	listener.mutex.Lock()
+	defer listener.mutex.Unlock()
+	listener.open[guarded] = struct{}{}
+	return guarded, nil
+}
+
+func (listener *Listener) setAccepting(accepting bool) {
+	listener.mutex.Lock()
+	defer listener.mutex.Unlock()
+	listener.accepting = accepting
+	listener.checkEnded()
+}
+
+func (listener *Listener) forget(guarded *guardedConnection) {
+	listener.mutex.Lock()
+	defer listener.mutex.Unlock()
+	delete(listener.open, guarded)
+	listener.checkEnded()
+}
+
+func (listener *Listener) checkEnded() {
+	if !listener.draining || listener.accepting || len(listener.open) > 0 {
+		return
+	}
+	select {
+	case <-listener.ended:
+	default:
+		close(listener.ended)
+	}
+}
+
+// Close implements net.Listener.
+func (listener *Listener) Close() error {
+	listener.once.Do(func() { close(listener.closed) })
+	return listener.TCPListener.Close()
+}
+
+// Drain takes no more connections, ends those that wait for a request, and returns when all others have ended after the request that
+// they have. http.Server.Shutdown, which ends multiplexed connections well, must come after it: it drops requests that it has read.
+func (listener *Listener) Drain(ctx context.Context) error {
+	if err := listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		return errors.Wrap(err, "stop listening for callers")
+	}
+	listener.retire(false)
+	timer := time.NewTimer(newMost.Duration())
+	defer timer.Stop()
+	for {
+		select {
+		case <-listener.ended:
+			return nil
+		case <-timer.C:
+			listener.retire(true)
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "wait for callers' connections to end")
+		}
+	}
+}
+
+func (listener *Listener) retire(newAsWell bool) {
+	listener.mutex.Lock()
+	defer listener.mutex.Unlock()
+	listener.draining = true
+	for guarded := range listener.open {
+		guarded.retire(newAsWell)
+	}
+	listener.checkEnded()
+}
--- a/internal/caller/refusal_test.go
+++ b/internal/caller/refusal_test.go
@@ -217,7 +217,7 @@
 func TestSlowHeadIsCutOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		limits := settings.Callers{HeaderMost: 8 << 10, HeaderTimeout: 5000, IdleMost: 60000}
-		server := NewServer(http.NotFoundHandler(), limits, (&expvar.Map{}).Init())
+		server := NewServer(NewHandler(Options{}), limits, (&expvar.Map{}).Init())
 		listener := &pipeListener{connections: make(chan net.Conn)}
 		go func() { _ = server.Serve(listener) }()
 		client, inside := net.Pipe()
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -7,14 +7,12 @@
 	"net"
 	"net/http"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
 
 // NewServer returns an HTTP server for callers that takes HTTP/1.1 and HTTP/2 without encryption, with every limit that
 // keeps a slow or hostile caller from costing the others anything.
-func NewServer(handler http.Handler, limits settings.Callers, events *expvar.Map) *http.Server {
+func NewServer(handler *Handler, limits settings.Callers, events *expvar.Map) *http.Server {
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
@@ -27,8 +25,9 @@
 		ConnContext: func(ctx context.Context, connection net.Conn) context.Context {
 			return context.WithValue(ctx, connectionKey{}, connection)
 		},
-		ConnState: restartGuard,
-		ErrorLog:  log.New(errorCounter{events: events}, "", 0),
+		ConnState:   noteState,
+		BaseContext: func(net.Listener) context.Context { return handler.running },
+		ErrorLog:    log.New(errorCounter{events: events}, "", 0),
 	}
 }
 
@@ -46,16 +45,3 @@
 	errorCounter.events.Add(EventServerError, 1)
 	return len(line), nil
 }
-
-// Listen listens for callers and takes no more connections than the limit. It counts those that end unfinished.
-func Listen(address string, limits settings.Callers, events *expvar.Map) (net.Listener, error) {
-	resolved, err := net.ResolveTCPAddr("tcp", address)
-	if err != nil {
-		return nil, errors.Wrap(err, "listen for callers")
-	}
-	listener, err := net.ListenTCP("tcp", resolved)
-	if err != nil {
-		return nil, errors.Wrap(err, "listen for callers")
-	}
-	return newGuardedListener(listener, limits.ConnectionsMost, func() { events.Add(EventUnfinished, 1) }), nil
-}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,7 +11,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -129,14 +128,12 @@
 	operators := operator.NewHandler(operator.Options{Status: entry.operatorStatus, Registry: entry.registry, Traces: traces})
 	var err error
 	entry.callers, err = httppart.New(caller.NewServer(entry.handler, process.Callers, &entry.registry.Events), process.CallerAddress,
-		func(address string) (net.Listener, error) {
-			return caller.Listen(address, process.Callers, &entry.registry.Events)
-		})
+		caller.ListenWith(process.Callers, &entry.registry.Events))
 	if err != nil {
 		return err
 	}
 	entry.operators, err = httppart.New(&http.Server{Handler: operators, ReadHeaderTimeout: process.Callers.HeaderTimeout.Duration()},
-		process.OperatorAddress, func(address string) (net.Listener, error) { return net.Listen("tcp", address) })
+		process.OperatorAddress, httppart.Listen)
 	if err != nil {
 		return errors.CombineErrors(err, entry.callers.Close())
 	}
@@ -189,19 +186,31 @@
 	return entry.registry.View()
 }
 
-// Leave takes the instance out of service without cutting off any request: first out of address answers, then, when
-// the answers that callers keep have lapsed, closed to new connections, and at last it waits until the requests under
-// way have ended. The error is the context's when that took too long.
+// answerShare is the part of the time for leaving within which every request is answered.
+const answerShare = 0.92
+
+// Leave takes the instance out of service: first out of address answers, then, when the answers that callers keep have lapsed, closed to
+// new connections, and at last it waits until the requests under way have ended. What can't end before the context does is answered
+// shortly before. The error is the context's when that took too long.
 func (entry *Entry) Leave(ctx context.Context) error {
+	lapse := entry.answersLapse()
+	if deadline, bounded := ctx.Deadline(); bounded {
+		entry.handler.Drain(lapse, answerShare*clock.Of(time.Until(deadline)))
+	}
 	if err := entry.controller.Leave(ctx); err != nil {
 		return errors.Wrap(err, "leave")
 	}
 	select {
-	case <-time.After(entry.answersLapse().Duration()):
+	case <-time.After(lapse.Duration()):
 	case <-ctx.Done():
 		return errors.Wrap(ctx.Err(), "wait for address answers to lapse")
 	}
-	return errors.Wrap(entry.callers.Shutdown(ctx), "wait for requests under way")
+	err := entry.callers.Shutdown(ctx)
+	if entry.handler.InFlight() == 0 {
+		// Connections that are still open have nothing more to bring.
+		return nil
+	}
+	return errors.Wrap(err, "wait for requests under way")
 }
 
 // answersLapse is how long callers may still come by an answer that was given before everyone knew.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,7 +12,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
@@ -158,19 +157,17 @@
 		Decided: newDecisionLog(gateway.options.Log, gateway.clock, &gateway.registry.Events).write,
 	})
 	events := &gateway.registry.Events
-	guarded := func(address string) (net.Listener, error) { return caller.Listen(address, limits, events) }
-	plain := func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
 	wanted := []struct {
 		name    string
 		address string
 		server  *http.Server
-		listen  func(string) (net.Listener, error)
+		listen  func(string) (httppart.Listener, error)
 	}{
-		{"callers", file.CallerAddress, caller.NewServer(gateway.handler, limits, events), guarded},
-		{"directory", file.DirectoryAddress, small(gateway.options.Platform.Directory(gateway.controller.Addresses)), plain},
-		{"readiness", file.ReadyAddress, small(gateway.options.Platform.Readiness(gateway.controller.Ready)), plain},
-		{"peers", file.PeerAddress, small(http.HandlerFunc(gateway.serveCatalog)), plain},
-		{"operators", file.OperatorAddress, small(gateway.operatorHandler()), plain},
+		{"callers", file.CallerAddress, caller.NewServer(gateway.handler, limits, events), caller.ListenWith(limits, events)},
+		{"directory", file.DirectoryAddress, small(gateway.options.Platform.Directory(gateway.controller.Addresses)), httppart.Listen},
+		{"readiness", file.ReadyAddress, small(gateway.options.Platform.Readiness(gateway.controller.Ready)), httppart.Listen},
+		{"peers", file.PeerAddress, small(http.HandlerFunc(gateway.serveCatalog)), httppart.Listen},
+		{"operators", file.OperatorAddress, small(gateway.operatorHandler()), httppart.Listen},
 	}
 	for _, entry := range wanted {
 		part, err := httppart.New(entry.server, entry.address, entry.listen)
--- a/internal/httppart/httppart.go
+++ b/internal/httppart/httppart.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	part, err := httppart.New(server, "10.0.0.4:8080", listen)
+//	part, err := httppart.New(server, "10.0.0.4:8080", httppart.Listen)
 //	tree.Add(supervisor.Part{Name: "callers", Serve: part.Serve})
 //	...
 //	part.Shutdown(ctx) // returns when no request is under way any more
@@ -18,18 +18,33 @@
 	"github.com/cockroachdb/errors"
 )
 
+// Listener is where a part takes connections.
+type Listener struct {
+	net.Listener
+	// Drain takes no more connections and returns when those that were taken have ended. It may be nil.
+	Drain func(context.Context) error
+}
+
+// Listen listens on a TCP address.
+func Listen(address string) (Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	return Listener{Listener: listener}, err
+}
+
 // Part is an HTTP server as a part of a tree.
 type Part struct {
 	server  *http.Server
-	listen  func(address string) (net.Listener, error)
+	listen  func(address string) (Listener, error)
 	address string
 
 	mutex    sync.Mutex
-	listener net.Listener
+	listener Listener
+	// served says that the listener has been handed to the server, drained that it takes no more connections for good.
+	served, drained bool
 }
 
 // New binds the address and returns a part that answers there once it is served.
-func New(server *http.Server, address string, listen func(string) (net.Listener, error)) (*Part, error) {
+func New(server *http.Server, address string, listen func(string) (Listener, error)) (*Part, error) {
 	listener, err := listen(address)
 	if err != nil {
 		return nil, err
@@ -46,7 +61,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = part.server.Close() })
 	defer stop()
 	err = part.server.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || part.isDrained() {
 		<-ctx.Done()
 		return ctx.Err()
 	}
@@ -62,24 +77,42 @@
 func (part *Part) Close() error {
 	part.mutex.Lock()
 	defer part.mutex.Unlock()
-	if part.listener == nil {
+	if part.served {
 		return nil
 	}
 	return part.listener.Close()
 }
 
-func (part *Part) takeListener() (net.Listener, error) {
+func (part *Part) takeListener() (Listener, error) {
 	part.mutex.Lock()
 	defer part.mutex.Unlock()
-	listener := part.listener
-	part.listener = nil
-	if listener != nil {
-		return listener, nil
+	if part.served && !part.drained {
+		listener, err := part.listen(part.address)
+		if err != nil {
+			return Listener{}, err
+		}
+		part.listener = listener
 	}
-	return part.listen(part.address)
+	part.served = true
+	return part.listener, nil
+}
+
+func (part *Part) isDrained() bool {
+	part.mutex.Lock()
+	defer part.mutex.Unlock()
+	return part.drained
 }
 
 // Shutdown ends listening and waits for the requests under way.
 func (part *Part) Shutdown(ctx context.Context) error {
+	part.mutex.Lock()
+	part.drained = true
+	drain := part.listener.Drain
+	part.mutex.Unlock()
+	if drain != nil {
+		if err := drain(ctx); err != nil {
+			return err
+		}
+	}
 	return part.server.Shutdown(ctx)
 }
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -52,6 +52,7 @@
 	ReasonCutBeforeAnswer  Reason = "cutBeforeAnswer"
 	ReasonCutWithinAnswer  Reason = "cutWithinAnswer"
 	ReasonNoSettings       Reason = "noSettings"
+	ReasonLeaving          Reason = "leaving"
 	ReasonAmbiguousFraming Reason = "ambiguousFraming"
 )
 
