Let an answer to a lookup last longer than the choice between its copies

Cause: a request that may be sent twice runs under a context of its own, which ended when the choice between the copies was made. Short answers are read whole before that; a long one was still being read. Change: an attempt's own context ends when its answer has been passed on or discarded. The copy that loses is cancelled as before.

--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -63,6 +63,7 @@
 // answer passes a backend server's answer on. When it breaks off, the caller's connection is broken as well: an answer
 // that ends cleanly would be taken for the whole one.
 func (call *call) answer(attempt attempt) {
+	defer attempt.discard()
 	exchange := attempt.exchange
 	status := exchange.Response.StatusCode
 	call.startAnswer(exchange)
--- a/internal/caller/forward.go
+++ b/internal/caller/forward.go
@@ -27,7 +27,9 @@
 	free bool
 	// reached says that a connection had the request.
 	reached bool
-	story   trace.Attempt
+	// cancel ends a context that belongs to this attempt alone; it may be nil.
+	cancel context.CancelFunc
+	story  trace.Attempt
 }
 
 // answered reports whether the attempt brought an answer that may be passed on.
@@ -265,12 +267,18 @@
 	}
 }
 
-// discard closes an answer that is not passed on.
+// discard closes an answer that is not passed on, or has been.
 func (attempt *attempt) discard() {
-	if attempt != nil && attempt.exchange != nil {
+	if attempt == nil {
+		return
+	}
+	if attempt.exchange != nil {
 		attempt.exchange.Close()
 		attempt.exchange = nil
 	}
+	if attempt.cancel != nil {
+		attempt.cancel()
+	}
 }
 
 // mayRetry decides whether the request is sent again. One that may have run is sent again only if it is idempotent; so
--- a/internal/caller/hedge.go
+++ b/internal/caller/hedge.go
@@ -31,27 +31,26 @@
 // the first one's target is slow. The first usable answer wins and the other copy is cancelled.
 func (call *call) hedge(ctx context.Context) attempt {
 	results := make(chan attempt, 2)
-	firstCtx, cancelFirst := context.WithCancel(ctx)
-	defer cancelFirst()
 	first := call.place
 	call.place = service.Place{}
-	request := call.outgoing(first.Target)
-	go func() { results <- call.send(firstCtx, first, request) }()
+	cancelFirst := call.sendCopy(ctx, first, results)
 	second, winner := call.awaitFirst(ctx, first, results)
 	if winner != nil {
 		return *winner
 	}
-	secondCtx, cancelSecond := context.WithCancel(ctx)
-	defer cancelSecond()
-	copied := call.outgoing(second.Target)
 	call.attempts = append(call.attempts, trace.Attempt{
 		Target: first.Target.Name, DataCentre: first.Target.DataCentre, Considered: first.Listed, Taken: first.Taken,
 		Waited: first.Waited, Slowdown: first.Reading.Slowdown, Result: trace.ResultCut, Error: "a second copy was sent",
 	})
 	call.route.Class.Metrics.CountRetry()
-	go func() { results <- call.send(secondCtx, second, copied) }()
+	cancelSecond := call.sendCopy(ctx, second, results)
 	one := <-results
 	if one.answered() && !call.worthRetry(&one) {
+		if one.place.Target == first.Target {
+			cancelSecond()
+		} else {
+			cancelFirst()
+		}
 		go settle(results)
 		return one
 	}
@@ -71,6 +70,18 @@
 	return other
 }
 
+// sendCopy sends the request under a context of its own, which lasts until what comes of it has been discarded or passed on.
+func (call *call) sendCopy(ctx context.Context, place service.Place, results chan<- attempt) context.CancelFunc {
+	ctx, cancel := context.WithCancel(ctx)
+	request := call.outgoing(place.Target)
+	go func() {
+		attempt := call.send(ctx, place, request)
+		attempt.cancel = cancel
+		results <- attempt
+	}()
+	return cancel
+}
+
 // settle waits for the copy that lost and gives back what it holds.
 func settle(results <-chan attempt) {
 	lost := <-results
