End the datagram part as soon as its event loop has ended

What operators saw: of some instances that left with work until the end no line "stopped"; the platform killed them at 6 s although their last request had ended. An idle instance took 3.2 s to leave, of which 2.7 are for callers with old addresses. Cause: gnet's Stop looks only every half a second whether the loop has ended, and the part waited for Stop. Change: Stop's context ends when the loop has.

--- a/internal/instance/datagrams.go
+++ b/internal/instance/datagrams.go
@@ -45,6 +45,8 @@
 func (datagrams *Datagrams) Serve(ctx context.Context) error {
 	engine := &engine{Datagrams: datagrams, up: make(chan gnet.Engine, 1)}
 	loop, endLoop := context.WithCancel(ctx)
+	stopping, endStopping := context.WithCancel(context.WithoutCancel(ctx))
+	defer endStopping()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -52,12 +54,14 @@
 		select {
 		case running := <-engine.up:
 			// The loop may have ended by itself; nothing hangs on how it stopped.
-			_ = running.Stop(context.Background())
+			_ = running.Stop(stopping)
 		default:
 		}
 	}()
 	err := gnet.Run(engine, "udp://"+datagrams.options.Address, gnet.WithLogger(silentLogger{}), gnet.WithLogLevel(logging.ErrorLevel))
 	endLoop()
+	// Stop looks only twice a second whether the loop has ended.
+	endStopping()
 	<-done
 	if ctx.Err() != nil {
 		return ctx.Err()
