Leave time for a signal that is noticed late

Cause: the instance, with 0.16 of a processor and more requests than that bears, noticed the signal 0.55 s late, and all parts of the time for leaving count from then: it was taken at 2.53 s of 2.7, and was to be answered at 6.07 s. Change: requests that may outlast the time are taken for 0.38 of it in place of 0.45, and answered at 0.86 in place of 0.92, so that 0.7 s are made up for. One that comes later and fits is taken as before.

--- a/internal/caller/drain.go
+++ b/internal/caller/drain.go
@@ -19,7 +19,7 @@
 
 // drain is what requests are held to while the instance leaves.
 type drain struct {
-	// takeUntil is when connections are no longer taken, answerBy when every request must be answered.
+	// takeUntil is when requests are no longer taken that may last until answerBy, when every one must be answered.
 	takeUntil, answerBy clock.Moment
 }
 
@@ -33,7 +33,7 @@
 	time.AfterFunc(answerWithin.Duration(), func() { handler.endAll(errLeaving) })
 }
 
-// Draining reports whether the instance leaves.
+// draining reports whether the instance leaves.
 func (handler *Handler) draining() bool {
 	return handler.drain.Load() != nil
 }
--- a/internal/gateway/leave.go
+++ b/internal/gateway/leave.go
@@ -12,11 +12,13 @@
 
 // Parts of the time for leaving.
 const (
-	// listenOn is how much of it the instance still takes connections, for callers with an address answer from before. A request that
-	// is taken must still have the time to end.
+	// listenOn is how much of it the instance still takes connections, for callers with an address answer from before.
 	listenOn = 0.45
-	// answerIn is how much of it may have passed when the last request is answered, finishIn when the last connection is closed.
-	answerIn = 0.92
+	// takeIn is how much of it may have passed when a request is taken that may last longer than what is left.
+	takeIn = 0.38
+	// answerIn is how much of it may have passed when the last request is answered, finishIn when the last connection is closed. What
+	// is left after the answers makes up for a signal that a busy process notices late.
+	answerIn = 0.86
 	finishIn = 0.95
 )
 
@@ -30,7 +32,7 @@
 		gateway.options.Log.Info().Stringer("took", gateway.clock.Now().Since(started)).Int64("requestsCut", gateway.handler.InFlight()).
 			Int64("requestsUnhandled", gateway.unfinished()-unfinished).Msg("left")
 	}()
-	gateway.handler.Drain(listenOn*most, answerIn*most)
+	gateway.handler.Drain(takeIn*most, answerIn*most)
 	if err := gateway.controller.Leave(ctx); err != nil {
 		return errors.Wrap(err, "leave")
 	}
