Let a pause of a backend server's cut no answer

What callers saw: an answer without a length whose backend server paused for longer than the longest pause of a caller (5 s) was cut. On HTTP/2 the stream was reset in the pause itself; on HTTP/1.1 the answer lost its end mark when nothing came after the pause. Cause: the time for a write to the caller went on while none was under way. HTTP/2's library resets a stream when it is over, whatever the stream does; HTTP/1.1's writes the end mark under the deadline of the last write before the pause. Change: no write deadline while the backend server is read; a new one for what the library writes at the end.

--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -149,6 +149,8 @@
 	defer buffers.put(pooled)
 	flushEach := exchange.Response.ContentLength < 0
 	for {
+		// A multiplexed request would be cut off when the time for a write is over although none is under way.
+		call.disarmWrite()
 		count, readError := exchange.Read(*pooled)
 		if count > 0 {
 			call.armWrite()
@@ -161,6 +163,8 @@
 			}
 		}
 		if readError == io.EOF { //nolint:errorlint // io.Reader returns it bare.
+			// The library writes what is left, such as the mark of the end.
+			call.armWrite()
 			call.copyTrailers(exchange.Response)
 			return nil
 		}
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -208,6 +208,11 @@
 	_ = call.control.SetWriteDeadline(time.Now().Add(call.handler.options.StallMost.Duration()))
 }
 
+// disarmWrite ends the time that armWrite has given.
+func (call *call) disarmWrite() {
+	_ = call.control.SetWriteDeadline(time.Time{})
+}
+
 // record counts the request and keeps its story.
 func (call *call) record(status int, result outcome.Outcome, reason outcome.Reason, cause error) {
 	whole := call.now().Since(call.started)
