Let a pause of a backend server's cut no upload on HTTP/2

What callers saw: an upload on HTTP/2 whose backend server didn't read for longer than the longest pause of a caller (5 s) was refused with 400, though its caller had sent all that flow control allowed; a payment may have run. Cause: the time for a read from the caller went on while none was under way. HTTP/2's library ends the body for good when it is over. Change: the deadline ends with each read. Evidence: TestPauseWithinAnUploadCutsNoStream failed (400, bodyUnreadable) and passes.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -197,6 +197,8 @@
 	callerBody.count.Add(int64(count))
 	switch err {
 	case nil:
+		// A multiplexed request would lose the rest of its body when the deadline passes although nobody reads.
+		callerBody.setDeadline(time.Time{})
 	case io.EOF: //nolint:errorlint // io.Reader returns it bare.
 		// The server watches the connection while the answer is made, and would take the deadline for the caller's
 		// going away.
--- a/internal/caller/pause_test.go
+++ b/internal/caller/pause_test.go
@@ -66,3 +66,35 @@
 	case <-time.After((4 * fixtureStall).Duration()):
 	}
 }
+
+// Guards against uploads on a multiplexed connection that are cut while their backend server doesn't read.
+func TestPauseWithinAnUploadCutsNoStream(t *testing.T) {
+	shorten(t)
+	address := startBackend(t, func(writer http.ResponseWriter, request *http.Request) {
+		pause(request)
+		count, err := io.Copy(io.Discard, request.Body)
+		if err != nil || count != 64<<20 {
+			writer.WriteHeader(http.StatusTeapot)
+		}
+	})
+	serviceSettings := fixtureService()
+	class := serviceSettings.Classes["pay"]
+	class.BodyMost = 128 << 20
+	serviceSettings.Classes["pay"] = class
+	fixture := newFixture(t, serviceSettings, address)
+	request := fixture.newRequest(t, http.MethodPost, "/payments", io.LimitReader(repeating{}, 64<<20))
+	response, err := multiplexedClient(t).Do(request)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode, string(text))
+}
+
+// repeating is a body without end.
+type repeating struct{}
+
+// Read implements io.Reader.
+func (repeating) Read(buffer []byte) (int, error) {
+	return len(buffer), nil
+}
