End the reading of a caller's body with its request

What callers saw: a request with a streamed body (in chunks, longer than what is held, or after "100 Continue") whose caller had stalled got no answer when its time was over or its instance left, only up to 5 s later; an instance that left closed the connection meanwhile. Cause: net/http gives an exchange up only when its write loop has ended, and that one was reading the caller's body (mapRoundTripError waits for writeLoopDone). The end of a request's context ended only the reading of small bodies. There, a read that began between the two steps of expire took its own deadline back, up to 5 s as well. Change: the context of a request ends the reading of its stream, in one step; a whole body is left alone. Evidence: TestRequestWithAStalledBodyIsAnsweredInTime failed in its three cases (no answer within 5 s) and passes. The race within expire has no test of its own.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -132,6 +132,16 @@
 	return body.stream.failure()
 }
 
+// watch ends the reading of a stream with the context, until stop is called. A connection to a backend server gives a request up only when
+// it has done with its body, and the caller may have stalled.
+func (body *body) watch(ctx context.Context) (stop func()) {
+	if body.stream == nil {
+		return func() {}
+	}
+	stopWatching := context.AfterFunc(ctx, body.stream.expire)
+	return func() { stopWatching() }
+}
+
 // finish ends every later read of the stream.
 func (body *body) finish(handler *Handler) {
 	handler.heldBodies.Add(-body.held)
@@ -200,10 +210,7 @@
 		// A multiplexed request would lose the rest of its body when the deadline passes although nobody reads.
 		callerBody.setDeadline(time.Time{})
 	case io.EOF: //nolint:errorlint // io.Reader returns it bare.
-		// The server watches the connection while the answer is made, and would take the deadline for the caller's
-		// going away.
-		callerBody.setDeadline(time.Time{})
-		callerBody.whole.Store(true)
+		callerBody.end()
 	default:
 		// The deadline stays: the server reads what is left of a body before it goes on, and a caller that has stalled
 		// once would hold the connection for ever.
@@ -212,6 +219,18 @@
 	return count, err
 }
 
+// end notes that the body is whole. The server watches the connection while the answer is made, and would take a deadline for the caller's
+// going away.
+func (callerBody *callerBody) end() {
+	callerBody.mutex.Lock()
+	defer callerBody.mutex.Unlock()
+	if callerBody.finished || callerBody.expired {
+		return
+	}
+	_ = callerBody.control.SetReadDeadline(time.Time{})
+	callerBody.whole.Store(true)
+}
+
 // untilOver reports whether the time for all reads together is over.
 func (callerBody *callerBody) untilOver() bool {
 	return callerBody.lastRead && !time.Now().Before(callerBody.until)
@@ -229,12 +248,16 @@
 	return true
 }
 
-// expire ends the read under way and every later one.
+// expire ends the read under way and every later one, unless the body is whole: what is read then is the server's, which would take
+// the deadline for the caller's going away.
 func (callerBody *callerBody) expire() {
-	callerBody.setDeadline(longAgo)
 	callerBody.mutex.Lock()
 	defer callerBody.mutex.Unlock()
+	if callerBody.finished || callerBody.whole.Load() {
+		return
+	}
 	callerBody.expired = true
+	_ = callerBody.control.SetReadDeadline(longAgo)
 }
 
 func (callerBody *callerBody) fail(err error) {
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -72,6 +72,7 @@
 		call.end(*problem)
 		return
 	}
+	defer call.body.watch(ctx)()
 	call.route.Service.Budget.Earn()
 	call.forward(ctx)
 }
