Leave connections alone whose request waits to be read while draining

What callers saw: around a restart their request ended with a reset although it had reached the instance a while before its connection was closed as idle (or as new, after a second). Cause: whether a connection waits for a request was told from what the process had read. A read deadline in the past ends a read that blocks even when bytes have arrived meanwhile, and an instance short of processor time reads what has arrived up to a second later. Change: before a connection is ended, the socket is asked whether bytes wait in it (MSG_PEEK); then it ends after that request. Evidence: TestRetiredConnectionKeepsTheRequestThatWaitsToBeRead failed in both cases (i/o timeout) and passes. Whether the platform's sockets answer MSG_PEEK was not tried; if they don't, connections end as before.

--- a/internal/caller/connection.go
+++ b/internal/caller/connection.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // guardedConnection is a caller's connection under a headGuard. One that is retired ends where it would wait for a request; a request
@@ -65,7 +67,21 @@
 
 // waits reports whether the connection waits for a request of which nothing has come.
 func (guardedConnection *guardedConnection) waits() bool {
-	return guardedConnection.state != http.StateActive && !guardedConnection.pending.Load()
+	return guardedConnection.state != http.StateActive && !guardedConnection.pending.Load() && !guardedConnection.unread()
+}
+
+// unread reports whether bytes have arrived that have not been read: a process that is short of processor time comes to them late.
+func (guardedConnection *guardedConnection) unread() bool {
+	raw, err := guardedConnection.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var count int
+	err = raw.Control(func(descriptor uintptr) {
+		var first [1]byte
+		count, _, _ = unix.Recvfrom(int(descriptor), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return err == nil && count > 0
 }
 
 // retire ends the connection, if it waits for a request, or else after the request that it has. New ones are left alone unless they
--- a/internal/caller/drain_test.go
+++ b/internal/caller/drain_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/outcome"
@@ -165,3 +166,35 @@
 		})
 	}
 }
+
+// Guards against a connection that is closed as idle although a request waits in it to be read.
+func TestRetiredConnectionKeepsTheRequestThatWaitsToBeRead(t *testing.T) {
+	for _, state := range []http.ConnState{http.StateNew, http.StateIdle} {
+		t.Run(state.String(), func(t *testing.T) {
+			listener, err := Listen("127.0.0.1:0", settings.Callers{ConnectionsMost: 1}, &makeFixture(t, fixtureService()).registry.Events)
+			require.NoError(t, err)
+			t.Cleanup(func() { listener.Close() })
+			peer, err := net.Dial("tcp", listener.Addr().String())
+			require.NoError(t, err)
+			t.Cleanup(func() { peer.Close() })
+			accepted, err := listener.Accept()
+			require.NoError(t, err)
+			t.Cleanup(func() { accepted.Close() })
+			guarded, isGuarded := accepted.(*guardedConnection)
+			require.True(t, isGuarded)
+			guarded.setState(state)
+			_, err = io.WriteString(peer, lookRequest)
+			require.NoError(t, err)
+			raw, err := guarded.SyscallConn()
+			require.NoError(t, err)
+			require.NoError(t, raw.Read(func(descriptor uintptr) bool {
+				count, _, _ := unix.Recvfrom(int(descriptor), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+				return count > 0
+			}))
+			guarded.retire(true)
+			require.NoError(t, guarded.SetReadDeadline(time.Time{}))
+			_, err = io.ReadFull(guarded, make([]byte, len(lookRequest)))
+			require.NoError(t, err)
+		})
+	}
+}
