Keep two copies of a request unanswered of which one was cut and the other refused

What callers saw: when the first copy of a lookup to end was cut and the other was refused by its server, the refusal (503 or 421) was passed on as the answer. Besides, its place was given back twice, so that the instance thought its servers freer than they were. Cause: to say that the request may have run, the refused copy was marked as run, which made it an answer. Change: of two copies without an answer, the one that may have run is returned. Evidence: TestTwoCopiesWithoutAnswerStayUnanswered failed in "cut, then refused" and passes. The step has become a function for it.

--- a/internal/caller/hedge.go
+++ b/internal/caller/hedge.go
@@ -63,10 +63,15 @@
 		settleAttempt(&other)
 		return one
 	}
-	one.discard()
-	if one.notRun != other.notRun {
-		other.notRun = false
+	return unanswered(one, other)
+}
+
+// unanswered returns the copy that tells how a request ended of which no copy was answered: it has not run only if neither copy has.
+func unanswered(one, other attempt) attempt {
+	if other.notRun && !one.notRun {
+		one, other = other, one
 	}
+	one.discard()
 	return other
 }
 
