Keep no connection to a backend server's former address

What was seen: when a backend server's address changed while an exchange was under way, its connection was kept afterwards, and later requests went to the former address, where another server may be by then. Cause: a change of address closed the connections that were idle; those in use were put back without a look at their address. Change: a connection knows its address and is closed after its exchange if that is no longer right. Evidence: TestConnectionToAFormerAddressIsNotKept failed (answered by the former server) and passes.

--- a/internal/backendserver/pool.go
+++ b/internal/backendserver/pool.go
@@ -26,10 +26,11 @@
 // connection is one connection to a backend server. At any time it belongs either to a pool's idle list or to one
 // exchange.
 type connection struct {
-	client *http.ClientConn
-	socket *socket
-	idleAt clock.Moment
-	used   bool
+	client  *http.ClientConn
+	socket  *socket
+	address string
+	idleAt  clock.Moment
+	used    bool
 }
 
 // pool holds the connections to one backend server.
@@ -132,7 +133,8 @@
 func (pool *pool) put(connection *connection, reusable bool) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	if !reusable || pool.closed || connection.client.Err() != nil || pool.open > pool.options.ConnectionsMost {
+	outdated := pool.closed || connection.address != pool.options.Address
+	if !reusable || outdated || connection.client.Err() != nil || pool.open > pool.options.ConnectionsMost {
 		pool.closeLocked(connection)
 		return
 	}
@@ -233,5 +235,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{client: client, socket: request.made}, nil
+	return &connection{client: client, socket: request.made, address: options.Address}, nil
 }
