Leave by the newest settings, and count the time for leaving from the signal

What was seen: an instance whose time for leaving had been shortened on SIGHUP left by the time that it had started with, and would be killed with requests under way; one whose time had been lengthened was bound by the former time and a second. Cause: leaving read the settings of the start; its timers were made after a step that waits for the control goroutine. Change: the newest bounds are kept, all parts of the time for leaving are counted from the same moment, and leaving is bounded by nothing else.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -14,7 +14,6 @@
 
 	"github.com/jaywheel/jaywheel/internal/gateway"
 	"github.com/jaywheel/jaywheel/internal/hangup"
-	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 	"github.com/jaywheel/jaywheel/platform"
 )
@@ -81,7 +80,7 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
-	return leaver{serve: started.Serve, leave: started.Leave, forces: fromTerminal}.run(signals, file.Bounds.LeaveMost+clock.Second)
+	return leaver{serve: started.Serve, leave: started.Leave, forces: fromTerminal, bounded: true}.run(signals, 0)
 }
 
 // fromTerminal reports whether a person has asked for the end. The platform may repeat SIGTERM while an instance leaves, as when two
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -55,6 +55,8 @@
 	leave func(context.Context) error
 	// forces reports whether a second signal ends the process at once; nil stands for any.
 	forces func(os.Signal) bool
+	// bounded says that leave ends in time by itself.
+	bounded bool
 }
 
 func serveUntil(started *entry.Entry, signals <-chan os.Signal, leaveMost clock.Milliseconds) error {
@@ -73,7 +75,10 @@
 	case <-signals:
 	}
 	left := make(chan error, 1)
-	leaving, giveUp := context.WithTimeout(ctx, leaveMost.Duration())
+	leaving, giveUp := ctx, func() {}
+	if !leaver.bounded {
+		leaving, giveUp = context.WithTimeout(ctx, leaveMost.Duration())
+	}
 	defer giveUp()
 	go func() { left <- leaver.leave(leaving) }()
 	for {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
@@ -87,6 +88,8 @@
 	handler    *caller.Handler
 	parts      []namedPart
 	tree       *supervisor.Tree
+	// bounds are those of the newest settings.
+	bounds atomic.Pointer[settings.GatewayBounds]
 }
 
 // namedPart is a server and its name in the tree.
@@ -102,6 +105,7 @@
 		options.Seed = rand.Uint64()
 	}
 	gateway := &Gateway{options: options, clock: clock.New(), registry: metrics.NewRegistry(), traces: trace.NewRing(storiesKept)}
+	gateway.bounds.Store(&options.Settings.Bounds)
 	gateway.servers = backendserver.NewServers(gateway.clock)
 	gateway.makeControl()
 	if err := gateway.makeParts(); err != nil {
@@ -251,5 +255,6 @@
 		gateway.options.Log.Warn().Msg("settings: who the instance is and where it listens changes only with a restart")
 	}
 	gateway.options.Platform.SetStore(file.StoreAddress)
+	gateway.bounds.Store(&file.Bounds)
 	return gateway.controller.SetSettings(ctx, file.SeedAddresses(), file.Bounds)
 }
--- a/internal/gateway/leave.go
+++ b/internal/gateway/leave.go
@@ -26,7 +26,11 @@
 // new connections, and at last it waits until the requests under way have ended. What can't end within the time for leaving is answered
 // shortly before it is over. The error is the context's when that took too long.
 func (gateway *Gateway) Leave(ctx context.Context) error {
-	most := gateway.options.Settings.Bounds.LeaveMost
+	most := gateway.bounds.Load().LeaveMost
+	ctx, cancel := context.WithTimeout(ctx, (finishIn * most).Duration())
+	defer cancel()
+	listen := time.NewTimer((listenOn * most).Duration())
+	defer listen.Stop()
 	started, unfinished := gateway.clock.Now(), gateway.unfinished()
 	defer func() {
 		gateway.options.Log.Info().Stringer("took", gateway.clock.Now().Since(started)).Int64("requestsCut", gateway.handler.InFlight()).
@@ -36,10 +40,8 @@
 	if err := gateway.controller.Leave(ctx); err != nil {
 		return errors.Wrap(err, "leave")
 	}
-	ctx, cancel := context.WithTimeout(ctx, (finishIn * most).Duration())
-	defer cancel()
 	select {
-	case <-time.After((listenOn * most).Duration()):
+	case <-listen.C:
 	case <-ctx.Done():
 		return errors.Wrap(ctx.Err(), "wait for address answers to lapse")
 	}
