Drain connections from before a part was started again

What callers saw: none saw it yet. If the supervisor starts the callers' part again because its listener failed, connections that the former listener took go on; when the instance left, only the newest listener was drained, and http.Server.Shutdown then dropped what it read from the others. Change: a part keeps its former listeners and drains them all. Evidence: TestShutdownDrainsFormerListenersAsWell failed (only the second was drained) and passes.

--- a/internal/httppart/httppart.go
+++ b/internal/httppart/httppart.go
@@ -39,6 +39,8 @@
 
 	mutex    sync.Mutex
 	listener Listener
+	// former are the listeners from before the part was started again; connections that they took go on.
+	former []Listener
 	// served says that the listener has been handed to the server, drained that it takes no more connections for good.
 	served, drained bool
 }
@@ -91,6 +93,7 @@
 		if err != nil {
 			return Listener{}, err
 		}
+		part.former = append(part.former, part.listener)
 		part.listener = listener
 	}
 	part.served = true
@@ -107,12 +110,18 @@
 func (part *Part) Shutdown(ctx context.Context) error {
 	part.mutex.Lock()
 	part.drained = true
-	drain := part.listener.Drain
+	listeners := append([]Listener{part.listener}, part.former...)
 	part.mutex.Unlock()
-	if drain != nil {
-		if err := drain(ctx); err != nil {
-			return err
+	var draining sync.WaitGroup
+	failed := make([]error, len(listeners))
+	for index, listener := range listeners {
+		if listener.Drain != nil {
+			draining.Go(func() { failed[index] = listener.Drain(ctx) })
 		}
 	}
+	draining.Wait()
+	if err := errors.Join(failed...); err != nil {
+		return err
+	}
 	return part.server.Shutdown(ctx)
 }
