Take the connections that have come before listening ends

What callers saw: a reset of a connection that the kernel had accepted for an instance that leaves, with their request already sent; they can't know whether it ran. It needs an instance that is behind with taking connections, as one with a small share of a core is. Cause: closing a listening socket resets what waits in its queue. Change: draining waits up to 200 ms until none waits, then ends listening. A connection that comes between the last look and the end is still reset.

--- a/internal/caller/listener.go
+++ b/internal/caller/listener.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/jaywheel/jaywheel/internal/httppart"
 	"github.com/jaywheel/jaywheel/pkg/clock"
@@ -17,6 +18,12 @@
 // newMost is how long a connection that has brought nothing yet is waited for once no more are taken.
 const newMost = clock.Second
 
+// Connections that wait to be taken when listening ends are waited for at most for takenMost, and looked for every takenLook.
+const (
+	takenMost = 200 * clock.Millisecond
+	takenLook = 2 * clock.Millisecond
+)
+
 // Listener takes callers' connections, at most as many at once as there are tokens.
 type Listener struct {
 	*net.TCPListener
@@ -117,9 +124,10 @@
 	return listener.TCPListener.Close()
 }
 
-// Drain takes no more connections, ends those that wait for a request, and returns when all others have ended after the request that
+// Drain takes no more connections than have come, ends those that wait for a request, and returns when all others have ended after the request that
 // they have. http.Server.Shutdown, which ends multiplexed connections well, must come after it: it drops requests that it has read.
 func (listener *Listener) Drain(ctx context.Context) error {
+	listener.waitUntilTaken(ctx)
 	if err := listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		return errors.Wrap(err, "stop listening for callers")
 	}
@@ -138,6 +146,36 @@
 	}
 }
 
+// waitUntilTaken waits a moment until no connection waits to be taken, and reports whether none does: those in the kernel's queue are
+// reset when listening ends, although their callers may have sent their requests.
+func (listener *Listener) waitUntilTaken(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, takenMost.Duration())
+	defer cancel()
+	ticker := time.NewTicker(takenLook.Duration())
+	defer ticker.Stop()
+	for listener.hasWaiting() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+// hasWaiting reports whether a connection waits to be taken.
+func (listener *Listener) hasWaiting() bool {
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var count int
+	err = raw.Control(func(descriptor uintptr) {
+		count, _ = unix.Poll([]unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}, 0)
+	})
+	return err == nil && count > 0
+}
+
 func (listener *Listener) retire(newAsWell bool) {
 	listener.mutex.Lock()
 	defer listener.mutex.Unlock()
--- /dev/null
+++ b/internal/caller/queued_test.go
@@ -0,0 +1,34 @@
+package caller
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
+// Guards against callers that are reset, their requests sent, because listening ends before their connections have been taken.
+func TestDrainTakesConnectionsThatWait(t *testing.T) {
+	listener, err := Listen("127.0.0.1:0", settings.Callers{ConnectionsMost: 2}, &makeFixture(t, fixtureService()).registry.Events)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.True(t, listener.waitUntilTaken(ctx), "none waits")
+	for range 2 {
+		peer, err := net.Dial("tcp", listener.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { peer.Close() })
+	}
+	require.False(t, listener.waitUntilTaken(ctx), "two wait")
+	drained := make(chan error, 1)
+	go func() { drained <- listener.Drain(t.Context()) }()
+	for range 2 {
+		connection, err := listener.Accept()
+		require.NoError(t, err)
+		require.NoError(t, connection.Close())
+	}
+	require.NoError(t, <-drained)
+}
