Ask how many bytes wait in a socket in place of looking at them

What was seen: nothing yet. A look at the first byte takes it away where a system does not know the flag for looking, and the request that follows would lose it. Change: the count of unread bytes is asked for; where that can't be told, a connection ends as before. Test: TestRetiredConnectionKeepsTheRequestThatWaitsToBeRead, unchanged.

--- a/internal/caller/connection.go
+++ b/internal/caller/connection.go
@@ -77,11 +77,9 @@
 		return false
 	}
 	var count int
-	err = raw.Control(func(descriptor uintptr) {
-		var first [1]byte
-		count, _, _ = unix.Recvfrom(int(descriptor), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	})
-	return err == nil && count > 0
+	var failed error
+	err = raw.Control(func(descriptor uintptr) { count, failed = unix.IoctlGetInt(int(descriptor), unix.TIOCINQ) })
+	return err == nil && failed == nil && count > 0
 }
 
 // retire ends the connection, if it waits for a request, or else after the request that it has. New ones are left alone unless they
