Play the whole fleet in virtual time, seeded, with checks after each step

Missing: the ownership test plays five controllers, the membership test members alone; nothing played controllers, catalog readers and the store together, with instances that leave, are replaced or lose power, and a store that is down, refuses, lags or forgets.

Change: virtualFleet (internal/fleet/virtual_*_test.go) drives controllers step by step in a synctest bubble, beside the real catalog readers on a simulated store. Schedules are drawn from a seed; checks are a list of functions that run after each step: configuration never older and in time, drained and evacuated in time, gone and leaving instances not named, cold servers, someone serves, answers name someone who runs, few serve, and how a fleet is that was left alone. Bounds are the users' (contact 3 s, configuration 2 s, drain 2 s, evacuation 5 s, 5 s of skew, 6 s for instances that are gone) or follow from how an instance leaves. A seed that fails is shrunk to the shortest schedule that still fails and printed as a literal.

ownership_test.go: the part that sends and probes moved to consumer_test.go, used by both; its seeds, steps and bounds are as before.

--- a/internal/fleet/ownership_test.go
+++ b/internal/fleet/ownership_test.go
@@ -14,7 +14,6 @@
 	"github.com/jaywheel/jaywheel/internal/membership"
 	"github.com/jaywheel/jaywheel/internal/metrics"
 	"github.com/jaywheel/jaywheel/internal/sensing"
-	"github.com/jaywheel/jaywheel/internal/service"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
@@ -43,16 +42,10 @@
 }
 
 type ownedNode struct {
+	consumer
+
 	number     int
-	controller *Controller
-	jobs       []sensing.Job
 	pausedTill clock.Moment
-	places     []ownedPlace
-}
-
-type ownedPlace struct {
-	place service.Place
-	until clock.Moment
 }
 
 type ownedDatagram struct {
@@ -92,14 +85,7 @@
 		SetRole: func(catalog.Role) {}, Follow: func(catalog.Revision) {}, Refresh: func() {},
 		Contact: fleet.clock.Now, Failing: func() bool { return false },
 	})
-	cold := view(ownedTargets, fixtureDataCentres)
-	for name := range cold.Configuration.Services {
-		cold.Configuration.Services[name] = catalog.ServiceLimits{ColdRate: ownedColdRate}
-	}
-	for index := range cold.Servers {
-		cold.Servers[index].ColdFor = clock.Minute
-	}
-	node.controller.applyView(cold)
+	node.controller.applyView(coldView(ownedTargets, fixtureDataCentres))
 }
 
 func (fleet *ownedFleet) send(from int, to netip.AddrPort, text []byte) {
@@ -135,7 +121,9 @@
 			continue
 		}
 		// A request that waited out a pause is placed before anything else happens: the worst order.
-		fleet.use(node, now)
+		for _, name := range node.use(now) {
+			fleet.sent[name] = append(fleet.sent[name], now)
+		}
 		for _, datagram := range arriving {
 			if message, err := Decode(datagram.text); datagram.to == node.number && err == nil {
 				node.controller.hear(message)
@@ -148,39 +136,6 @@
 	}
 }
 
-func (node *ownedNode) probe(now clock.Moment) {
-	for _, job := range node.jobs {
-		reading := service.Reading{At: now, Slots: 2, Slowdown: 1, ColdKnown: true, ColdFor: clock.Minute}
-		node.controller.Probed(sensing.Result{Service: job.Service, Target: job.Target, Health: sensing.Health{Healthy: true, Reading: reading}})
-	}
-}
-
-// use sends as many requests as the schedulers let through.
-func (fleet *ownedFleet) use(node *ownedNode, now clock.Moment) {
-	kept := node.places[:0]
-	for _, held := range node.places {
-		if now >= held.until {
-			held.place.Release(service.Succeeded)
-			continue
-		}
-		kept = append(kept, held)
-	}
-	node.places = kept
-	for _, state := range node.controller.services {
-		for range 4 {
-			place, ticket, err := state.scheduler.Enter(service.Demand{Class: "class-0", Aim: now.Add(clock.Second), Deadline: now.Add(clock.Second)})
-			if ticket != nil {
-				place, err = ticket.GiveUp()
-			}
-			if err != nil {
-				break
-			}
-			fleet.sent[place.Target.Name] = append(fleet.sent[place.Target.Name], now)
-			node.places = append(node.places, ownedPlace{place: place, until: now.Add(ownedPause)})
-		}
-	}
-}
-
 // trouble changes something at random.
 func (fleet *ownedFleet) trouble() string {
 	one, other := fleet.random.IntN(len(fleet.nodes)), fleet.random.IntN(len(fleet.nodes))
--- /dev/null
+++ b/internal/fleet/virtual_change_test.go
@@ -0,0 +1,235 @@
+package fleet
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/jaywheel/jaywheel/internal/catalog"
+	"github.com/jaywheel/jaywheel/internal/membership"
+	"github.com/jaywheel/jaywheel/pkg/clock"
+)
+
+// changeKind is what happens to a fleet, its links, its store or its servers.
+type changeKind string
+
+// Changes to instances.
+const (
+	kill        changeKind = "kill"
+	killServing changeKind = "killServing"
+	powerLoss   changeKind = "powerLoss"
+	stop        changeKind = "stop"
+	suspend     changeKind = "suspend"
+	leave       changeKind = "leave"
+	replace     changeKind = "replace"
+)
+
+// Changes to links, which last.
+const (
+	cutOneWay changeKind = "cutOneWay"
+	cutOff    changeKind = "cutOff"
+	partition changeKind = "partition"
+	lossy     changeKind = "lossy"
+	late      changeKind = "late"
+	doubled   changeKind = "doubled"
+)
+
+// Changes to the store, all but the last of which last.
+const (
+	storeCut     changeKind = "storeCut"
+	storeRefuses changeKind = "storeRefuses"
+	storeDown    changeKind = "storeDown"
+	storeSlow    changeKind = "storeSlow"
+	storeLags    changeKind = "storeLags"
+	storeForgets changeKind = "storeForgets"
+)
+
+// Changes to what the store holds.
+const (
+	configure     changeKind = "configure"
+	drainServer   changeKind = "drainServer"
+	removeServer  changeKind = "removeServer"
+	addServer     changeKind = "addServer"
+	takeOut       changeKind = "takeOut"
+	restartServer changeKind = "restartServer"
+)
+
+var changeKinds = []changeKind{
+	kill, killServing, powerLoss, stop, suspend, leave, replace, cutOneWay, cutOff, partition, lossy, late, doubled, storeCut, storeRefuses,
+	storeDown, storeSlow, storeLags, storeForgets, configure, drainServer, removeServer, addServer, takeOut, restartServer,
+}
+
+var lastingKinds = []changeKind{cutOneWay, cutOff, partition, lossy, late, doubled, storeCut, storeRefuses, storeDown, storeSlow, storeLags}
+
+// change is one entry of a schedule. One and Other are machines, or servers in the order of their names.
+type change struct {
+	At    clock.Moment
+	For   clock.Milliseconds
+	Kind  changeKind
+	One   int
+	Other int
+}
+
+// String writes the change as the literal that a case takes.
+func (change change) String() string {
+	return fmt.Sprintf("{At: %.0f, For: %.0f, Kind: %s, One: %d, Other: %d},", float64(change.At), float64(change.For), change.Kind, change.One, change.Other)
+}
+
+// Times of a schedule: the fleet settles at first, and again at the end.
+const (
+	settlesFirst = 7 * clock.Second
+	settlesLast  = 9 * clock.Second
+	longest      = 5 * clock.Second
+)
+
+// newSchedule draws changes for a run. Some come in a row, as when instances are restarted one after the other.
+func newSchedule(options virtualOptions) []change {
+	random := rand.New(rand.NewPCG(options.seed, 11))
+	span := options.length - settlesFirst - settlesLast
+	var schedule []change
+	for range 2 + random.IntN(10) {
+		drawn := change{
+			At:  clock.Moment(settlesFirst + clock.Milliseconds(random.IntN(int(span)/10)*10)),
+			For: clock.Milliseconds(100 + random.IntN(int(longest)/10)*10), Kind: changeKinds[random.IntN(len(changeKinds))],
+			One: random.IntN(options.instances), Other: random.IntN(options.instances),
+		}
+		schedule = append(schedule, drawn)
+		if random.IntN(4) > 0 {
+			continue
+		}
+		for again := range 1 + random.IntN(4) {
+			next := drawn
+			next.At = drawn.At.Add(clock.Milliseconds(again+1) * clock.Milliseconds(10*random.IntN(100)))
+			next.One, next.Other = (drawn.One+again+1)%options.instances, random.IntN(options.instances)
+			if next.At < clock.Moment(options.length-settlesLast) {
+				schedule = append(schedule, next)
+			}
+		}
+	}
+	slices.SortStableFunc(schedule, func(left, right change) int { return cmp.Compare(left.At, right.At) })
+	return schedule
+}
+
+// follow begins and ends changes that are due.
+func (fleet *virtualFleet) follow(now clock.Moment) {
+	before := len(fleet.active)
+	fleet.active = slices.DeleteFunc(fleet.active, func(change change) bool {
+		over := now >= fleet.from(change).Add(change.For)
+		if over && change.Kind == storeDown && change.For >= leaseOfServers {
+			fleet.store.lapse(now)
+		}
+		return over
+	})
+	refresh := len(fleet.active) != before
+	for len(fleet.schedule) > 0 && now >= fleet.from(fleet.schedule[0]) {
+		next := fleet.schedule[0]
+		fleet.schedule = fleet.schedule[1:]
+		if slices.Contains(lastingKinds, next.Kind) {
+			fleet.active = append(fleet.active, next)
+			refresh = true
+			continue
+		}
+		fleet.changeMachines(next, now)
+		fleet.changeStore(next, now)
+	}
+	if refresh {
+		fleet.wire.refresh(fleet.active)
+	}
+	fleet.disturb(now)
+	fleet.store.renew(now)
+}
+
+// from is when a change begins, by the fleet's clock.
+func (fleet *virtualFleet) from(change change) clock.Moment {
+	return change.At.Add(clock.Second)
+}
+
+func (fleet *virtualFleet) changeMachines(change change, now clock.Moment) {
+	machine := fleet.machines[change.One]
+	switch change.Kind {
+	case kill:
+		fleet.restart(machine, now, change.For)
+	case killServing:
+		for _, other := range fleet.machines {
+			if other.process != nil && other.process.controller.members.State() == membership.Serving {
+				fleet.restart(other, now, change.For)
+			}
+		}
+	case powerLoss:
+		for _, other := range fleet.machines {
+			fleet.restart(other, now, change.For+clock.Milliseconds(fleet.random.IntN(50)))
+		}
+	case replace:
+		if change.One >= len(fleet.seeds()) {
+			fleet.restart(machine, now, change.For)
+			machine.generation++
+			fleet.setIdentity(machine)
+		}
+	case stop, suspend:
+		if machine.process != nil {
+			machine.process.freeze(now, change.For, change.Kind == suspend)
+		}
+	case leave:
+		fleet.leave(machine, now, change.For)
+	default:
+	}
+}
+
+func (fleet *virtualFleet) restart(machine *machine, now clock.Moment, after clock.Milliseconds) {
+	fleet.end(machine, now)
+	machine.startAt = now.Add(after)
+}
+
+// Times of leaving: callers are still let in until listenUntil, and requests end until leaveMost.
+const (
+	listenUntil = 2700 * clock.Millisecond
+	leaveMost   = 6 * clock.Second
+)
+
+func (fleet *virtualFleet) leave(machine *machine, now clock.Moment, after clock.Milliseconds) {
+	process := machine.process
+	if process == nil || process.leftAt > 0 {
+		return
+	}
+	// The inbox has room: it is emptied with each step.
+	_ = process.controller.Leave(context.Background())
+	process.leftAt = now
+	process.leavesAt = now.Add(listenUntil + clock.Milliseconds(fleet.random.Float64())*(leaveMost-listenUntil))
+	machine.startAt = process.leavesAt.Add(after)
+}
+
+func (fleet *virtualFleet) changeStore(change change, now clock.Moment) {
+	store := fleet.store
+	held := store.held()
+	var server catalog.Server
+	if len(held) > 0 {
+		server = held[change.One%len(held)]
+	}
+	switch change.Kind {
+	case storeForgets:
+		store.forgotten = store.states[len(store.states)-1].revision
+		store.harmed = now
+	case configure:
+		store.configure()
+	case addServer:
+		store.addServer()
+	case takeOut:
+		store.setOut(fleet.dataCentre(change.One))
+	case drainServer:
+		if server.State == catalog.ServerReady {
+			store.change(server, catalog.ServerLeaving)
+		}
+	case removeServer:
+		if len(held) > 1 {
+			store.change(server, "")
+		}
+	case restartServer:
+		if server.State == catalog.ServerReady {
+			server.Started++
+			store.write(catalog.ServerKey(server.Name), &catalog.Item{Server: &server})
+		}
+	default:
+	}
+}
--- /dev/null
+++ b/internal/fleet/virtual_fleet_test.go
@@ -0,0 +1,238 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing/synctest"
+	"time"
+
+	"github.com/jaywheel/jaywheel/internal/membership"
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
+const (
+	virtualStep = 10 * clock.Millisecond
+	// virtualPort is the first port of instances that take the place of others.
+	virtualPort = 7001
+)
+
+// virtualFleet is a fleet in virtual time: the controllers and catalog readers of all instances, a store, and datagrams
+// between them. It runs in a synctest bubble. Each call of a reader starts and ends at a moment of its own, so that a schedule
+// plays the same way each time.
+type virtualFleet struct {
+	options virtualOptions
+	clock   *clock.Clock
+	store   *virtualStore
+	checks  *checks
+
+	// mutex is held while a step is made, and by calls of readers between steps.
+	mutex     sync.Mutex
+	machines  []*machine
+	byAddress map[netip.AddrPort]*machine
+	random    *rand.Rand
+	schedule  []change
+	active    []change
+	wire      wire
+	steps     int
+	underWay  map[int][]packet
+	datagrams int
+}
+
+// virtualOptions is what a run is made from, besides its schedule.
+type virtualOptions struct {
+	seed        uint64
+	instances   int
+	dataCentres int
+	servers     int
+	length      clock.Milliseconds
+}
+
+// machine is where one instance runs at a time.
+type machine struct {
+	number     int
+	generation int
+	identity   membership.Identity
+	process    *process
+	startAt    clock.Moment
+	// disturbed is when its process or its links were last disturbed, and gone when its last process ended.
+	disturbed clock.Moment
+	gone      clock.Moment
+	held      []packet
+}
+
+type packet struct {
+	to   *machine
+	text []byte
+}
+
+const never = clock.Moment(1e12)
+
+// newVirtualFleet must be called in a bubble.
+func newVirtualFleet(options virtualOptions, schedule []change) *virtualFleet {
+	base := clock.New()
+	fleet := &virtualFleet{
+		options: options, clock: &clock.Clock{Now: func() clock.Moment { return base.Now().Add(clock.Second) }}, schedule: schedule,
+		random: rand.New(rand.NewPCG(options.seed, 7)), byAddress: map[netip.AddrPort]*machine{}, underWay: map[int][]packet{},
+	}
+	fleet.store = newVirtualStore(fleet)
+	fleet.checks = newChecks(fleet)
+	for number := range options.instances {
+		machine := &machine{number: number, startAt: fleet.clock.Now().Add(clock.Milliseconds(fleet.random.IntN(300)))}
+		fleet.machines = append(fleet.machines, machine)
+		fleet.setIdentity(machine)
+	}
+	fleet.wire = newWire(fleet)
+	return fleet
+}
+
+// setIdentity names the machine's next processes.
+func (fleet *virtualFleet) setIdentity(machine *machine) {
+	machine.identity = identity(machine.number)
+	machine.identity.DataCentre = fleet.dataCentre(machine.number)
+	if machine.generation > 0 {
+		machine.identity.Name = settings.InstanceName(fmt.Sprintf("entry-%03d-%d", machine.number, machine.generation))
+		host := netip.MustParseAddrPort(machine.identity.Peer).Addr()
+		machine.identity.Peer = netip.AddrPortFrom(host, uint16(virtualPort+2*machine.generation)).String()
+		machine.identity.Caller = netip.AddrPortFrom(host, uint16(virtualPort+2*machine.generation+1)).String()
+	}
+	if machine.number%7 == 3 {
+		machine.identity.Size *= 4
+	}
+	fleet.byAddress[netip.MustParseAddrPort(machine.identity.Peer)] = machine
+}
+
+func (fleet *virtualFleet) dataCentre(number int) settings.DataCentreName {
+	return settings.DataCentreName(fmt.Sprintf("dc-%d", number%fleet.options.dataCentres))
+}
+
+// seeds are the first machines, at most three.
+func (fleet *virtualFleet) seeds() []netip.AddrPort {
+	var seeds []netip.AddrPort
+	for number := range min(3, fleet.options.instances) {
+		seeds = append(seeds, netip.MustParseAddrPort(identity(number).Peer))
+	}
+	return seeds
+}
+
+// play runs until the time is over or something is wrong.
+func (fleet *virtualFleet) play() *violation {
+	defer fleet.stop()
+	for end := fleet.clock.Now().Add(fleet.options.length); fleet.clock.Now() < end; {
+		time.Sleep(virtualStep.Duration())
+		synctest.Wait()
+		if found := fleet.step(); found != nil {
+			return found
+		}
+	}
+	return nil
+}
+
+func (fleet *virtualFleet) step() *violation {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.steps++
+	now := fleet.clock.Now()
+	fleet.follow(now)
+	arriving := fleet.underWay[fleet.steps]
+	delete(fleet.underWay, fleet.steps)
+	for _, packet := range arriving {
+		packet.to.held = append(packet.to.held, packet)
+	}
+	for _, machine := range fleet.machines {
+		fleet.run(machine, now)
+	}
+	return fleet.checks.check(now)
+}
+
+// run lets a machine do what it does in one step. A request that waited out a pause is placed before anything else happens: the worst
+// order.
+func (fleet *virtualFleet) run(machine *machine, now clock.Moment) {
+	if machine.process == nil && now >= machine.startAt {
+		fleet.start(machine, now)
+	}
+	process := machine.process
+	if process == nil {
+		machine.held = nil
+		return
+	}
+	if process.frozen(now) {
+		machine.disturbed = now
+		return
+	}
+	if process.gate != nil {
+		process.thaw(now)
+	}
+	if now >= process.leavesAt {
+		fleet.end(machine, now)
+		return
+	}
+	if serves := process.controller.members.State(); serves == membership.Serving || serves == membership.Leaving || now >= process.nextProbe {
+		fleet.checks.noteSent(process, process.use(process.time(now)), now)
+	}
+	for _, packet := range machine.held {
+		if message, err := Decode(packet.text); err == nil {
+			process.controller.hear(message)
+		}
+	}
+	machine.held = nil
+	process.takeEvents()
+	process.tick(now)
+}
+
+func (fleet *virtualFleet) start(machine *machine, now clock.Moment) {
+	first := machine.gone == 0 && machine.generation == 0 && now < clock.Moment(5*clock.Second)
+	machine.startAt = never
+	machine.disturbed = now
+	machine.gone = 0
+	machine.process = newProcess(fleet, machine, first)
+}
+
+// end ends a machine's process, whatever it does.
+func (fleet *virtualFleet) end(machine *machine, now clock.Moment) {
+	if machine.process == nil {
+		return
+	}
+	machine.process.stop()
+	machine.process = nil
+	machine.held = nil
+	machine.gone = now
+	machine.disturbed = now
+}
+
+func (fleet *virtualFleet) stop() {
+	fleet.mutex.Lock()
+	for _, machine := range fleet.machines {
+		fleet.end(machine, fleet.clock.Now())
+	}
+	fleet.mutex.Unlock()
+	synctest.Wait()
+}
+
+// send puts a datagram on its way.
+func (fleet *virtualFleet) send(from *machine, to netip.AddrPort, text []byte) {
+	receiver, known := fleet.byAddress[to]
+	if !known || receiver.identity.Peer != to.String() || !fleet.wire.passes(from, receiver) {
+		return
+	}
+	fleet.datagrams++
+	for range fleet.wire.copies(from, receiver) {
+		arrives := fleet.steps + 1 + int(fleet.wire.delay(from, receiver)/virtualStep)
+		fleet.underWay[arrives] = append(fleet.underWay[arrives], packet{to: receiver, text: text})
+	}
+}
+
+// sleep lets virtual time pass, or returns early with the context's error.
+func sleep(ctx context.Context, length clock.Milliseconds) error {
+	timer := time.NewTimer(length.Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/fleet/virtual_process_test.go
@@ -0,0 +1,191 @@
+package fleet
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/jaywheel/jaywheel/internal/backendserver"
+	"github.com/jaywheel/jaywheel/internal/catalog"
+	"github.com/jaywheel/jaywheel/internal/membership"
+	"github.com/jaywheel/jaywheel/internal/metrics"
+	"github.com/jaywheel/jaywheel/internal/sensing"
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
+// process is one run of an instance: a controller that is driven step by step, and a reader that runs by itself.
+type process struct {
+	consumer
+
+	fleet   *virtualFleet
+	machine *machine
+	cancel  context.CancelFunc
+	done    chan struct{}
+	started clock.Moment
+
+	// gate is open when nil; calls of the reader wait for it while the process is frozen. It is guarded by the fleet's mutex.
+	gate       chan struct{}
+	frozenTill clock.Moment
+	suspends   bool
+	frozenAt   clock.Moment
+	// suspended is the time, in whole steps, that the process's clock did not count.
+	suspended atomic.Int64
+
+	nextTick, nextProbe clock.Moment
+	// leftAt is when it was told to leave, leavesAt when it ends for that.
+	leftAt, leavesAt clock.Moment
+	// version and revision are the newest that it has followed.
+	version  catalog.Version
+	revision catalog.Revision
+}
+
+// callTime is the time that half of a call of a reader takes.
+const callTime = 2 * clock.Millisecond
+
+func newProcess(fleet *virtualFleet, machine *machine, first bool) *process {
+	process := &process{fleet: fleet, machine: machine, started: fleet.clock.Now(), leavesAt: never, done: make(chan struct{})}
+	random := rand.New(rand.NewPCG(fleet.random.Uint64(), 1))
+	own := &clock.Clock{Now: func() clock.Moment { return process.time(fleet.clock.Now()) }}
+	registry := metrics.NewRegistry()
+	process.controller = NewController(Options{
+		Self: machine.identity, Incarnation: membership.Incarnation(random.Uint64()), Clock: own, Awake: fleet.clock,
+		Rand: rand.New(rand.NewPCG(random.Uint64(), 1)), Seeds: fleet.seeds(), Servers: backendserver.NewServers(own), Registry: registry,
+		Log: zerolog.Nop(), Bounds: settings.GatewayBounds{ProbesPerSecond: 60, AnswerKeptMost: 5000}, FleetStarts: first,
+		Send:    func(to netip.AddrPort, text []byte) { fleet.send(machine, to, text) },
+		SetJobs: func(jobs []sensing.Job) { process.jobs = jobs },
+	})
+	reader := catalog.NewReader(catalog.Options{
+		Source: fleet.store.source(process), FromPeer: process.fromPeer, Publish: process.controller.ViewRead,
+		Clock: own, Events: new(expvar.Map).Init(), Log: zerolog.Nop(), Jitter: rand.New(rand.NewPCG(random.Uint64(), 2)).Float64,
+	})
+	process.controller.SetFeed(Feed{
+		SetRole: reader.SetRole, Follow: reader.Follow, Refresh: reader.Refresh, Contact: reader.Contact, Failing: reader.Failing,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	process.cancel = cancel
+	go func() {
+		defer close(process.done)
+		_ = reader.Serve(ctx)
+	}()
+	return process
+}
+
+// stop ends the process; its reader ends by itself.
+func (process *process) stop() {
+	process.cancel()
+	if process.gate != nil {
+		close(process.gate)
+		process.gate = nil
+	}
+}
+
+// time is what the process's own clock says.
+func (process *process) time(now clock.Moment) clock.Moment {
+	return now.Add(-clock.Milliseconds(process.suspended.Load()) * virtualStep)
+}
+
+func (process *process) frozen(now clock.Moment) bool {
+	return now < process.frozenTill
+}
+
+// freeze stops the process. A suspended machine's clock stands still as well.
+func (process *process) freeze(now clock.Moment, length clock.Milliseconds, suspends bool) {
+	if process.gate != nil {
+		return
+	}
+	process.gate = make(chan struct{})
+	process.frozenAt, process.frozenTill, process.suspends = now, now.Add(length), suspends
+}
+
+func (process *process) thaw(now clock.Moment) {
+	if process.suspends {
+		process.suspended.Add(int64(now.Since(process.frozenAt) / virtualStep))
+	}
+	close(process.gate)
+	process.gate = nil
+}
+
+// pass waits while the process is frozen, and for the time that half of a call takes, which no two processes end at one moment.
+func (process *process) pass(ctx context.Context, length clock.Milliseconds) error {
+	unlike := clock.Milliseconds(process.machine.number+1) * clock.Millisecond / 1000
+	err := sleep(ctx, length+unlike)
+	for {
+		process.fleet.mutex.Lock()
+		gate := process.gate
+		process.fleet.mutex.Unlock()
+		if gate == nil {
+			return err
+		}
+		<-gate
+	}
+}
+
+var errNoAnswer = errors.New("no answer from a peer")
+
+// fromPeer reads a peer's catalog, as the gateway does over HTTP.
+func (process *process) fromPeer(ctx context.Context, after catalog.Revision) (catalog.Update, error) {
+	if err := process.pass(ctx, callTime); err != nil {
+		return catalog.Update{}, err
+	}
+	address, err := process.controller.FreshPeer(ctx)
+	if passed := process.pass(ctx, callTime); passed != nil || err != nil {
+		return catalog.Update{}, errors.CombineErrors(err, passed)
+	}
+	peer, reached := process.reach(address)
+	if !reached {
+		<-ctx.Done()
+		return catalog.Update{}, ctx.Err()
+	}
+	if peer == nil {
+		return catalog.Update{}, errNoAnswer
+	}
+	update, err := peer.controller.Update(ctx, after)
+	if passed := process.pass(ctx, callTime); passed != nil {
+		return catalog.Update{}, passed
+	}
+	return update, err
+}
+
+// reach finds the process at an address, none if the machine refuses; it is not reached when the way there is cut.
+func (process *process) reach(address netip.AddrPort) (*process, bool) {
+	fleet := process.fleet
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	machine, known := fleet.byAddress[address]
+	if !known || machine.identity.Peer != address.String() || fleet.wire.cut(process.machine, machine) || fleet.wire.cut(machine, process.machine) {
+		return nil, false
+	}
+	return machine.process, true
+}
+
+// takeEvents does what waits for the control goroutine.
+func (process *process) takeEvents() {
+	for {
+		select {
+		case arrived := <-process.controller.inbox:
+			arrived(process.controller)
+		default:
+			return
+		}
+	}
+}
+
+func (process *process) tick(now clock.Moment) {
+	if now >= process.nextTick {
+		process.controller.tick()
+		process.nextTick = now.Add(tickStandby)
+		if process.controller.members.State() == membership.Serving {
+			process.nextTick = now.Add(tickServing)
+		}
+	}
+	if now >= process.nextProbe {
+		process.nextProbe = now.Add(ownedPause)
+		process.probe(process.time(now))
+	}
+}
--- /dev/null
+++ b/internal/fleet/virtual_wire_test.go
@@ -0,0 +1,141 @@
+package fleet
+
+import (
+	"slices"
+
+	"github.com/jaywheel/jaywheel/pkg/clock"
+)
+
+// wire is what happens to datagrams, and to calls between instances, while changes last.
+type wire struct {
+	fleet *virtualFleet
+	ends  []wireEnd
+	// oneWay are the pairs between which nothing passes.
+	oneWay map[[2]int]bool
+	parted bool
+}
+
+// wireEnd is what a machine's links suffer.
+type wireEnd struct {
+	off, storeOff, storeRefuses bool
+	loss, doubled               float64
+	late                        clock.Milliseconds
+	sent                        uint64
+}
+
+// Harm that links suffer.
+const (
+	lossyPart   = 0.3
+	doubledPart = 0.5
+	lateMost    = 300 * clock.Millisecond
+	// usualLoss is lost between any two machines at any time, usualDelay what datagrams take at most.
+	usualLoss  = 0.0
+	usualDelay = 9 * clock.Millisecond
+)
+
+func newWire(fleet *virtualFleet) wire {
+	return wire{fleet: fleet, ends: make([]wireEnd, len(fleet.machines)), oneWay: map[[2]int]bool{}}
+}
+
+// refresh works out anew what links suffer by the changes that last.
+func (wire *wire) refresh(active []change) {
+	clear(wire.oneWay)
+	wire.parted = false
+	for number := range wire.ends {
+		wire.ends[number] = wireEnd{sent: wire.ends[number].sent}
+	}
+	for _, change := range active {
+		end := &wire.ends[change.One]
+		switch change.Kind {
+		case cutOneWay:
+			wire.oneWay[[2]int{change.One, change.Other}] = true
+		case cutOff:
+			end.off, end.storeOff = true, true
+		case partition:
+			wire.parted = true
+		case lossy:
+			end.loss = lossyPart
+		case doubled:
+			end.doubled = doubledPart
+		case late:
+			end.late = lateMost
+		case storeCut:
+			end.storeOff = true
+		case storeRefuses:
+			for number := range wire.ends {
+				wire.ends[number].storeRefuses = wire.ends[number].storeRefuses || refused(change, number)
+			}
+		default:
+		}
+	}
+}
+
+// refused tells which machines a store turns away that refuses some.
+func refused(change change, number int) bool {
+	return (number+change.One)%3 != change.Other%3
+}
+
+// cut reports whether nothing passes from one machine to another.
+func (wire *wire) cut(from, to *machine) bool {
+	half := wire.fleet.options.dataCentres / 2
+	side := func(machine *machine) bool { return machine.number%wire.fleet.options.dataCentres < half }
+	return wire.ends[from.number].off || wire.ends[to.number].off || wire.oneWay[[2]int{from.number, to.number}] ||
+		wire.parted && side(from) != side(to)
+}
+
+// passes decides the fate of the next datagram.
+func (wire *wire) passes(from, to *machine) bool {
+	wire.ends[from.number].sent++
+	loss := max(usualLoss, wire.ends[from.number].loss, wire.ends[to.number].loss)
+	return !wire.cut(from, to) && wire.draw(from, to, 1) >= loss
+}
+
+func (wire *wire) copies(from, to *machine) int {
+	if wire.draw(from, to, 2) < max(wire.ends[from.number].doubled, wire.ends[to.number].doubled) {
+		return 2
+	}
+	return 1
+}
+
+func (wire *wire) delay(from, to *machine) clock.Milliseconds {
+	late := max(usualDelay, wire.ends[from.number].late, wire.ends[to.number].late)
+	return late * clock.Milliseconds(wire.draw(from, to, 3))
+}
+
+// draw is a number from 0 to 1 that depends on the datagram alone, so that a schedule with a change less differs no more than it must.
+func (wire *wire) draw(from, to *machine, salt uint64) float64 {
+	mixed := wire.fleet.options.seed
+	for _, part := range []uint64{uint64(from.number), uint64(to.number), wire.ends[from.number].sent, salt} {
+		mixed = (mixed ^ part) + 0x9e3779b97f4a7c15
+		mixed = (mixed ^ mixed>>30) * 0xbf58476d1ce4e5b9
+		mixed = (mixed ^ mixed>>27) * 0x94d049bb133111eb
+		mixed ^= mixed >> 31
+	}
+	return float64(mixed>>11) / (1 << 53)
+}
+
+// disturb notes which machines, and whether the store, suffer by the changes that last.
+func (fleet *virtualFleet) disturb(now clock.Moment) {
+	for _, change := range fleet.active {
+		switch change.Kind {
+		case partition:
+			for _, machine := range fleet.machines {
+				machine.disturbed = now
+			}
+		case storeRefuses:
+			fleet.store.refusing = now
+		case storeDown, storeSlow, storeLags:
+			fleet.store.harmed = now
+		case cutOneWay:
+			fleet.machines[change.One].disturbed = now
+			fleet.machines[change.Other].disturbed = now
+		default:
+			fleet.machines[change.One].disturbed = now
+		}
+	}
+}
+
+// lasting returns the first change of a kind that lasts.
+func (fleet *virtualFleet) lasting(kind changeKind) bool {
+	return slices.ContainsFunc(fleet.active, func(change change) bool { return change.Kind == kind })
+}
