Don't let the word that an instance is lost go round after its return

Callers saw nothing; for as long as the fleet ran on, serving instances told each other several times a second that one which stands by was lost, and found it again with its next beat. Each beat bore mentions, and the part of the fleet that is seen, which bounds what cold servers get, was too low.

Cause: a serving instance's word that another one is lost was taken when that one had not been heard for 450 ms. Those that stand by speak once a second, to each serving instance at another time; whoever took the word passed it on.

Change: for members that don't serve, the word is taken after 1,450 ms of silence. One that is gone has been silent for 2.2 s at least when it is told of.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -49,8 +49,10 @@
 	// sightToForget is the part of the fleet that must be seen for others to be given up: whoever has lost sight of most is more
 	// likely cut off than alone.
 	sightToForget = 0.5
-	// directlyHeard is how recent a member's own word must be to go before a serving instance's word that it is lost.
+	// directlyHeard is how recent a serving member's own word must be to go before another one's word that it is lost, and
+	// rarelyHeard that of the others, who speak once a second.
 	directlyHeard = 450 * clock.Millisecond
+	rarelyHeard   = standbyEvery + directlyHeard
 	// startsFor is how long after its start an instance decides by itself whether to serve: when all were restarted, nobody
 	// who could call it knows more.
 	startsFor = 1500 * clock.Millisecond
@@ -289,7 +291,7 @@
 			Identity: mention.Identity, Address: address, State: mention.State, known: now, heard: members.creditFor(now, mention.State),
 		})
 		return true
-	case mention.State == Lost && teller == Serving && member.State != Lost && now.Since(member.heard) > directlyHeard:
+	case mention.State == Lost && teller == Serving && member.State != Lost && now.Since(member.heard) > members.hearsayAfter(member):
 		member.State = Lost
 		members.roster.changed()
 		return true
@@ -301,6 +303,15 @@
 	return false
 }
 
+// hearsayAfter is how long a member must be silent for another one's word to be taken that it is lost. If it were less than the time between two of
+// its beats, that word would go round after its return: each that takes it passes it on.
+func (members *Members) hearsayAfter(member *Member) clock.Milliseconds {
+	if member.State == Serving {
+		return directlyHeard
+	}
+	return rarelyHeard
+}
+
 // creditFor is since when a member known by hearsay alone is taken to have been heard.
 func (members *Members) creditFor(now clock.Moment, state State) clock.Moment {
 	if state == Serving {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -416,3 +416,32 @@
 	fleet.run(10 * clock.Second)
 	require.InDelta(t, 1, one.members.Sight(), 0.01)
 }
+
+// A serving instance and one that stands by were cut off and are back. Serving instances hear the latter once a second, each at another time; one
+// that believed another's old word that it is lost would pass that word on, and it would be lost and found again for ever.
+func TestReturnedInstanceIsNotLostAgain(t *testing.T) {
+	for later := range 20 {
+		t.Run(fmt.Sprintf("%d steps later", later), func(t *testing.T) {
+			fleet := newFleet(13, 2, []int{0, 1, 2}, equalSize)
+			fleet.run(8 * clock.Second)
+			off := map[int]bool{}
+			fleet.cut = func(from, to int) bool { return off[from] || off[to] }
+			standby := slices.IndexFunc(fleet.instances, func(instance *simulated) bool { return instance.members.State() == StandingBy })
+			serving := fleet.serving()[0]
+			off[serving] = true
+			fleet.run(clock.Second)
+			off[standby] = true
+			fleet.run(1900 * clock.Millisecond)
+			off[serving] = false
+			fleet.run(clock.Second + clock.Milliseconds(2*later)*simulatedStep)
+			off[standby] = false
+			fleet.run(6 * clock.Second)
+			for range 80 {
+				fleet.run(simulatedStep)
+				for _, number := range fleet.serving() {
+					require.InDelta(t, 1, fleet.instances[number].members.Sight(), 0.001, "instance %d", number)
+				}
+			}
+		})
+	}
+}
