Let those that follow drop what a reader held, when the reader drops it

An instance that stands by took the view of a reader that held servers whose entries might only have lapsed. The reader dropped them 2.5 s after its return, at the same revision, so that nobody who followed it heard: requests of callers with old answers went to a server that had left, until anything else changed in the store. The same for an instance that had read the store for want of others, held such servers itself and followed again: nothing dropped them.

Change: an update says after which time it may hold no more (heldFor, left out when nothing is held); whoever took it asks once more then, and is told little unless the digest differs. One that follows drops its own lapsed entries in time. Of peers with the same revision, one that reads the store is asked first: two that stand by would ask each other.

Tests: TestHeldServerIsDroppedByFollowers, TestHeldServerIsDroppedByOneThatFollowsAgain (the latter seen to fail without its part of the change).

--- /dev/null
+++ b/internal/catalog/held_test.go
@@ -0,0 +1,66 @@
+package catalog
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jaywheel/jaywheel/pkg/clock"
+)
+
+// An instance read the store for want of others, held a server whose entry may only have lapsed, and then follows others again. It must still drop
+// the server in time.
+func TestHeldServerIsDroppedByOneThatFollowsAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bench := newBench(t)
+		bench.reader.SetRole(RoleStandIn)
+		pass(clock.Second)
+		bench.source.setFaults(true, false)
+		pass(8 * clock.Second)
+		bench.source.remove(ServerKey("one"))
+		bench.source.setFaults(false, false)
+		for waited := clock.Milliseconds(0); bench.reader.Failing(); waited += 10 {
+			require.Less(t, waited, 6*clock.Second)
+			pass(10)
+		}
+		pass(100)
+		require.Equal(t, []string{"one", "two"}, bench.names())
+		bench.reader.SetRole(RoleFollow)
+		pass(returnWithin)
+		require.Equal(t, []string{"two"}, bench.names())
+	})
+}
+
+// A peer that reads the store holds a server whose entry may only have lapsed, and drops it later, with no new revision. An instance that took the
+// peer's view while it was held would send to that server until something else changes.
+func TestHeldServerIsDroppedByFollowers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bench := newBench(t)
+		asked := 0
+		held := View{Revision: 7, Configuration: &Configuration{Version: 1}, Servers: []Server{{Name: "one"}, {Name: "two"}}}
+		history := NewHistory()
+		bench.reader.options.FromPeer = func(_ context.Context, after Revision) (Update, error) {
+			asked++
+			view := held
+			var heldFor clock.Milliseconds = 700
+			if bench.reader.options.Clock.Now() >= clock.Moment(1000) {
+				view.Servers = view.Servers[:1]
+				heldFor = 0
+			}
+			history.Note(&view)
+			update := history.Since(after)
+			update.HeldFor = heldFor
+			return update, nil
+		}
+		bench.reader.Follow(7)
+		pass(500)
+		require.Equal(t, []string{"one", "two"}, bench.names())
+		pass(clock.Second)
+		require.Equal(t, []string{"one"}, bench.names())
+		before := asked
+		pass(clock.Minute)
+		require.Equal(t, before, asked, "a peer that holds nothing is not asked again")
+	})
+}
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -43,6 +43,8 @@
 	returnWithin = 2500 * clock.Millisecond
 	// followPause is the least time between two readings of a peer's view.
 	followPause = 100 * clock.Millisecond
+	// heldAgain is the time between two looks at a peer that may have dropped servers which it held.
+	heldAgain = 500 * clock.Millisecond
 	// askPeersAfter is the time without an answer from which peers are asked.
 	askPeersAfter = 600 * clock.Millisecond
 )
@@ -95,8 +97,10 @@
 	out           map[Key]settings.DataCentreName
 	lapsed        map[Key]clock.Moment
 	returned      clock.Moment
-	failures      int
-	problem       string
+	// askAgain is when a peer whose view was taken drops servers that it held, 0 when it held none.
+	askAgain clock.Moment
+	failures int
+	problem  string
 }
 
 // NewReader returns a reader that follows: it reads nothing until it is told to lead or what to follow.
@@ -305,6 +309,7 @@
 		}
 	}
 	reader.revision = snapshot.Revision
+	reader.askAgain = 0
 }
 
 func (reader *Reader) applyChanges(ctx context.Context, changes Changes) error {
@@ -398,6 +403,7 @@
 		view.Servers = append(view.Servers, reader.servers[key])
 	}
 	view.Out = slices.Sorted(maps.Values(reader.out))
+	view.HeldUntil = reader.heldUntil()
 	return view
 }
 
--- a/internal/catalog/update.go
+++ b/internal/catalog/update.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
 
@@ -26,6 +27,9 @@
 	// that they keep after an outage; an update of the one to the view of the other would leave servers behind that nobody
 	// ever removes, and requests would be sent to them.
 	Digest Digest `json:"digest,string"`
+	// HeldFor is the time after which the update may hold no more although nothing changes in the source, 0 when that is not so: some
+	// servers are kept for a while after an outage.
+	HeldFor clock.Milliseconds `json:"heldFor,omitempty"`
 }
 
 // Digest stands for a set of servers.
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -86,6 +86,8 @@
 	Configuration *Configuration            `json:"configuration"`
 	Servers       []Server                  `json:"servers"`
 	Out           []settings.DataCentreName `json:"out"`
+	// HeldUntil is when the first of the servers is dropped whose entries are gone and may only have lapsed, 0 when there is none.
+	HeldUntil clock.Moment `json:"-"`
 }
 
 // IsOut reports whether operators have taken the data centre out.
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -11,6 +11,7 @@
 	"github.com/jaywheel/jaywheel/internal/catalog"
 	"github.com/jaywheel/jaywheel/internal/membership"
 	"github.com/jaywheel/jaywheel/internal/service"
+	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
 
@@ -104,6 +105,7 @@
 			return nil
 		}
 		update := controller.history.Since(after)
+		update.HeldFor = controller.heldFor()
 		return &update
 	})
 	if err != nil {
@@ -115,6 +117,17 @@
 	return *update, nil
 }
 
+// heldLeast is the least time after which a peer asks again for a view with servers that may only have lapsed.
+const heldLeast = 100 * clock.Millisecond
+
+// heldFor is the time after which the view may change although the store's revision does not.
+func (controller *Controller) heldFor() clock.Milliseconds {
+	if controller.view.HeldUntil == 0 {
+		return 0
+	}
+	return max(controller.view.HeldUntil.Since(controller.options.Clock.Now()), heldLeast)
+}
+
 // FreshPeer returns the instance whose view is worth asking for, whether it serves or not: the store may turn away just those
 // that serve. The error is ErrNoPeer.
 func (controller *Controller) FreshPeer(ctx context.Context) (netip.AddrPort, error) {
@@ -129,14 +142,13 @@
 }
 
 // freshPeer is one of the own data centre if that has anything new, since bytes between data centres are charged; another
-// has the newest configuration, or else the newest view of all. Before, the one with the newest view was asked wherever it
-// was, and with changes coming all the time that was mostly elsewhere.
+// has the newest configuration, or else the newest view of all, of a peer that reads the store itself if there is one.
 func (controller *Controller) freshPeer() *membership.Member {
 	var own, best *membership.Member
 	var newest catalog.Version
 	for _, peer := range controller.members.Living() {
 		newest = max(newest, peer.Version)
-		if best == nil || peer.Revision > best.Revision {
+		if best == nil || peer.Revision > best.Revision || peer.Revision == best.Revision && peer.Fresh && !best.Fresh {
 			best = peer
 		}
 		if peer.Identity.DataCentre == controller.options.Self.DataCentre && (own == nil || peer.Revision > own.Revision) {
