Notice at once that the store answers again, and go by peers when only oneself was cut off

A server that had left got requests for more than 2 s after it said so. A reader that was cut off or frozen noted its return only when its first watch ended, up to 2 s late or with the very removal, and held the removed entry 2.5 s from then. One that was read anew because peers knew more took what they had long seen removed for lapsed.

Change: the first watch after a failure does not wait; a reader that was not answered and is to read anew takes a peer's view first. Costs one call more after each failure.

Tests: TestReturnIsNoticedAtOnce, TestReaderThatIsBackGoesByItsPeers, both failed before. Open: a removal in the first half second after a reader's own return is still held for up to 2.5 s.

--- a/internal/catalog/held_test.go
+++ b/internal/catalog/held_test.go
@@ -10,6 +10,45 @@
 	"github.com/jaywheel/jaywheel/pkg/clock"
 )
 
+// A reader was cut off and is back, and nothing changes in the store. If its first watch told only after two seconds, or with the first change, that the
+// store answers, the time for which removed entries are held would begin just then, and a server that has left would get requests for long.
+func TestReturnIsNoticedAtOnce(t *testing.T) {
+	for later := range 10 {
+		synctest.Test(t, func(t *testing.T) {
+			bench := newBench(t)
+			bench.reader.SetRole(RoleLead)
+			pass(clock.Second)
+			bench.source.setFaults(true, false)
+			pass(6*clock.Second + clock.Milliseconds(later)*300)
+			bench.source.setFaults(false, false)
+			pass(watchWait + watchSlack + mostBackoff + 100)
+			require.False(t, bench.reader.Failing())
+		})
+	}
+}
+
+// A reader was cut off alone, a server left meanwhile, and others who were answered have known so for a while. It must go by them, and not take the
+// entry for one that lapsed because the store was away from all.
+func TestReaderThatIsBackGoesByItsPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bench := newBench(t)
+		bench.reader.SetRole(RoleLead)
+		pass(clock.Second)
+		bench.source.setFaults(true, false)
+		pass(7 * clock.Second)
+		require.True(t, bench.reader.Failing())
+		bench.source.remove(ServerKey("one"))
+		bench.source.setFaults(false, false)
+		known := bench.last()
+		bench.mutex.Lock()
+		bench.peer = &View{Revision: known.Revision + 1, Configuration: known.Configuration, Servers: known.Servers[1:]}
+		bench.mutex.Unlock()
+		bench.reader.Refresh()
+		pass(100)
+		require.Equal(t, []string{"two"}, bench.names())
+	})
+}
+
 // An instance read the store for want of others, held a server whose entry may only have lapsed, and then follows others again. It must still drop
 // the server in time.
 func TestHeldServerIsDroppedByOneThatFollowsAgain(t *testing.T) {
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -193,6 +193,10 @@
 			reader.followOnce(ctx, refresh)
 			continue
 		}
+		if refresh && reader.failures > 0 {
+			// What others have seen removed while this instance alone was not answered has not lapsed.
+			reader.readPeer(ctx, false)
+		}
 		if err := reader.step(ctx); err != nil && ctx.Err() == nil {
 			reader.fail(ctx, err)
 		}
@@ -233,8 +237,12 @@
 }
 
 // nextWait is how long the next watch may wait: no longer than until an entry that may only have lapsed is to be dropped. A watch that
-// brings nothing ends much later, and its server would get requests all the while.
+// brings nothing ends much later, and its server would get requests all the while. After a failure it does not wait: it tells whether the source is
+// back.
 func (reader *Reader) nextWait() clock.Milliseconds {
+	if reader.failures > 0 {
+		return shortestWait
+	}
 	wait := watchWait
 	now := reader.options.Clock.Now()
 	for _, until := range reader.lapsed {
