Read the store when all who serve have been silent for 1.5 s

An instance that stands by and is in touch with the store sent to a server for up to 3.2 s after it had left, when all that serve died just after the removal: it followed them until it took them for lost. Design 0003 says 1.5 s since long; the code went by the state alone.

Change: one that stands by reads for itself once no serving instance with a fresh view has spoken for 1.5 s; they speak to it once a second.

Test: TestSilentLeadsAreNotWaitedFor.

Open: readers that are cut off from the store alone and go on telling that their view is fresh bind those who follow for up to 2.8 s.

--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -49,6 +49,10 @@
 	// unledFor is how long an instance that stands by waits for a serving one with a fresh view before it reads for
 	// itself. It is more than what passes until another one has taken over, and less than what binds those who read.
 	unledFor = 600 * clock.Millisecond
+	// silentLead is how long all serving instances with a fresh view may be silent before one that stands by reads for itself. They
+	// speak to it once a second each; that they are gone is known only when they were silent for 3.2 s, and a server that leaves is
+	// to get nothing after 2 s.
+	silentLead = 1500 * clock.Millisecond
 	// startAlone is how long an instance waits for others to tell their view before it reads the store itself, when a whole
 	// fleet starts for the first time. Seeds read at once, but there may be no configuration yet, and a view without one is of no
 	// use to others; callers come some seconds later. After a restart callers wait, and nobody holds back.
--- a/internal/fleet/controller_test.go
+++ b/internal/fleet/controller_test.go
@@ -161,3 +161,31 @@
 		require.ElementsMatch(t, expected, named, testCase.name)
 	}
 }
+
+// All instances that serve die at once, or are cut off. One that stands by follows them, and what they would have told it binds it as well: it must read
+// for itself long before it takes them for lost.
+func TestSilentLeadsAreNotWaitedFor(t *testing.T) {
+	cases := []struct {
+		name   string
+		silent clock.Milliseconds
+		leads  bool
+	}{
+		{"they speak", 0, false},
+		{"a beat is late", clock.Second + 300, false},
+		{"silent", silentLead + tickStandby, true},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			fixture := newStandby(t, 12, 30)
+			fixture.second()
+			fixture.second()
+			require.False(t, fixture.leads)
+			for number := range fixture.serving {
+				fixture.hear(number, membership.Serving, 1)
+			}
+			fixture.pass(testCase.silent)
+			fixture.controller.tick()
+			require.Equal(t, testCase.leads, fixture.leads)
+		})
+	}
+}
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -8,20 +8,8 @@
 // lead decides whether this instance reads the store or follows a peer that does. One that finds no peer with a fresh
 // view reads for itself, since it is bound by what it would have read there.
 func (controller *Controller) lead(now clock.Moment, serves bool) {
-	newest, led := controller.members.Newest()
-	switch {
-	case serves || led:
-		controller.unledFrom = 0
-	case controller.unledFrom == 0:
-		controller.unledFrom = now
-	}
-	role := catalog.RoleFollow
-	switch {
-	case serves || controller.view == nil && controller.startsAlone(now):
-		role = catalog.RoleLead
-	case controller.unledFrom > 0 && now.Since(controller.unledFrom) >= unledFor:
-		role = catalog.RoleStandIn
-	}
+	newest, heard := controller.members.Newest()
+	role := controller.nextRole(now, serves, heard)
 	if role != controller.role {
 		controller.role = role
 		controller.feed.SetRole(role)
@@ -37,6 +25,25 @@
 	}
 }
 
+// nextRole chooses the reader's role. Serving instances with a fresh view were last heard at the given moment, 0 when there are none.
+func (controller *Controller) nextRole(now clock.Moment, serves bool, heard clock.Moment) catalog.Role {
+	switch {
+	case serves || heard > 0:
+		controller.unledFrom = 0
+	case controller.unledFrom == 0:
+		controller.unledFrom = now
+	}
+	silent := heard > 0 && now.Since(heard) >= silentLead
+	switch {
+	case serves || controller.view == nil && controller.startsAlone(now):
+		return catalog.RoleLead
+	case silent || controller.unledFrom > 0 && now.Since(controller.unledFrom) >= unledFor:
+		return catalog.RoleStandIn
+	default:
+		return catalog.RoleFollow
+	}
+}
+
 // startsAlone reports whether this instance, which knows nothing yet, reads the store for want of others who do.
 func (controller *Controller) startsAlone(now clock.Moment) bool {
 	return !controller.options.FleetStarts || controller.isSeed || now.Since(controller.started) >= startAlone
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -453,16 +453,16 @@
 	return members.roster.all
 }
 
-// Newest returns the newest revision that a serving instance has whose view is fresh, and whether there is such an
-// instance.
-func (members *Members) Newest() (catalog.Revision, bool) {
+// Newest returns the newest revision that a serving instance has whose view is fresh, and when such an instance was last heard, 0 if
+// there is none.
+func (members *Members) Newest() (catalog.Revision, clock.Moment) {
 	var newest catalog.Revision
-	found := false
+	var heard clock.Moment
 	for _, peer := range members.Peers() {
 		if peer.Fresh {
-			found = true
 			newest = max(newest, peer.Revision)
+			heard = max(heard, peer.heard)
 		}
 	}
-	return newest, found
+	return newest, heard
 }
