Read a peer's address on the control goroutine

What could be seen: an instance that asks a peer for the catalog might read its address half old and half new when the peer comes back at another one, and ask nobody, or once somebody else. Cause: FreshPeer had the control goroutine choose a member and read the member's address outside of it, while Members.Hear writes it. Change: the address is read where the member is chosen.

--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -131,14 +131,19 @@
 // FreshPeer returns the instance whose view is worth asking for, whether it serves or not: the store may turn away just those
 // that serve. The error is ErrNoPeer.
 func (controller *Controller) FreshPeer(ctx context.Context) (netip.AddrPort, error) {
-	best, err := ask(ctx, controller, (*Controller).freshPeer)
+	address, err := ask(ctx, controller, func(controller *Controller) netip.AddrPort {
+		if best := controller.freshPeer(); best != nil {
+			return best.Address
+		}
+		return netip.AddrPort{}
+	})
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
-	if best == nil {
+	if !address.IsValid() {
 		return netip.AddrPort{}, ErrNoPeer
 	}
-	return best.Address, nil
+	return address, nil
 }
 
 // freshPeer is one of the own data centre if that has anything new, since bytes between data centres are charged; another
