Predict with what a choice's targets share, and allocate nothing for a place

Change: what predictions share is prepared once a choice (prediction.go); a target keeps what is known of its number of slots; records of ended flights are used again; the waiting record is made when a request waits; waiting requests stand in a heap by the moment from which they are late. No decision changes: those that became late are ranked anew in the same order as before.

--- a/internal/service/admission.go
+++ b/internal/service/admission.go
@@ -1,10 +1,7 @@
 package service
 
 import (
-	"container/list"
-
 	"github.com/jaywheel/jaywheel/pkg/clock"
-	"github.com/jaywheel/jaywheel/pkg/settings"
 )
 
 // Admission.
@@ -45,84 +42,9 @@
 	return max(left, leastShare)
 }
 
-// rankedWaiter is a request that waits for a place. The place, or the refusal, arrives on done exactly once.
-type rankedWaiter struct {
-	demand Demand
-	since  clock.Moment
-	until  clock.Moment
-	// latest is when it must start to be in time.
-	latest  clock.Moment
-	done    chan scheduledGrant
-	element *list.Element
-	rank    rank
-}
-
-type scheduledGrant struct {
-	place Place
-	err   error
-}
-
-// rank orders waiting requests: those that can still be in time by priority, then those that will be late by priority.
-// An answer in time is worth ten late ones to the users, so a late one never takes its place.
-type rank int
-
-const ranks = rank(2 * (settings.LowestPriority + 1))
-
-func rankOf(priority settings.Priority, late bool) rank {
-	if late {
-		return rank(priority + settings.LowestPriority + 1)
-	}
-	return rank(priority)
-}
-
-// rankedQueue holds waiting requests by rank.
-type rankedQueue struct {
-	length int
-	lists  [ranks]list.List
-}
-
-func (rankedQueue *rankedQueue) push(waiter *rankedWaiter) {
-	waiter.element = rankedQueue.lists[waiter.rank].PushBack(waiter)
-	rankedQueue.length++
-}
-
-// remove takes waiter out, and reports whether it was still waiting.
-func (rankedQueue *rankedQueue) remove(waiter *rankedWaiter) bool {
-	if waiter.element == nil {
-		return false
-	}
-	rankedQueue.lists[waiter.rank].Remove(waiter.element)
-	waiter.element = nil
-	rankedQueue.length--
-	return true
-}
-
-// ahead returns the number of requests that one of the given rank would wait for.
-func (rankedQueue *rankedQueue) ahead(rank rank) int {
-	ahead := 0
-	for before := range rank + 1 {
-		ahead += rankedQueue.lists[before].Len()
-	}
-	return ahead
-}
-
-// each visits the waiting requests in order until visit returns false. The visited one may be removed.
-func (rankedQueue *rankedQueue) each(visit func(*rankedWaiter) bool) {
-	for index := range rankedQueue.lists {
-		for element := rankedQueue.lists[index].Front(); element != nil; {
-			next := element.Next()
-			waiter, _ := element.Value.(*rankedWaiter)
-			if !visit(waiter) {
-				return
-			}
-			element = next
-		}
-	}
-}
-
 // newWaiter ranks a request.
-func (scheduler *Scheduler) newWaiter(now clock.Moment, demand Demand) *rankedWaiter {
-	waiter := &rankedWaiter{demand: demand, since: now, latest: demand.Aim.Add(-CallerDistance - scheduler.expect(demand.Class).work)}
+func (scheduler *Scheduler) newWaiter(now clock.Moment, demand Demand) rankedWaiter {
+	waiter := rankedWaiter{demand: demand, since: now, latest: demand.Aim.Add(-CallerDistance - scheduler.expect(demand.Class).work)}
 	waiter.until = now.Add(lateWaitMost * demand.Deadline.Since(now))
 	waiter.rank = rankOf(demand.Priority, now > waiter.latest)
 	return waiter
@@ -141,28 +63,16 @@
 	return nil
 }
 
-// late reports whether the request is past the moment at which it should have started.
-func (waiter *rankedWaiter) late() bool {
-	return waiter.rank > rank(settings.LowestPriority)
-}
-
 // demote ranks anew the requests whose moment to start has passed: what is late must not make others late as well. One
 // that would wait long from now on is refused.
 func (scheduler *Scheduler) demote(now clock.Moment) {
-	scheduler.waiting.each(func(waiter *rankedWaiter) bool {
-		if waiter.late() {
-			return false
-		}
-		if now <= waiter.latest {
-			return true
-		}
+	for _, waiter := range scheduler.waiting.overdueAt(now) {
 		scheduler.waiting.remove(waiter)
 		waiter.rank = rankOf(waiter.demand.Priority, true)
 		if err := scheduler.enqueue(now, waiter); err != nil {
 			waiter.done <- scheduledGrant{err: err}
 		}
-		return true
-	})
+	}
 }
 
 // mayStartLate reports whether there is room at all, by what is in flight on targets that are closed for another reason as well.
--- a/internal/service/candidate.go
+++ b/internal/service/candidate.go
@@ -88,9 +88,10 @@
 	coldUntil clock.Moment
 	// ownedFrom is when this instance may start sending to it while it is cold.
 	ownedFrom clock.Moment
-	// coldShare and crowding are the scheduler's.
+	// coldShare and crowding are the scheduler's, crowd is what that knows of targets with as many slots.
 	coldShare *float64
 	crowding  *crowding
+	crowd     *crowd
 	// tokens are the requests that a cold target may get now, filled up at tokensAt.
 	tokens   float64
 	tokensAt clock.Moment
@@ -136,20 +137,22 @@
 }
 
 // takeOff counts a request that starts there as the given one.
-func (candidate *candidate) takeOff(count int) *flight {
-	started := &flight{first: count, peak: count}
+func (candidate *candidate) takeOff(started *flight, count int) {
+	started.first, started.peak = count, count
 	candidate.own++
 	candidate.flights = append(candidate.flights, started)
 	candidate.notePeak(count)
-	return started
 }
 
-// land counts a request that has ended there.
-func (candidate *candidate) land(ended *flight) {
+// land counts a request that has ended there, and reports whether it was known.
+func (candidate *candidate) land(ended *flight) bool {
 	candidate.own--
-	if position := slices.Index(candidate.flights, ended); position >= 0 {
-		candidate.flights = slices.Delete(candidate.flights, position, position+1)
+	position := slices.Index(candidate.flights, ended)
+	if position < 0 {
+		return false
 	}
+	candidate.flights = slices.Delete(candidate.flights, position, position+1)
+	return true
 }
 
 // notePeak tells the requests under way how many there are.
@@ -171,7 +174,7 @@
 
 // room is the number of requests that may be in flight there at once.
 func (candidate *candidate) room() int {
-	return candidate.crowding.of(candidate.offer.Slots).roomNow()
+	return candidate.crowd.roomNow()
 }
 
 // cold reports whether the target bears only its cold rate, or may.
--- a/internal/service/choice.go
+++ b/internal/service/choice.go
@@ -25,14 +25,6 @@
 	crowdCost = 0.15
 )
 
-// finishOn predicts how long a request takes on the target that is the given number of times as long as usual.
-func (scheduler *Scheduler) finishOn(now clock.Moment, candidate *candidate, expected *expectation, times clock.Milliseconds) clock.Milliseconds {
-	finish := scheduler.pace.expected(scheduler.forecast(now, candidate, expected.work*times))
-	taken := float64(candidate.own + candidate.others(now))
-	finish += expected.work * clock.Milliseconds(crowdCost*taken/float64(candidate.room())+failureCosts*candidate.failRate)
-	return finish
-}
-
 // farCostOf is what the target costs for lying elsewhere, on top of the time that a request takes there.
 func farCostOf(candidate *candidate, expected *expectation) clock.Milliseconds {
 	if candidate.offer.Local {
@@ -43,21 +35,21 @@
 
 // best returns the open target with the earliest finish, passing over the one that was tried as long as there is another.
 func (scheduler *Scheduler) best(now clock.Moment, demand Demand, despiteFailures bool) (*candidate, clock.Milliseconds) {
-	expected := scheduler.expect(demand.Class)
+	prediction := scheduler.predict(now, scheduler.expect(demand.Class))
 	var best, tried *candidate
 	var bestFinish, triedFinish, leastCost clock.Milliseconds
 	for _, candidate := range scheduler.ordered {
 		if !candidate.open(now, despiteFailures) {
 			continue
 		}
-		// A little chance keeps instances with the same view from all choosing the same target.
-		finish := scheduler.finishOn(now, candidate, expected, 1)
+		finish, long := prediction.finishOn(candidate)
 		if candidate.Target == demand.Tried {
 			tried, triedFinish = candidate, finish
 			continue
 		}
-		cost := (finish + scheduler.finishOn(now, candidate, expected, longTimes)) * clock.Milliseconds(1+choiceSpread*scheduler.random.Float64())
-		cost += 2 * farCostOf(candidate, expected)
+		// A little chance keeps instances with the same view from all choosing the same target.
+		cost := (finish + long) * clock.Milliseconds(1+choiceSpread*scheduler.random.Float64())
+		cost += 2 * farCostOf(candidate, prediction.expected)
 		if best == nil || cost < leastCost {
 			best, bestFinish, leastCost = candidate, finish, cost
 		}
@@ -75,15 +67,6 @@
 // choiceSpread is the chance in a choice, as a part of the predicted time.
 const choiceSpread = 0.02
 
-// forecast predicts how long work of the given usual length takes on the target.
-func (scheduler *Scheduler) forecast(now clock.Moment, candidate *candidate, work clock.Milliseconds) forecast {
-	slowdown := candidate.slowdownAt(now, scheduler.meanSlowdown)
-	return forecast{
-		kept:     work * clock.Milliseconds(slowdown),
-		followed: candidate.timeFor(now, work, scheduler.meanSlowdown, scheduler.overSpells()),
-	}
-}
-
 // overSpells is how many times longer than usual work takes that lasts for many spells, slow and calm ones.
 func (scheduler *Scheduler) overSpells() float64 {
 	return 1 / scheduler.meanSpeed
--- a/internal/service/learning.go
+++ b/internal/service/learning.go
@@ -127,7 +127,7 @@
 func (scheduler *Scheduler) learn(place Place, held clock.Milliseconds) {
 	known := scheduler.expect(place.demand.Class)
 	known.size += learnWeight * (float64(place.Size) - known.size)
-	crowd := scheduler.crowding.of(place.candidate.offer.Slots)
+	crowd := place.candidate.crowd
 	alone := held / crowd.times(place.flight.first)
 	if !place.calm || known.told >= learntFrom && alone > mostOutlying*known.work {
 		// Slowed down on the way; a slow spell says nothing about the usual time. A guess that is far too low is
@@ -152,7 +152,7 @@
 	if known.told < learntFrom {
 		return
 	}
-	work := known.work * scheduler.crowding.of(place.candidate.offer.Slots).times(place.flight.first)
+	work := known.work * place.candidate.crowd.times(place.flight.first)
 	if told, found := place.candidate.hindsight(place.since, now, work, scheduler.overSpells()); found {
 		scheduler.pace.learn(told, work, held, finished)
 	}
--- a/internal/service/pace.go
+++ b/internal/service/pace.go
@@ -49,7 +49,7 @@
 
 // expected weighs the assumptions.
 func (pace *pace) expected(forecast forecast) clock.Milliseconds {
-	return forecast.followed + clock.Milliseconds(pace.keeping())*(forecast.kept-forecast.followed)
+	return forecast.expected(clock.Milliseconds(pace.keeping()))
 }
 
 // known reports whether enough requests have told.
--- a/internal/service/placing.go
+++ b/internal/service/placing.go
@@ -57,12 +57,14 @@
 	scheduler.started.count(rank)
 	taken := chosen.own + 1 + chosen.others(now)
 	var tried *crowd
-	if room := scheduler.crowding.of(chosen.offer.Slots); taken > room.room {
+	if room := chosen.crowd; taken > room.room {
 		tried = room
 		tried.trials++
 	}
+	started := scheduler.newFlight()
+	chosen.takeOff(started, taken)
 	return Place{
-		flight: chosen.takeOff(taken), tried: tried,
+		flight: started, tried: tried,
 		Target: chosen.Target, scheduler: scheduler, candidate: chosen, demand: demand,
 		Taken: taken, Listed: scheduler.usable, since: now,
 		calm:    chosen.slowdownAt(now, scheduler.meanSlowdown) < slowFrom && !chosen.cold(now),
@@ -70,13 +72,24 @@
 	}
 }
 
+// newFlight returns a record for a request, one of an ended request if there is any.
+func (scheduler *Scheduler) newFlight() *flight {
+	last := len(scheduler.flights) - 1
+	if last < 0 {
+		return &flight{}
+	}
+	ended := scheduler.flights[last]
+	scheduler.flights = scheduler.flights[:last]
+	return ended
+}
+
 // release gives a place back and learns from how the request ended.
 func (scheduler *Scheduler) release(place Place, result Result) {
 	now := scheduler.clock.Now()
 	held := now.Since(place.since)
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
-	place.candidate.land(place.flight)
+	known := place.candidate.land(place.flight)
 	scheduler.own--
 	scheduler.learnPace(now, place, held, result == Succeeded)
 	if place.tried != nil {
@@ -91,5 +104,8 @@
 		place.candidate.fail(now)
 	case Cancelled:
 	}
+	if known {
+		scheduler.flights = append(scheduler.flights, place.flight)
+	}
 	scheduler.serveWaiting(now)
 }
--- a/internal/service/reading.go
+++ b/internal/service/reading.go
@@ -52,22 +52,3 @@
 	fresh := 1 - float64(age/spellLength)
 	return fresh*reading.Slowdown + (1-fresh)*mean
 }
-
-// timeFor predicts how long work of the given usual length takes on the target if it follows its target's pace: the present one until
-// the slowdown may change, and the one over many spells from then on.
-func (candidate *candidate) timeFor(now clock.Moment, work clock.Milliseconds, mean, overSpells float64) clock.Milliseconds {
-	slowdown := candidate.slowdownAt(now, mean)
-	if candidate.cadence.period == 0 {
-		return work * clock.Milliseconds(slowdown)
-	}
-	steady := candidate.cadence.until(now)
-	inSpell := work * clock.Milliseconds(slowdown)
-	if inSpell <= steady {
-		return inSpell
-	}
-	if candidate.cold(now) {
-		overSpells *= coldSlowdown
-	}
-	left := work - steady/clock.Milliseconds(slowdown)
-	return steady + left*clock.Milliseconds(overSpells)
-}
--- a/internal/service/scheduler.go
+++ b/internal/service/scheduler.go
@@ -63,6 +63,8 @@
 	// lastTake is when a request last asked for a place.
 	lastTake clock.Moment
 	started  startShares
+	// flights are the records of ended requests, for those to come.
+	flights []*flight
 	// period is the time between changes of slowness, 0 until it is known; nextSearch is when it is looked for again.
 	period     clock.Milliseconds
 	nextSearch clock.Moment
@@ -137,6 +139,7 @@
 		known.read = false
 	}
 	known.offer = offer
+	known.crowd = known.crowding.of(offer.Slots)
 	if known.Address != offer.Address || known.DataCentre != offer.DataCentre {
 		known.Target = &Target{Name: offer.Name, Address: offer.Address, DataCentre: offer.DataCentre}
 	}
--- a/internal/service/ticket.go
+++ b/internal/service/ticket.go
@@ -12,7 +12,7 @@
 // Ticket is a request that waits for a place. Whoever holds it looks whether there is one, which needs no goroutine of its own.
 type Ticket struct {
 	scheduler *Scheduler
-	waiter    *rankedWaiter
+	waiter    rankedWaiter
 }
 
 // Enter asks for a place without waiting: it returns one, or a ticket, or a *RefusedError.
@@ -26,22 +26,23 @@
 	}
 	waiter := scheduler.newWaiter(now, demand)
 	if scheduler.waiting.ahead(waiter.rank) == 0 {
-		if place, found := scheduler.takeNow(now, waiter); found {
+		if place, found := scheduler.takeNow(now, &waiter); found {
 			return place, nil, nil
 		}
 	}
-	waiter.done = make(chan scheduledGrant, 1)
-	if err := scheduler.enqueue(now, waiter); err != nil {
+	ticket := &Ticket{scheduler: scheduler, waiter: waiter}
+	ticket.waiter.done = make(chan scheduledGrant, 1)
+	if err := scheduler.enqueue(now, &ticket.waiter); err != nil {
 		return Place{}, nil, err
 	}
-	return Place{}, &Ticket{scheduler: scheduler, waiter: waiter}, nil
+	return Place{}, ticket, nil
 }
 
 // Poll returns the place or the refusal, if there is one by now.
 func (ticket *Ticket) Poll() (Place, bool, error) {
 	select {
 	case granted := <-ticket.waiter.done:
-		place, err := ticket.scheduler.granted(ticket.waiter, granted)
+		place, err := ticket.scheduler.granted(&ticket.waiter, granted)
 		return place, true, err
 	default:
 		return Place{}, false, nil
@@ -58,18 +59,18 @@
 func (ticket *Ticket) GiveUp() (Place, error) {
 	scheduler := ticket.scheduler
 	scheduler.mutex.Lock()
-	stillWaiting := scheduler.waiting.remove(ticket.waiter)
+	stillWaiting := scheduler.waiting.remove(&ticket.waiter)
 	comeBack := scheduler.comeBack(scheduler.clock.Now())
 	scheduler.mutex.Unlock()
 	if !stillWaiting {
-		return scheduler.granted(ticket.waiter, <-ticket.waiter.done)
+		return scheduler.granted(&ticket.waiter, <-ticket.waiter.done)
 	}
 	return Place{}, &RefusedError{Cause: ErrQueueWait, ComeBack: comeBack}
 }
 
 // wait blocks until there is a place or a refusal.
 func (ticket *Ticket) wait(ctx context.Context) (Place, error) {
-	scheduler, waiter := ticket.scheduler, ticket.waiter
+	scheduler, waiter := ticket.scheduler, &ticket.waiter
 	timer := time.NewTimer(waiter.until.Since(scheduler.clock.Now()).Duration())
 	defer timer.Stop()
 	var cancelled error
