Choose among many targets from an index, in the same time for any number

Cause: each choice, each look whether anything is open and each count of what is taken walked all targets.

Change: targets are filed by whether they are open, in which data centre, in which part of the period their slowness may change and how many times longer than usual requests take there. They are filed anew when something about them changes; what time alone changes (the end of a spell, readings that fade or turn stale, cold targets that earn a request, avoidance) has a timer. A choice of up to 16 targets compares all of them as before; of more it compares one to each part of a period, the least slow first, and leaves out what can't be better. The chosen one is always asked again whether it is open. Whether any target is open and how much is taken are counts. Lists by level are shared with the Dispatcher. A change of the share of cold targets is paid from the moment of the change, which was the next request before.

--- a/internal/service/admission.go
+++ b/internal/service/admission.go
@@ -83,13 +83,14 @@
 
 // taken is how much of the room on all targets is taken, and how much there is.
 func (scheduler *Scheduler) taken(now clock.Moment) (int, int) {
+	scheduler.refresh(now)
 	taken, room := 0, 0
-	for _, candidate := range scheduler.ordered {
-		if !candidate.offer.Usable || candidate.down {
-			continue
+	for _, crowd := range scheduler.crowding.crowds {
+		each := crowd.roomNow()
+		for count, targets := range crowd.targets {
+			room += targets * each
+			taken += targets * min(count, each)
 		}
-		room += candidate.room()
-		taken += min(candidate.own+candidate.others(now), candidate.room())
 	}
 	return taken, room
 }
--- a/internal/service/baseline.go
+++ b/internal/service/baseline.go
@@ -42,7 +42,10 @@
 // choose picks a target by the policy in force, or returns nil when none takes a request.
 func (dispatcher *Dispatcher) choose(demand Demand) *Target {
 	if dispatcher.policy == PolicyLeastTaken || dispatcher.policy == PolicyDoubleShare {
-		return dispatcher.index.least(dispatcher.random, demand.Tried)
+		if demand.Tried == nil {
+			return dispatcher.index.least(dispatcher.random, nil)
+		}
+		return dispatcher.index.least(dispatcher.random, &demand.Tried.listing)
 	}
 	open := dispatcher.openTargets(demand.Tried)
 	if len(open) == 0 {
--- a/internal/service/candidate.go
+++ b/internal/service/candidate.go
@@ -65,6 +65,8 @@
 
 // candidate is one target of a Scheduler.
 type candidate struct {
+	filing filing
+
 	// Target is who it is. Traffic reads it without the lock, so it is replaced and never changed.
 	*Target
 
@@ -168,8 +170,12 @@
 	if !candidate.read || age > othersFade {
 		return 0
 	}
-	told := max(candidate.reading.Running+candidate.reading.Waiting-candidate.ownAtReading, 0)
-	return int(float64(told)*float64(1-age/othersFade) + 0.5)
+	return int(float64(candidate.othersTold())*float64(1-age/othersFade) + 0.5)
+}
+
+// othersTold is what others had in flight there when it told.
+func (candidate *candidate) othersTold() int {
+	return max(candidate.reading.Running+candidate.reading.Waiting-candidate.ownAtReading, 0)
 }
 
 // room is the number of requests that may be in flight there at once.
@@ -196,8 +202,22 @@
 	return candidate.tokens >= 1
 }
 
+// coldRate is the number of requests a second that this instance may send there while it is cold.
+func (candidate *candidate) coldRate() float64 {
+	return candidate.offer.ColdRate * coldMargin * *candidate.coldShare
+}
+
+// startsAt is when a cold target may get one more request, never if it may already.
+func (candidate *candidate) startsAt(now clock.Moment) clock.Moment {
+	candidate.refill(now)
+	if candidate.tokens >= 1 {
+		return never
+	}
+	return now.Add(clock.Milliseconds((1-candidate.tokens)/candidate.coldRate()) * clock.Second)
+}
+
 func (candidate *candidate) refill(now clock.Moment) {
-	earned := float64(now.Since(candidate.tokensAt)/clock.Second) * candidate.offer.ColdRate * coldMargin * *candidate.coldShare
+	earned := float64(now.Since(candidate.tokensAt)/clock.Second) * candidate.coldRate()
 	candidate.tokens = min(candidate.tokens+earned, coldBurst)
 	candidate.tokensAt = now
 }
@@ -220,10 +240,14 @@
 
 // open reports whether a request may be sent there now.
 func (candidate *candidate) open(now clock.Moment, despiteFailures bool) bool {
+	return candidate.openWith(now, candidate.room(), despiteFailures)
+}
+
+// openWith reports whether a request may be sent there now if the given number may be in flight at once.
+func (candidate *candidate) openWith(now clock.Moment, room int, despiteFailures bool) bool {
 	if !candidate.offer.Usable || candidate.down {
 		return false
 	}
-	room := candidate.room()
 	if !despiteFailures && candidate.inARow >= failuresUntilTrickle || candidate.stale(now) {
 		// Nothing is known of it, or nothing good; one request at a time does no harm and tells more.
 		room = 1
--- a/internal/service/choice.go
+++ b/internal/service/choice.go
@@ -25,39 +25,27 @@
 	crowdCost = 0.15
 )
 
-// farCostOf is what the target costs for lying elsewhere, on top of the time that a request takes there.
-func farCostOf(candidate *candidate, expected *expectation) clock.Milliseconds {
-	if candidate.offer.Local {
-		return 0
-	}
+// farCostOf is what a target in another data centre costs on top of the time that a request takes there.
+func farCostOf(expected *expectation) clock.Milliseconds {
 	return farCost + clock.Milliseconds(expected.size/bytesPerMillisecond)
 }
 
-// best returns the open target with the earliest finish, passing over the one that was tried as long as there is another.
+// best returns the open target with the earliest finish of those compared, passing over the one that was tried as long as there is
+// another.
 func (scheduler *Scheduler) best(now clock.Moment, demand Demand, despiteFailures bool) (*candidate, clock.Milliseconds) {
-	prediction := scheduler.predict(now, scheduler.expect(demand.Class))
-	var best, tried *candidate
-	var bestFinish, triedFinish, leastCost clock.Milliseconds
+	comparison := comparison{
+		scheduler: scheduler, tried: demand.Tried, prediction: scheduler.predict(now, scheduler.expect(demand.Class)),
+	}
+	if len(scheduler.ordered) > compareAll {
+		return comparison.amongMany(despiteFailures)
+	}
 	for _, candidate := range scheduler.ordered {
-		if !candidate.open(now, despiteFailures) {
-			continue
-		}
-		finish, long := prediction.finishOn(candidate)
-		if candidate.Target == demand.Tried {
-			tried, triedFinish = candidate, finish
-			continue
+		if candidate.open(now, despiteFailures) {
+			finish, long := comparison.prediction.finishOn(candidate)
+			comparison.consider(candidate, finish, long, candidate.offer.Local)
 		}
-		// A little chance keeps instances with the same view from all choosing the same target.
-		cost := (finish + long) * clock.Milliseconds(1+choiceSpread*scheduler.random.Float64())
-		cost += 2 * farCostOf(candidate, prediction.expected)
-		if best == nil || cost < leastCost {
-			best, bestFinish, leastCost = candidate, finish, cost
-		}
-	}
-	if best == nil {
-		return tried, triedFinish
 	}
-	return best, bestFinish
+	return comparison.result()
 }
 
 // longTimes is how many times as long as usual a long request of a class takes. Targets are compared by how they would do
@@ -87,8 +75,12 @@
 
 // anyOpen reports whether any target takes a request now that need not wait for it to be calm.
 func (scheduler *Scheduler) anyOpen(now clock.Moment) bool {
-	for _, candidate := range scheduler.ordered {
-		if candidate.open(now, true) && !candidate.slow(now) {
+	scheduler.refresh(now)
+	if scheduler.open.calm > 0 {
+		return true
+	}
+	for _, crowd := range scheduler.crowding.crowds {
+		if crowd.open.calm > 0 && crowd.trying() {
 			return true
 		}
 	}
--- /dev/null
+++ b/internal/service/comparison.go
@@ -0,0 +1,134 @@
+package service
+
+import (
+	"math"
+
+	"github.com/jaywheel/jaywheel/pkg/clock"
+)
+
+// A choice compares all targets of a service with no more than compareAll of them. Of more targets it compares about compareMost in
+// the own data centre and as many elsewhere, so that it takes the same time however many there are. They are spread over all phases:
+// of equally slow targets those are best whose slowness changes last. After compareLeast those are left out that can't be better.
+const (
+	compareAll   = 16
+	compareMost  = 16
+	compareLeast = 4
+)
+
+// levelTimes is how many times longer than usual requests take at least on targets of each level.
+var levelTimes = func() [levels]clock.Milliseconds {
+	var times [levels]clock.Milliseconds
+	for level := range times {
+		times[level] = clock.Milliseconds(math.Exp2(float64(level) / levelsPerDoubling))
+	}
+	return times
+}()
+
+// comparison finds the target with the least cost for a request.
+type comparison struct {
+	scheduler  *Scheduler
+	prediction prediction
+	// tried is passed over as long as there is another.
+	tried       *Target
+	triedBefore *candidate
+	triedFinish clock.Milliseconds
+	best        *candidate
+	bestFinish  clock.Milliseconds
+	leastCost   clock.Milliseconds
+	considered  int
+}
+
+// consider compares an open target with the best one so far, for which the given finishes of a usual and a long request are predicted.
+func (comparison *comparison) consider(candidate *candidate, finish, long clock.Milliseconds, local bool) {
+	if candidate.Target == comparison.tried {
+		comparison.triedBefore, comparison.triedFinish = candidate, finish
+		return
+	}
+	comparison.considered++
+	// A little chance keeps instances with the same view from all choosing the same target.
+	cost := (finish + long) * clock.Milliseconds(1+choiceSpread*comparison.scheduler.random.Float64())
+	if !local {
+		cost += 2 * farCostOf(comparison.prediction.expected)
+	}
+	if comparison.best == nil || cost < comparison.leastCost {
+		comparison.best, comparison.bestFinish, comparison.leastCost = candidate, finish, cost
+	}
+}
+
+// result returns the best target, nil when there is none, and the time until a usual request is finished there.
+func (comparison *comparison) result() (*candidate, clock.Milliseconds) {
+	if comparison.best == nil {
+		return comparison.triedBefore, comparison.triedFinish
+	}
+	return comparison.best, comparison.bestFinish
+}
+
+// amongMany compares some of the targets that are filed as open.
+func (comparison *comparison) amongMany(despiteFailures bool) (*candidate, clock.Milliseconds) {
+	scheduler, now := comparison.scheduler, comparison.prediction.now
+	scheduler.refresh(now)
+	openness := openToAll
+	if despiteFailures {
+		openness = openDespiteFailures
+	}
+	for {
+		comparison.amongOpen(openness)
+		chosen, finish := comparison.result()
+		if chosen == nil || chosen.open(now, despiteFailures) {
+			return chosen, finish
+		}
+		scheduler.file(now, chosen)
+		comparison.best, comparison.triedBefore, comparison.considered = nil, nil, 0
+	}
+}
+
+func (comparison *comparison) amongOpen(openness openness) {
+	scheduler := comparison.scheduler
+	comparison.among(&scheduler.open.near[openness], true)
+	for _, crowd := range scheduler.crowding.crowds {
+		if crowd.trying() {
+			comparison.among(&crowd.open.near[openness], true)
+		}
+	}
+	comparison.among(&scheduler.open.far[openness], false)
+	for _, crowd := range scheduler.crowding.crowds {
+		if crowd.trying() {
+			comparison.among(&crowd.open.far[openness], false)
+		}
+	}
+}
+
+// among compares some targets of each phase, beginning with the one whose slowness may just have changed.
+func (comparison *comparison) among(index *phasedIndex, local bool) {
+	filled := 0
+	for phase := range index {
+		if index[phase].notEmpty != 0 {
+			filled++
+		}
+	}
+	if filled == 0 {
+		return
+	}
+	scheduler, further := comparison.scheduler, clock.Milliseconds(0)
+	if !local {
+		further = 2 * farCostOf(comparison.prediction.expected)
+	}
+	youngest := phaseOf(comparison.prediction.now, scheduler.period)
+	for older := range index {
+		listed := &index[(youngest+len(index)-older)%len(index)]
+		if listed.notEmpty == 0 || comparison.considered >= compareLeast && further+comparison.leastOn(listed) >= comparison.leastCost {
+			continue
+		}
+		scheduler.compared = listed.gather(scheduler.random, scheduler.compared[:0], (compareMost+filled-1)/filled)
+		for _, candidate := range scheduler.compared {
+			finish, long := comparison.prediction.finishAsFiled(candidate)
+			comparison.consider(candidate, finish, long, local)
+		}
+	}
+}
+
+// leastOn is the least cost that a listed target can have.
+func (comparison *comparison) leastOn(listed *levelIndex[candidate]) clock.Milliseconds {
+	times := min(levelTimes[listed.lowest()], clock.Milliseconds(comparison.prediction.overSpells))
+	return (1 + longTimes) * comparison.prediction.expected.work * times
+}
--- a/internal/service/crowding.go
+++ b/internal/service/crowding.go
@@ -11,6 +11,7 @@
 // held it up is not known.
 type crowding struct {
 	bySlots map[int]*crowd
+	crowds  []*crowd
 	// learns says that what requests take tells of the crowd with which they started.
 	learns bool
 }
@@ -26,6 +27,12 @@
 	room int
 	// trials is the number of requests under way beyond that room.
 	trials int
+
+	// targets counts the targets in use by the number of requests there, the last count stands for more as well.
+	targets []int
+	// open lists those that are open only for one request beyond the room, filedRoom is the room by which targets are filed.
+	open      openTargets
+	filedRoom int
 }
 
 // flight is what a request under way sees of its target.
@@ -56,7 +63,7 @@
 	if known, found := crowding.bySlots[slots]; found {
 		return known
 	}
-	fresh := &crowd{crowding: crowding, longer: make([]float64, slots+1), told: make([]int, slots+1)}
+	fresh := &crowd{crowding: crowding, longer: make([]float64, slots+1), told: make([]int, slots+1), targets: make([]int, slots+2)}
 	for count := range fresh.longer {
 		fresh.longer[count] = 1
 		if float64(count) > nearlyFull*float64(slots) && !fresh.uncrowded(count) {
@@ -64,6 +71,8 @@
 		}
 	}
 	fresh.setRoom()
+	fresh.filedRoom = fresh.room
+	crowding.crowds = append(crowding.crowds, fresh)
 	if crowding.bySlots == nil {
 		crowding.bySlots = map[int]*crowd{}
 	}
@@ -98,13 +107,23 @@
 
 // roomNow is the number of requests that may be under way at once: one more than the best as long as it isn't known what that does.
 func (crowd *crowd) roomNow() int {
-	next := crowd.room + 1
-	if crowd.crowding.learns && next < len(crowd.longer) && crowd.told[next] < crowdKnown && crowd.trials < crowdTrials {
-		return next
+	if crowd.trying() {
+		return crowd.next()
 	}
 	return crowd.room
 }
 
+// trying reports whether one request more than the best number may be under way to find out.
+func (crowd *crowd) trying() bool {
+	next := crowd.next()
+	return crowd.crowding.learns && next > crowd.room && crowd.told[next] < crowdKnown && crowd.trials < crowdTrials
+}
+
+// next is one request more than the best number, as far as there are slots.
+func (crowd *crowd) next() int {
+	return min(crowd.room+1, len(crowd.longer)-1)
+}
+
 // times is how many times longer a request takes that starts as the given one.
 func (crowd *crowd) times(count int) clock.Milliseconds {
 	return clock.Milliseconds(crowd.longer[min(max(count, 0), len(crowd.longer)-1)])
--- a/internal/service/dispatcher.go
+++ b/internal/service/dispatcher.go
@@ -109,7 +109,7 @@
 	random    *rand.Rand
 	limits    Limits
 	targets   map[settings.TargetName]*Target
-	index     levelIndex
+	index     levelIndex[Target]
 	live      int
 	listed    int
 	waiting   waitQueue
@@ -159,7 +159,8 @@
 		dispatcher.revive(target, address, dataCentre)
 		return
 	}
-	added := &Target{Name: name, Address: address, DataCentre: dataCentre, level: unlisted}
+	added := &Target{Name: name, Address: address, DataCentre: dataCentre}
+	added.listing = levelEntry[Target]{item: added, level: unlisted}
 	dispatcher.targets[name] = added
 	dispatcher.ordered = append(dispatcher.ordered, added)
 	dispatcher.live++
@@ -228,14 +229,14 @@
 // relist puts target on the list where it now belongs.
 func (dispatcher *Dispatcher) relist(target *Target) {
 	level := target.computeLevel(dispatcher.tricklesTo(target))
-	if (level == unlisted) != (target.level == unlisted) {
+	if (level == unlisted) != (target.listing.level == unlisted) {
 		if level == unlisted {
 			dispatcher.listed--
 		} else {
 			dispatcher.listed++
 		}
 	}
-	dispatcher.index.move(target, level)
+	dispatcher.index.move(&target.listing, level)
 }
 
 // tricklesTo reports whether target has failed so often that it is only tried by one request at a time. When more than
--- /dev/null
+++ b/internal/service/filing.go
@@ -0,0 +1,232 @@
+package service
+
+import (
+	"math"
+
+	"github.com/jaywheel/jaywheel/pkg/clock"
+)
+
+// A choice among many targets compares some of them: those that are open and on which requests are expected to take the least time.
+// Targets are filed for that whenever something that matters has changed: a request starts or ends on them, they tell something, they
+// are offered anew or found to be down. What changes by time alone, such as the end of a spell, has a timer.
+//
+// Filing only says which targets are compared. Whether one is open and how long a request takes there is worked out for each choice.
+
+// filing is where a candidate is filed.
+type filing struct {
+	entry levelEntry[candidate]
+	// outlook and shared are what is predicted from until it is filed anew: they lie beside the entry, so that comparing it touches
+	// little memory.
+	outlook outlook
+	shared  float64
+	// index lists it, nil when it is closed; calm is the count of open targets that aren't slow in which it is contained, nil for none.
+	index *levelIndex[candidate]
+	calm  *int
+	// crowd counts it by the number of requests there, taken, nil while it isn't in use.
+	crowd *crowd
+	taken int
+	// change is when it must be filed anew.
+	change timer[candidate]
+}
+
+// openness is for which requests a target is open.
+type openness int
+
+const (
+	openToAll openness = iota
+	// openDespiteFailures takes requests that find no other target.
+	openDespiteFailures
+	opennesses
+)
+
+// openTargets lists open targets, those of the own data centre and the others.
+type openTargets struct {
+	near, far [opennesses]phasedIndex
+	// calm is the number of them that aren't slow.
+	calm int
+}
+
+// phases is the number of parts of a period by which targets are told apart.
+const phases = 16
+
+// phasedIndex lists targets by the part of a period in which their slowness may change, those of which that isn't known in the last
+// list, and each part by how many times longer than usual requests take there.
+type phasedIndex [phases + 1]levelIndex[candidate]
+
+// phaseOf is the part of a period in which a moment lies.
+func phaseOf(at clock.Moment, period clock.Milliseconds) int {
+	if period == 0 {
+		return phases
+	}
+	turns := float64(at) / float64(period)
+	return min(int((turns-math.Floor(turns))*phases), phases-1)
+}
+
+const (
+	// levelsPerDoubling makes neighbouring levels differ by 4 percent, and the last one begin at 11 times longer than usual.
+	levelsPerDoubling = 18
+	// refileFade is how often a target without a cadence is filed anew while its reading loses its worth.
+	refileFade = spellLength / 4
+	// tiniest keeps a moment that was worked out a rounding error too early from being due again at once.
+	tiniest = 1e-3 * clock.Millisecond
+)
+
+// file files a candidate by what holds now.
+func (scheduler *Scheduler) file(now clock.Moment, candidate *candidate) {
+	filing := &candidate.filing
+	taken := candidate.own + candidate.others(now)
+	filing.outlook = candidate.outlookAt(now, scheduler.meanSlowdown)
+	filing.shared = candidate.sharedBy(taken, candidate.crowd.room)
+	if candidate.offer.Usable && !candidate.down {
+		filing.count(candidate.crowd, taken)
+	} else {
+		filing.count(nil, 0)
+	}
+	open, openness := scheduler.openBy(now, candidate, taken)
+	if open == nil || len(scheduler.ordered) <= compareAll {
+		filing.list(nil, unlisted)
+	} else {
+		index := &open.far[openness]
+		if candidate.offer.Local {
+			index = &open.near[openness]
+		}
+		filing.list(&index[phaseOf(candidate.cadence.boundary, candidate.cadence.period)], filing.level())
+	}
+	if open == nil || candidate.slow(now) {
+		filing.countCalm(nil)
+	} else {
+		filing.countCalm(&open.calm)
+	}
+	if change := candidate.changesAt(now); change == never {
+		scheduler.changes.remove(&filing.change)
+	} else {
+		scheduler.changes.set(&filing.change, max(change, now.Add(tiniest)))
+	}
+}
+
+// fileAll files all candidates anew.
+func (scheduler *Scheduler) fileAll(now clock.Moment) {
+	for _, candidate := range scheduler.ordered {
+		scheduler.file(now, candidate)
+	}
+}
+
+// unfile takes a candidate out that is forgotten.
+func (scheduler *Scheduler) unfile(candidate *candidate) {
+	candidate.filing.list(nil, unlisted)
+	candidate.filing.countCalm(nil)
+	candidate.filing.count(nil, 0)
+	scheduler.changes.remove(&candidate.filing.change)
+}
+
+// refresh files those anew for which time has changed something.
+func (scheduler *Scheduler) refresh(now clock.Moment) {
+	for first := scheduler.changes.due(now); first != nil; first = scheduler.changes.due(now) {
+		scheduler.file(now, first)
+	}
+}
+
+func (filing *filing) list(index *levelIndex[candidate], level int) {
+	if filing.index != nil && filing.index != index {
+		filing.index.remove(&filing.entry)
+	}
+	filing.index = index
+	if index != nil {
+		index.move(&filing.entry, level)
+	}
+}
+
+func (filing *filing) countCalm(calm *int) {
+	if filing.calm == calm {
+		return
+	}
+	if filing.calm != nil {
+		*filing.calm--
+	}
+	if calm != nil {
+		*calm++
+	}
+	filing.calm = calm
+}
+
+func (filing *filing) count(crowd *crowd, taken int) {
+	if crowd != nil {
+		taken = min(max(taken, 0), len(crowd.targets)-1)
+	}
+	if filing.crowd == crowd && filing.taken == taken {
+		return
+	}
+	if filing.crowd != nil {
+		filing.crowd.targets[filing.taken]--
+	}
+	if crowd != nil {
+		crowd.targets[taken]++
+	}
+	filing.crowd, filing.taken = crowd, taken
+}
+
+// openBy returns the list of open targets to which the candidate belongs, nil when it is closed. One that is open only while
+// its crowd finds out about one more request has a list of its own, for that begins and ends with any request.
+func (scheduler *Scheduler) openBy(now clock.Moment, candidate *candidate, taken int) (*openTargets, openness) {
+	crowd := candidate.crowd
+	switch next := crowd.next(); {
+	case !candidate.offer.Usable || candidate.down || taken >= candidate.share(next):
+		return nil, openToAll
+	case candidate.openWith(now, crowd.room, false):
+		return &scheduler.open, openToAll
+	case candidate.openWith(now, next, false):
+		return &crowd.open, openToAll
+	case candidate.openWith(now, crowd.room, true):
+		return &scheduler.open, openDespiteFailures
+	case candidate.openWith(now, next, true):
+		return &crowd.open, openDespiteFailures
+	}
+	return nil, openToAll
+}
+
+// level is by how many times longer than usual requests take there, as they are compared.
+func (filing *filing) level() int {
+	times := float64(filing.outlook.slowdown) + 2/(1+longTimes)*filing.shared
+	if times <= 1 {
+		return 0
+	}
+	return min(int(levelsPerDoubling*math.Log2(times)), levels-1)
+}
+
+// changesAt is the next moment at which the passing of time may change how the candidate is filed.
+func (candidate *candidate) changesAt(now clock.Moment) clock.Moment {
+	next := never
+	until := func(at clock.Moment) {
+		if now < at {
+			next = min(next, at)
+		}
+	}
+	until(candidate.coldUntil)
+	until(candidate.avoidUntil)
+	until(candidate.ownedFrom)
+	if candidate.offer.Owned && now >= candidate.ownedFrom && candidate.cold(now) {
+		next = min(next, candidate.startsAt(now))
+	}
+	if !candidate.read || candidate.stale(now) {
+		return next
+	}
+	read := candidate.reading.At
+	until(read.Add(staleReading + tiniest))
+	if others := candidate.others(now); others > 0 {
+		next = min(next, read.Add(othersFade*clock.Milliseconds(1-(float64(others)-0.5)/float64(candidate.othersTold()))))
+	}
+	cadence := &candidate.cadence
+	if cadence.period == 0 {
+		if faded := read.Add(spellLength); now < faded {
+			next = min(next, faded, now.Add(refileFade))
+		}
+		return next
+	}
+	switch since := cadence.spell(now) - cadence.spell(read); {
+	case since <= 0:
+		until(now.Add(cadence.until(now)))
+	case since == 1:
+		until(now.Add(readingDue - cadence.since(now)))
+	}
+	return next
+}
--- a/internal/service/learning.go
+++ b/internal/service/learning.go
@@ -34,6 +34,7 @@
 		scheduler.meanSpeed += averageWeight * (1/reading.Slowdown - scheduler.meanSpeed)
 	}
 	scheduler.learnCadence(now, known)
+	scheduler.file(now, known)
 	scheduler.serveWaiting(now)
 }
 
--- a/internal/service/placing.go
+++ b/internal/service/placing.go
@@ -63,6 +63,7 @@
 	}
 	started := scheduler.newFlight()
 	chosen.takeOff(started, taken)
+	scheduler.file(now, chosen)
 	return Place{
 		flight: started, tried: tried,
 		Target: chosen.Target, scheduler: scheduler, candidate: chosen, demand: demand,
@@ -104,6 +105,12 @@
 		place.candidate.fail(now)
 	case Cancelled:
 	}
+	if crowd := place.candidate.crowd; crowd.filedRoom == crowd.room {
+		scheduler.file(now, place.candidate)
+	} else {
+		crowd.filedRoom = crowd.room
+		scheduler.fileAll(now)
+	}
 	if known {
 		scheduler.flights = append(scheduler.flights, place.flight)
 	}
--- a/internal/service/rankedqueue.go
+++ b/internal/service/rankedqueue.go
@@ -133,9 +133,9 @@
 // in the queue; the slice is used again by the next call.
 func (rankedQueue *rankedQueue) overdueAt(now clock.Moment) []*rankedWaiter {
 	found := rankedQueue.found[:0]
-	for first := rankedQueue.overdue.first(); first != nil && first.at < now; first = rankedQueue.overdue.first() {
-		rankedQueue.overdue.remove(first)
-		found = append(found, first.item)
+	for first := rankedQueue.overdue.due(now); first != nil && first.latest < now; first = rankedQueue.overdue.due(now) {
+		rankedQueue.overdue.remove(&first.overdue)
+		found = append(found, first)
 	}
 	slices.SortFunc(found, func(left, right *rankedWaiter) int {
 		return cmp.Or(cmp.Compare(left.rank, right.rank), cmp.Compare(left.number, right.number))
--- a/internal/service/scheduler.go
+++ b/internal/service/scheduler.go
@@ -63,6 +63,10 @@
 	// lastTake is when a request last asked for a place.
 	lastTake clock.Moment
 	started  startShares
+	// open lists targets that are open, changes is when time changes how they are filed, compared is used again by each choice.
+	open     openTargets
+	changes  timerQueue[candidate]
+	compared []*candidate
 	// flights are the records of ended requests, for those to come.
 	flights []*flight
 	// period is the time between changes of slowness, 0 until it is known; nextSearch is when it is looked for again.
@@ -107,6 +111,7 @@
 			// A target that comes back while requests are in flight on it keeps their count: a fresh record would start
 			// at zero, and one that is cold again would be given more than it bears.
 			if known.own == 0 {
+				scheduler.unfile(known)
 				delete(scheduler.candidates, known.Name)
 				continue
 			}
@@ -115,6 +120,7 @@
 	}
 	clear(scheduler.ordered[len(remaining):])
 	scheduler.ordered = remaining
+	scheduler.fileAll(now)
 	if scheduler.usable == 0 {
 		scheduler.refuseAll(ErrNoTarget)
 	}
@@ -128,6 +134,8 @@
 			Target: &Target{Name: offer.Name, Address: offer.Address, DataCentre: offer.DataCentre}, tokensAt: now, learningFrom: now,
 			coldShare: &scheduler.coldShare, crowding: &scheduler.crowding,
 		}
+		known.filing.entry = levelEntry[candidate]{item: known, level: unlisted}
+		known.filing.change.item = known
 		scheduler.candidates[offer.Name] = known
 		scheduler.ordered = append(scheduler.ordered, known)
 	}
@@ -138,6 +146,7 @@
 		known.coldUntil = now.Add(offer.ColdFor)
 		known.read = false
 	}
+	known.refill(now)
 	known.offer = offer
 	known.crowd = known.crowding.of(offer.Slots)
 	if known.Address != offer.Address || known.DataCentre != offer.DataCentre {
@@ -177,13 +186,22 @@
 		known.inARow = 0
 		known.avoidUntil = 0
 	}
+	scheduler.file(scheduler.clock.Now(), known)
 }
 
 // SetColdShare changes the part of what cold targets bear that this instance may use, from 0 to 1.
 func (scheduler *Scheduler) SetColdShare(share float64) {
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
+	if share == scheduler.coldShare {
+		return
+	}
+	now := scheduler.clock.Now()
+	for _, known := range scheduler.ordered {
+		known.refill(now)
+	}
 	scheduler.coldShare = share
+	scheduler.fileAll(now)
 }
 
 // Forget drops all readings: after this process stood still, nothing that it knew is worth anything.
@@ -193,6 +211,7 @@
 	for _, known := range scheduler.ordered {
 		known.read = false
 	}
+	scheduler.fileAll(scheduler.clock.Now())
 }
 
 // Busy reports whether a request asked for a place within the given time.
--- a/internal/service/spells.go
+++ b/internal/service/spells.go
@@ -36,8 +36,8 @@
 
 // find returns the spell that began at the given moment, or nil. What is known of the moment moves a little as readings come.
 func (spells *spells) find(from clock.Moment, period clock.Milliseconds) *spell {
-	for index := range spells.kept {
-		known := &spells.kept[index]
+	for back := range spellsKept {
+		known := &spells.kept[(spells.next+spellsKept-1-back)%spellsKept]
 		if apart := known.from.Since(from); known.slowdown > 0 && max(apart, -apart) < period/4 {
 			return known
 		}
--- a/internal/service/target.go
+++ b/internal/service/target.go
@@ -39,8 +39,8 @@
 	// reported is the load that it told of itself, for the baselines that go by it.
 	reported int
 
-	level    int
-	position int
+	// listing is where it stands among the targets by the share of places taken.
+	listing levelEntry[Target]
 }
 
 // TargetLimit is what the control goroutine decides about a target.
--- a/internal/service/timers.go
+++ b/internal/service/timers.go
@@ -2,28 +2,30 @@
 
 import "github.com/jaywheel/jaywheel/pkg/clock"
 
-// timer is a moment at which something is due for an item.
+// timer is something that is due for an item at a moment.
 type timer[T any] struct {
 	item *T
-	at   clock.Moment
 	// place is its index in the queue plus one, 0 while it isn't queued.
 	place int
 }
 
 // timerQueue is a binary heap of timers, the earliest first.
-type timerQueue[T any] []*timer[T]
+type timerQueue[T any] []timerAt[T]
+
+type timerAt[T any] struct {
+	at    clock.Moment
+	timer *timer[T]
+}
 
 // set queues a timer for the given moment, or moves it there.
 func (timerQueue *timerQueue[T]) set(timer *timer[T], at clock.Moment) {
-	if timer.place > 0 && timer.at == at {
-		return
-	}
-	timer.at = at
 	if timer.place == 0 {
-		*timerQueue = append(*timerQueue, timer)
+		*timerQueue = append(*timerQueue, timerAt[T]{})
 		timer.place = len(*timerQueue)
+	} else if (*timerQueue)[timer.place-1].at == at {
+		return
 	}
-	timerQueue.sift(timer)
+	timerQueue.sift(timer.place-1, timerAt[T]{at: at, timer: timer})
 }
 
 // remove takes a timer out, if it is queued.
@@ -33,30 +35,27 @@
 	}
 	queue := *timerQueue
 	last := queue[len(queue)-1]
-	queue[len(queue)-1] = nil
+	queue[len(queue)-1] = timerAt[T]{}
 	*timerQueue = queue[:len(queue)-1]
-	if last != timer {
-		(*timerQueue)[timer.place-1] = last
-		last.place = timer.place
-		timerQueue.sift(last)
+	if last.timer != timer {
+		timerQueue.sift(timer.place-1, last)
 	}
 	timer.place = 0
 }
 
-// first returns the earliest timer, or nil.
-func (timerQueue *timerQueue[T]) first() *timer[T] {
-	if len(*timerQueue) == 0 {
+// due returns the item of the earliest timer if its moment has come, or nil.
+func (timerQueue timerQueue[T]) due(now clock.Moment) *T {
+	if len(timerQueue) == 0 || timerQueue[0].at > now {
 		return nil
 	}
-	return (*timerQueue)[0]
+	return timerQueue[0].timer.item
 }
 
-// sift moves a timer up or down to where its moment belongs.
-func (timerQueue timerQueue[T]) sift(timer *timer[T]) {
-	index := timer.place - 1
+// sift puts a timer that is to stand at the given index higher or lower, as its moment asks.
+func (timerQueue timerQueue[T]) sift(index int, sifted timerAt[T]) {
 	for index > 0 {
 		above := (index - 1) / 2
-		if timerQueue[above].at <= timer.at {
+		if timerQueue[above].at <= sifted.at {
 			break
 		}
 		timerQueue.put(index, timerQueue[above])
@@ -70,16 +69,16 @@
 		if right := below + 1; right < len(timerQueue) && timerQueue[right].at < timerQueue[below].at {
 			below = right
 		}
-		if timerQueue[below].at >= timer.at {
+		if timerQueue[below].at >= sifted.at {
 			break
 		}
 		timerQueue.put(index, timerQueue[below])
 		index = below
 	}
-	timerQueue.put(index, timer)
+	timerQueue.put(index, sifted)
 }
 
-func (timerQueue timerQueue[T]) put(index int, timer *timer[T]) {
-	timerQueue[index] = timer
-	timer.place = index + 1
+func (timerQueue timerQueue[T]) put(index int, put timerAt[T]) {
+	timerQueue[index] = put
+	put.timer.place = index + 1
 }
