Compare fewer targets, and file what a request changes only

A choice looked at a target of each part of a period also where none could be better by more than the chance in a choice, and a target was filed in full when a request had started or ended there, although its slowness and its timers stay the same. What is known of a class was looked up five times for each request.

Change: lists of parts of a period have a bit each; the least cost of a list counts the pace that requests keep; a place holds what is known of its class. In the benchmark a request seems to have been under way for 100 ms when it ends: with none, the usual work was learnt as nothing and all targets cost the same.

--- a/internal/service/admission.go
+++ b/internal/service/admission.go
@@ -44,7 +44,8 @@
 
 // newWaiter ranks a request.
 func (scheduler *Scheduler) newWaiter(now clock.Moment, demand Demand) rankedWaiter {
-	waiter := rankedWaiter{demand: demand, since: now, latest: demand.Aim.Add(-CallerDistance - scheduler.expect(demand.Class).work)}
+	expected := scheduler.expect(demand.Class)
+	waiter := rankedWaiter{demand: demand, expected: expected, since: now, latest: demand.Aim.Add(-CallerDistance - expected.work)}
 	waiter.until = now.Add(lateWaitMost * demand.Deadline.Since(now))
 	waiter.rank = rankOf(demand.Priority, now > waiter.latest)
 	return waiter
--- a/internal/service/choice.go
+++ b/internal/service/choice.go
@@ -32,9 +32,9 @@
 
 // best returns the open target with the earliest finish of those compared, passing over the one that was tried as long as there is
 // another.
-func (scheduler *Scheduler) best(now clock.Moment, demand Demand, despiteFailures bool) (*candidate, clock.Milliseconds) {
+func (scheduler *Scheduler) best(now clock.Moment, expected *expectation, tried *Target, despiteFailures bool) (*candidate, clock.Milliseconds) {
 	comparison := comparison{
-		scheduler: scheduler, tried: demand.Tried, prediction: scheduler.predict(now, scheduler.expect(demand.Class)),
+		scheduler: scheduler, tried: tried, prediction: scheduler.predict(now, expected),
 	}
 	if len(scheduler.ordered) > compareAll {
 		return comparison.amongMany(despiteFailures)
@@ -62,9 +62,9 @@
 
 // choose picks the target for a request, or nil when none is open or when it is better off waiting for a calm one.
 func (scheduler *Scheduler) choose(now clock.Moment, waiter *rankedWaiter) *candidate {
-	chosen, finish := scheduler.best(now, waiter.demand, false)
+	chosen, finish := scheduler.best(now, waiter.expected, waiter.demand.Tried, false)
 	if chosen == nil {
-		chosen, _ = scheduler.best(now, waiter.demand, true)
+		chosen, _ = scheduler.best(now, waiter.expected, waiter.demand.Tried, true)
 		return chosen
 	}
 	if chosen.slow(now) && scheduler.betterLater(now, waiter, chosen, finish) {
--- a/internal/service/comparison.go
+++ b/internal/service/comparison.go
@@ -2,13 +2,15 @@
 
 import (
 	"math"
+	"math/bits"
 
 	"github.com/jaywheel/jaywheel/pkg/clock"
 )
 
 // A choice compares all targets of a service with no more than compareAll of them. Of more targets it compares about compareMost in
 // the own data centre and as many elsewhere, so that it takes the same time however many there are. They are spread over all phases:
-// of equally slow targets those are best whose slowness changes last. After compareLeast those are left out that can't be better.
+// of equally slow targets those are best whose slowness changes last. After compareLeast those are left out that can't be
+// better by more than the chance in a choice.
 const (
 	compareAll   = 16
 	compareMost  = 16
@@ -55,6 +57,11 @@
 	}
 }
 
+func (comparison *comparison) considerFiled(candidate *candidate, local bool) {
+	finish, long := comparison.prediction.finishAsFiled(candidate)
+	comparison.consider(candidate, finish, long, local)
+}
+
 // result returns the best target, nil when there is none, and the time until a usual request is finished there.
 func (comparison *comparison) result() (*candidate, clock.Milliseconds) {
 	if comparison.best == nil {
@@ -100,35 +107,38 @@
 
 // among compares some targets of each phase, beginning with the one whose slowness may just have changed.
 func (comparison *comparison) among(index *phasedIndex, local bool) {
-	filled := 0
-	for phase := range index {
-		if index[phase].notEmpty != 0 {
-			filled++
-		}
-	}
-	if filled == 0 {
+	if index.notEmpty == 0 {
 		return
 	}
+	most := (compareMost + bits.OnesCount32(index.notEmpty) - 1) / bits.OnesCount32(index.notEmpty)
 	scheduler, further := comparison.scheduler, clock.Milliseconds(0)
 	if !local {
 		further = 2 * farCostOf(comparison.prediction.expected)
 	}
-	youngest := phaseOf(comparison.prediction.now, scheduler.period)
-	for older := range index {
-		listed := &index[(youngest+len(index)-older)%len(index)]
-		if listed.notEmpty == 0 || comparison.considered >= compareLeast && further+comparison.leastOn(listed) >= comparison.leastCost {
-			continue
-		}
-		scheduler.compared = listed.gather(scheduler.random, scheduler.compared[:0], (compareMost+filled-1)/filled)
-		for _, candidate := range scheduler.compared {
-			finish, long := comparison.prediction.finishAsFiled(candidate)
-			comparison.consider(candidate, finish, long, local)
+	// Those of the youngest phase and the older ones come first, then the others from the highest number on.
+	upTo := uint32(2)<<phaseOf(comparison.prediction.now, scheduler.period) - 1
+	for _, remaining := range [...]uint32{index.notEmpty & upTo, index.notEmpty &^ upTo} {
+		for ; remaining != 0; remaining &^= 1 << (bits.Len32(remaining) - 1) {
+			listed := &index.lists[bits.Len32(remaining)-1]
+			if comparison.considered >= compareLeast && further+comparison.leastOn(listed)*(1+choiceSpread) >= comparison.leastCost {
+				continue
+			}
+			if most == 1 {
+				comparison.considerFiled(listed.any(scheduler.random), local)
+				continue
+			}
+			scheduler.compared = listed.gather(scheduler.random, scheduler.compared[:0], most)
+			for _, candidate := range scheduler.compared {
+				comparison.considerFiled(candidate, local)
+			}
 		}
 	}
 }
 
-// leastOn is the least cost that a listed target can have.
+// leastOn is the least cost that a listed target can have: as slow as it is for requests that keep that, soon as slow as usual for others.
 func (comparison *comparison) leastOn(listed *levelIndex[candidate]) clock.Milliseconds {
-	times := min(levelTimes[listed.lowest()], clock.Milliseconds(comparison.prediction.overSpells))
-	return (1 + longTimes) * comparison.prediction.expected.work * times
+	prediction := &comparison.prediction
+	kept := levelTimes[listed.lowest()]
+	followed := min(kept, clock.Milliseconds(prediction.overSpells))
+	return (1 + longTimes) * prediction.expected.work * (followed + prediction.keeping*(kept-followed))
 }
--- a/internal/service/dispatcher.go
+++ b/internal/service/dispatcher.go
@@ -93,7 +93,7 @@
 	// scheduler and candidate stand in place of dispatcher on a place that a Scheduler gave.
 	scheduler *Scheduler
 	candidate *candidate
-	demand    Demand
+	expected  *expectation
 	calm      bool
 	// flight is what the request sees of its target while it is under way.
 	flight *flight
--- a/internal/service/exhaustive_test.go
+++ b/internal/service/exhaustive_test.go
@@ -98,7 +98,7 @@
 	demand := upheaval.demand()
 	scheduler.random = rand.New(rand.NewPCG(seed, seed))
 	expected := exhaustive.best(demand, false)
-	found, finish := scheduler.best(now, demand, false)
+	found, finish := scheduler.best(now, scheduler.expect(demand.Class), demand.Tried, false)
 	if expected == nil && found == nil {
 		require.Equal(upheaval, exhaustive.best(demand, true) == nil, upheaval.despite(demand) == nil, "any open despite failures")
 		return
@@ -116,7 +116,7 @@
 }
 
 func (upheaval *upheaval) despite(demand Demand) *candidate {
-	found, _ := upheaval.scheduler.best(upheaval.clock.Now(), demand, true)
+	found, _ := upheaval.scheduler.best(upheaval.clock.Now(), upheaval.scheduler.expect(demand.Class), demand.Tried, true)
 	require.True(upheaval, found == nil || found.offer.Usable && !found.down && found.open(upheaval.clock.Now(), true), "open despite failures")
 	return found
 }
--- a/internal/service/filing.go
+++ b/internal/service/filing.go
@@ -19,8 +19,10 @@
 	// little memory.
 	outlook outlook
 	shared  float64
+	slow    bool
 	// index lists it, nil when it is closed; calm is the count of open targets that aren't slow in which it is contained, nil for none.
-	index *levelIndex[candidate]
+	index *phasedIndex
+	phase int
 	calm  *int
 	// crowd counts it by the number of requests there, taken, nil while it isn't in use.
 	crowd *crowd
@@ -51,7 +53,11 @@
 
 // phasedIndex lists targets by the part of a period in which their slowness may change, those of which that isn't known in the last
 // list, and each part by how many times longer than usual requests take there.
-type phasedIndex [phases + 1]levelIndex[candidate]
+type phasedIndex struct {
+	// notEmpty has a bit for each list that holds any.
+	notEmpty uint32
+	lists    [phases + 1]levelIndex[candidate]
+}
 
 // phaseOf is the part of a period in which a moment lies.
 func phaseOf(at clock.Moment, period clock.Milliseconds) int {
@@ -74,8 +80,20 @@
 // file files a candidate by what holds now.
 func (scheduler *Scheduler) file(now clock.Moment, candidate *candidate) {
 	filing := &candidate.filing
-	taken := candidate.own + candidate.others(now)
 	filing.outlook = candidate.outlookAt(now, scheduler.meanSlowdown)
+	filing.slow = candidate.slow(now)
+	scheduler.fileTaken(now, candidate)
+	if change := candidate.changesAt(now); change == never {
+		scheduler.changes.remove(&filing.change)
+	} else {
+		scheduler.changes.set(&filing.change, max(change, now.Add(tiniest)))
+	}
+}
+
+// fileTaken files a candidate of which nothing has changed but how many requests are there. One that is cold also needs a timer.
+func (scheduler *Scheduler) fileTaken(now clock.Moment, candidate *candidate) {
+	filing := &candidate.filing
+	taken := candidate.own + candidate.others(now)
 	filing.shared = candidate.sharedBy(taken, candidate.crowd.room)
 	if candidate.offer.Usable && !candidate.down {
 		filing.count(candidate.crowd, taken)
@@ -83,24 +101,32 @@
 		filing.count(nil, 0)
 	}
 	open, openness := scheduler.openBy(now, candidate, taken)
-	if open == nil || len(scheduler.ordered) <= compareAll {
-		filing.list(nil, unlisted)
-	} else {
-		index := &open.far[openness]
-		if candidate.offer.Local {
-			index = &open.near[openness]
-		}
-		filing.list(&index[phaseOf(candidate.cadence.boundary, candidate.cadence.period)], filing.level())
+	switch {
+	case open == nil || len(scheduler.ordered) <= compareAll:
+		filing.list(nil, 0)
+	case candidate.offer.Local:
+		filing.list(&open.near[openness], phaseOf(candidate.cadence.boundary, candidate.cadence.period))
+	default:
+		filing.list(&open.far[openness], phaseOf(candidate.cadence.boundary, candidate.cadence.period))
 	}
-	if open == nil || candidate.slow(now) {
+	if open == nil || filing.slow {
 		filing.countCalm(nil)
 	} else {
 		filing.countCalm(&open.calm)
 	}
-	if change := candidate.changesAt(now); change == never {
-		scheduler.changes.remove(&filing.change)
-	} else {
-		scheduler.changes.set(&filing.change, max(change, now.Add(tiniest)))
+}
+
+// fileEnded files a candidate on which a request has ended, and all if that has changed how many a target runs well.
+func (scheduler *Scheduler) fileEnded(now clock.Moment, candidate *candidate, result Result) {
+	crowd := candidate.crowd
+	switch {
+	case crowd.filedRoom != crowd.room:
+		crowd.filedRoom = crowd.room
+		scheduler.fileAll(now)
+	case result == Failed:
+		scheduler.file(now, candidate)
+	default:
+		scheduler.fileTaken(now, candidate)
 	}
 }
 
@@ -113,7 +139,7 @@
 
 // unfile takes a candidate out that is forgotten.
 func (scheduler *Scheduler) unfile(candidate *candidate) {
-	candidate.filing.list(nil, unlisted)
+	candidate.filing.list(nil, 0)
 	candidate.filing.countCalm(nil)
 	candidate.filing.count(nil, 0)
 	scheduler.changes.remove(&candidate.filing.change)
@@ -126,13 +152,24 @@
 	}
 }
 
-func (filing *filing) list(index *levelIndex[candidate], level int) {
-	if filing.index != nil && filing.index != index {
-		filing.index.remove(&filing.entry)
+// list puts the candidate on the list of the phase, or on none.
+func (filing *filing) list(index *phasedIndex, phase int) {
+	if filing.index != nil && (filing.index != index || filing.phase != phase) {
+		filing.index.move(filing.phase, &filing.entry, unlisted)
 	}
-	filing.index = index
+	filing.index, filing.phase = index, phase
 	if index != nil {
-		index.move(&filing.entry, level)
+		index.move(phase, &filing.entry, filing.level())
+	}
+}
+
+func (phasedIndex *phasedIndex) move(phase int, entry *levelEntry[candidate], level int) {
+	list := &phasedIndex.lists[phase]
+	list.move(entry, level)
+	if list.notEmpty == 0 {
+		phasedIndex.notEmpty &^= 1 << phase
+	} else {
+		phasedIndex.notEmpty |= 1 << phase
 	}
 }
 
--- a/internal/service/learning.go
+++ b/internal/service/learning.go
@@ -126,7 +126,7 @@
 
 // learn takes the time of a request that started on a calm target as the usual one, but for what others on the target made of it.
 func (scheduler *Scheduler) learn(place Place, held clock.Milliseconds) {
-	known := scheduler.expect(place.demand.Class)
+	known := place.expected
 	known.size += learnWeight * (float64(place.Size) - known.size)
 	crowd := place.candidate.crowd
 	alone := held / crowd.times(place.flight.first)
@@ -149,7 +149,7 @@
 // learnPace takes the time of a request to tell whether requests keep the pace at which they start. The usual work of a class must be
 // known for it.
 func (scheduler *Scheduler) learnPace(now clock.Moment, place Place, held clock.Milliseconds, finished bool) {
-	known := scheduler.expect(place.demand.Class)
+	known := place.expected
 	if known.told < learntFrom {
 		return
 	}
--- a/internal/service/levels.go
+++ b/internal/service/levels.go
@@ -61,6 +61,18 @@
 	return bits.TrailingZeros64(levelIndex.notEmpty)
 }
 
+// any returns an item of the lowest level at random, or nil.
+func (levelIndex *levelIndex[T]) any(random *rand.Rand) *T {
+	if levelIndex.notEmpty == 0 {
+		return nil
+	}
+	list := levelIndex.lists[levelIndex.lowest()]
+	if len(list) == 1 {
+		return list[0].item
+	}
+	return list[random.IntN(len(list))].item
+}
+
 // gather appends items of the lowest levels, the given number at most, from a random position on where a list has more of them.
 func (levelIndex *levelIndex[T]) gather(random *rand.Rand, gathered []*T, most int) []*T {
 	for remaining := levelIndex.notEmpty; remaining != 0 && most > 0; remaining &= remaining - 1 {
--- a/internal/service/patience.go
+++ b/internal/service/patience.go
@@ -1,9 +1,6 @@
 package service
 
-import (
-	"github.com/jaywheel/jaywheel/pkg/clock"
-	"github.com/jaywheel/jaywheel/pkg/settings"
-)
+import "github.com/jaywheel/jaywheel/pkg/clock"
 
 // A request that would start on a slow target can wait for a calm one instead. Where requests keep the pace at which they start,
 // one that starts slow takes a place for several times as long: with a quarter of the targets slow at any moment, half of all
@@ -61,12 +58,11 @@
 	if now.Add(wait) >= waiter.until {
 		return now.Add(finish) > waiter.demand.Deadline
 	}
-	return finish > waitGain*(wait+scheduler.calmFinish(waiter.demand.Class))
+	return finish > waitGain*(wait+scheduler.calmFinish(waiter.expected.work))
 }
 
-// calmFinish is how long a request of the class takes that starts when a target has just turned calm.
-func (scheduler *Scheduler) calmFinish(class settings.ClassName) clock.Milliseconds {
-	work := scheduler.expect(class).work
+// calmFinish is how long a request of the given usual length takes that starts when a target has just turned calm.
+func (scheduler *Scheduler) calmFinish(work clock.Milliseconds) clock.Milliseconds {
 	spell := spellLength
 	if scheduler.period > 0 {
 		spell = scheduler.period
--- a/internal/service/placing.go
+++ b/internal/service/placing.go
@@ -10,11 +10,12 @@
 	if scheduler.waiting.length > 0 || !scheduler.mayStartLate(now) {
 		return Place{}, false
 	}
-	best, finish := scheduler.best(now, demand, false)
-	if best == nil || best.Target == demand.Tried || finish > 2*scheduler.expect(demand.Class).work {
+	expected := scheduler.expect(demand.Class)
+	best, finish := scheduler.best(now, expected, demand.Tried, false)
+	if best == nil || best.Target == demand.Tried || finish > 2*expected.work {
 		return Place{}, false
 	}
-	return scheduler.bind(now, best, demand, rankOf(demand.Priority, false)), true
+	return scheduler.bind(now, best, expected, rankOf(demand.Priority, false)), true
 }
 
 // Slow reports whether the request at the place takes long: its target was slow when it started, or has slowed down since where
@@ -45,12 +46,13 @@
 	if chosen == nil {
 		return Place{}, false
 	}
-	return scheduler.bind(now, chosen, waiter.demand, waiter.rank), true
+	return scheduler.bind(now, chosen, waiter.expected, waiter.rank), true
 }
 
 // bind takes a place on the chosen target.
-func (scheduler *Scheduler) bind(now clock.Moment, chosen *candidate, demand Demand, rank rank) Place {
-	if chosen.cold(now) {
+func (scheduler *Scheduler) bind(now clock.Moment, chosen *candidate, expected *expectation, rank rank) Place {
+	cold := chosen.cold(now)
+	if cold {
 		chosen.tokens--
 	}
 	scheduler.own++
@@ -63,12 +65,16 @@
 	}
 	started := scheduler.newFlight()
 	chosen.takeOff(started, taken)
-	scheduler.file(now, chosen)
+	if cold {
+		scheduler.file(now, chosen)
+	} else {
+		scheduler.fileTaken(now, chosen)
+	}
 	return Place{
 		flight: started, tried: tried,
-		Target: chosen.Target, scheduler: scheduler, candidate: chosen, demand: demand,
+		Target: chosen.Target, scheduler: scheduler, candidate: chosen, expected: expected,
 		Taken: taken, Listed: scheduler.usable, since: now,
-		calm:    chosen.slowdownAt(now, scheduler.meanSlowdown) < slowFrom && !chosen.cold(now),
+		calm:    !cold && chosen.slowdownAt(now, scheduler.meanSlowdown) < slowFrom,
 		Reading: chosen.reading,
 	}
 }
@@ -105,12 +111,7 @@
 		place.candidate.fail(now)
 	case Cancelled:
 	}
-	if crowd := place.candidate.crowd; crowd.filedRoom == crowd.room {
-		scheduler.file(now, place.candidate)
-	} else {
-		crowd.filedRoom = crowd.room
-		scheduler.fileAll(now)
-	}
+	scheduler.fileEnded(now, place.candidate, result)
 	if known {
 		scheduler.flights = append(scheduler.flights, place.flight)
 	}
--- a/internal/service/rankedqueue.go
+++ b/internal/service/rankedqueue.go
@@ -24,8 +24,10 @@
 // rankedWaiter is a request that waits for a place. The place, or the refusal, arrives on done exactly once.
 type rankedWaiter struct {
 	demand Demand
-	since  clock.Moment
-	until  clock.Moment
+	// expected is what is known of its class.
+	expected *expectation
+	since    clock.Moment
+	until    clock.Moment
 	// latest is when it must start to be in time.
 	latest clock.Moment
 	done   chan scheduledGrant
--- a/internal/service/scheduler_bench_test.go
+++ b/internal/service/scheduler_bench_test.go
@@ -25,6 +25,8 @@
 const (
 	benchPeriod = 150 * clock.Millisecond
 	benchSlots  = 4
+	// benchHeld is how long a request seems to have been under way when it ends.
+	benchHeld = 100 * clock.Millisecond
 	// benchStep is the time between two requests, in nanoseconds.
 	benchStep = 20_000
 	// benchTell is the number of requests after which those targets tell whose slowness may have changed meanwhile.
@@ -142,6 +144,7 @@
 				if ticket != nil || err != nil {
 					b.Fatal("no place")
 				}
+				place.since = place.since.Add(-benchHeld)
 				place.Release(Succeeded)
 				fleet.pause(b, count)
 			}
@@ -197,6 +200,7 @@
 						b.Error("no place")
 						return
 					}
+					place.since = place.since.Add(-benchHeld)
 					place.Release(Succeeded)
 				}
 			})
