Keep the count of requests in flight when a target's address changes

Seen while reading: candidates used the count of their Target, which is replaced when the address changes. The requests in flight were forgotten, the target got as many more, and when they ended the count went below zero, so that it got more than fits from then on; its record was never dropped.

Change: a candidate has a count of its own; fields that each choice needs stand together.

--- a/internal/service/candidate.go
+++ b/internal/service/candidate.go
@@ -63,46 +63,48 @@
 	takeoverWait = 2500 * clock.Millisecond
 )
 
-// candidate is one target of a Scheduler.
+// candidate is one target of a Scheduler. Fields that each choice needs come first.
 type candidate struct {
 	filing filing
 
 	// Target is who it is. Traffic reads it without the lock, so it is replaced and never changed.
 	*Target
 
-	offer Offer
+	// own counts the requests under way from here, flights holds them.
+	own     int
+	flights []*flight
+	// ownAtReading is what this instance itself had in flight there at the reading.
+	ownAtReading int
+	// coldShare and crowding are the scheduler's, crowd is what that knows of targets with as many slots.
+	coldShare *float64
+	crowding  *crowding
+	crowd     *crowd
 	// reading is the newest one, read tells whether there is any.
 	reading Reading
 	read    bool
-	// cadence is when its slowness may change.
-	cadence cadence
 	// tells says that it has told its load at least once.
 	tells bool
-	// spells is how slow it was of late.
-	spells spells
-	// learningFrom is since when it is probed densely to learn that.
-	learningFrom clock.Moment
-	// flights are the requests under way from here.
-	flights []*flight
-	// ownAtReading is what this instance itself had in flight there then.
-	ownAtReading int
+	// down says that probes find nobody there.
+	down bool
 	// coldUntil is when it is warm.
 	coldUntil clock.Moment
 	// ownedFrom is when this instance may start sending to it while it is cold.
 	ownedFrom clock.Moment
-	// coldShare and crowding are the scheduler's, crowd is what that knows of targets with as many slots.
-	coldShare *float64
-	crowding  *crowding
-	crowd     *crowd
 	// tokens are the requests that a cold target may get now, filled up at tokensAt.
 	tokens   float64
 	tokensAt clock.Moment
-	// down says that probes find nobody there.
-	down bool
 	// avoidUntil, inARow and failRate follow from failures.
 	avoidUntil clock.Moment
 	inARow     int
 	failRate   float64
+
+	// cadence is when its slowness may change.
+	cadence cadence
+	offer   Offer
+	// spells is how slow it was of late.
+	spells spells
+	// learningFrom is since when it is probed densely to learn that.
+	learningFrom clock.Moment
 }
 
 // observe takes a reading unless a newer one is known.
