Wait for no multiplexed connection without a request while draining

What was seen: a connection on HTTP/2 on which no request had come held up an instance that leaves until the time for it was over, or until the connection had been idle for too long; with `serve` that is up to 2 minutes. Its caller was not told that the instance goes away. Cause: a connection was known as multiplexed only from its first request on. Until then it was waited for like one that is within a request. Change: the first line tells. Evidence: TestDrainWaitsForNoMultiplexedConnection failed (deadline exceeded after 5 s) and passes.

--- a/internal/caller/connection.go
+++ b/internal/caller/connection.go
@@ -32,7 +32,14 @@
 // begin notes that a request is being handled.
 func (guardedConnection *guardedConnection) begin(request *http.Request) {
 	guardedConnection.pending.Store(false)
-	if request.ProtoMajor > 1 && !guardedConnection.multiplexed.Swap(true) {
+	if request.ProtoMajor > 1 {
+		guardedConnection.multiplex()
+	}
+}
+
+// multiplex notes that the connection carries several requests at once; the server ends it, not its listener.
+func (guardedConnection *guardedConnection) multiplex() {
+	if !guardedConnection.multiplexed.Swap(true) {
 		guardedConnection.forget()
 	}
 }
@@ -49,6 +56,10 @@
 	if count > 0 {
 		guardedConnection.pending.Store(true)
 	}
+	if guardedConnection.guard.sawPreface {
+		// A request may never come on it.
+		guardedConnection.multiplex()
+	}
 	return count, err
 }
 
--- a/internal/caller/drain_test.go
+++ b/internal/caller/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -198,3 +199,22 @@
 		})
 	}
 }
+
+// Guards against a multiplexed connection without a request that holds up an instance that leaves.
+func TestDrainWaitsForNoMultiplexedConnection(t *testing.T) {
+	drained := newDrained(t)
+	connection := drained.dial(t)
+	_, err := io.WriteString(connection, "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\x00\x04\x00\x00\x00\x00\x00")
+	require.NoError(t, err)
+	// The server's settings, the window, and its word that it has read those of the caller.
+	const acknowledgement = "\x00\x00\x00\x04\x01\x00\x00\x00\x00"
+	var received []byte
+	for !bytes.Contains(received, []byte(acknowledgement)) {
+		next, err := connection.reader.ReadByte()
+		require.NoError(t, err)
+		received = append(received, next)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	require.NoError(t, drained.listener.Drain(ctx))
+}
--- a/internal/caller/headguard.go
+++ b/internal/caller/headguard.go
@@ -10,6 +10,9 @@
 
 const lengthHeader = "content-length"
 
+// preface is the first line on a connection that carries several requests at once.
+const preface = "PRI * HTTP/2.0"
+
 var errAmbiguousFraming = errors.New("the request gives its length in two ways")
 
 // headGuard notices a request head that holds a Content-Length. The standard library takes that header out of a
@@ -22,9 +25,11 @@
 	scanning  bool
 	loose     bool
 	sawLength bool
-	lines     int
-	prefix    [len(lengthHeader) + 1]byte
-	prefixed  int
+	// sawPreface says that the first line was the preface.
+	sawPreface bool
+	lines      int
+	prefix     [len(lengthHeader) + 1]byte
+	prefixed   int
 }
 
 // restart prepares for the next request on the connection.
@@ -62,6 +67,7 @@
 	headGuard.prefixed = 0
 	if len(line) > 0 {
 		headGuard.lines++
+		headGuard.sawPreface = headGuard.sawPreface || headGuard.lines == 1 && string(line) == preface
 		name, _, hasColon := bytes.Cut(line, []byte(":"))
 		headGuard.sawLength = headGuard.sawLength || hasColon && bytes.EqualFold(name, []byte(lengthHeader))
 		return
