--- /dev/null
+++ b/internal/fleet/virtual_cases_test.go
@@ -0,0 +1,60 @@
+package fleet
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jaywheel/jaywheel/pkg/clock"
+)
+
+// Schedules that once failed, made as short as they still failed. Each is named by what went wrong.
+func TestVirtualFleetCases(t *testing.T) {
+	cases := []struct {
+		name                            string
+		seed                            uint64
+		instances, dataCentres, servers int
+		schedule                        []change
+	}{
+		{"all who serve die after a server was removed", 25, 5, 2, 6, []change{
+			{At: 7640, Kind: removeServer, One: 1},
+			{At: 8220, For: 2005, Kind: killServing},
+		}},
+		{"all who serve die before a server is drained", 162, 10, 1, 6, []change{
+			{At: 11260, For: 2360, Kind: killServing},
+			{At: 11420, Kind: drainServer, One: 2},
+		}},
+		{"a reader that was frozen holds what others saw removed", 200, 13, 1, 6, []change{
+			{At: 14900, For: 2500, Kind: stop, One: 3},
+			{At: 18300, Kind: removeServer},
+		}},
+		{"a reader that was cut off holds what others saw removed", 26, 6, 2, 6, []change{
+			{At: 8100, For: 1910, Kind: storeCut},
+			{At: 9580, Kind: removeServer},
+		}},
+		{"nobody tells that held servers were dropped", 221, 9, 1, 6, []change{
+			{At: 15020, For: 2620, Kind: storeDown},
+			{At: 19860, Kind: removeServer},
+			{At: 20170, Kind: removeServer, One: 8},
+		}},
+		{"one that follows again keeps what it held", 283, 12, 1, 6, []change{
+			{At: 10290, For: 1405, Kind: storeLags, One: 9},
+			{At: 11190, Kind: removeServer},
+			{At: 11560, For: 3840, Kind: storeDown},
+		}},
+		{"the word that one is lost goes round", 248, 13, 2, 6, []change{
+			{At: 11210, For: 2535, Kind: storeSlow, One: 4},
+			{At: 12080, For: 2900, Kind: cutOff, One: 10},
+			{At: 13070, For: 2900, Kind: cutOff, One: 11},
+		}},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			t.Parallel()
+			result := playVirtual(t, virtualOptions{
+				seed: testCase.seed, instances: testCase.instances, dataCentres: testCase.dataCentres, servers: testCase.servers, length: 30 * clock.Second,
+			}, testCase.schedule)
+			require.Nil(t, result.violation)
+		})
+	}
+}
