Explore every order of a few changes to a small fleet

Missing: seeds draw only some orders.

Change: TestVirtualFleetExplored plays every sequence of changes, one a second, to 3 instances in 2 data centres (all serve) and 4 in one (one stands by), each with 2 servers, against the same checks, and prints schedules, steps, states and what was abstracted away. A short run takes kill, stop, leave, cutOff and removeServer at depth 2 for the first and all 41 changes at depth 1 for the second; -virtual.depth takes all changes at any depth.

--- a/internal/fleet/virtual_change_test.go
+++ b/internal/fleet/virtual_change_test.go
@@ -48,6 +48,7 @@
 
 // Changes to what the store holds.
 const (
+	nothing       changeKind = "nothing"
 	configure     changeKind = "configure"
 	drainServer   changeKind = "drainServer"
 	removeServer  changeKind = "removeServer"
--- /dev/null
+++ b/internal/fleet/virtual_explore_test.go
@@ -0,0 +1,147 @@
+package fleet
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"github.com/jaywheel/jaywheel/pkg/clock"
+)
+
+var exploreDepth = flag.Int("virtual.depth", 0, "number of changes in a row that are explored in every order, 0 for a short run")
+
+// Times of an exploration: changes begin exploreFrom after the start, one in each exploreEvery.
+const (
+	exploreFrom  = 3 * clock.Second
+	exploreEvery = clock.Second
+	// noteEvery is how many steps pass between two looks at the fleet's state.
+	noteEvery = 5
+)
+
+// alphabet is the changes that may happen in one second.
+func alphabet(instances int) []change {
+	list := []change{{Kind: nothing}, {Kind: storeDown, For: exploreEvery}, {Kind: configure}, {Kind: removeServer}, {Kind: powerLoss, For: exploreEvery / 4}}
+	for one := range instances {
+		list = append(list,
+			change{Kind: kill, One: one, For: exploreEvery / 4}, change{Kind: stop, One: one, For: exploreEvery}, change{Kind: leave, One: one, For: exploreEvery / 4},
+			change{Kind: cutOff, One: one, For: exploreEvery}, change{Kind: storeCut, One: one, For: exploreEvery}, change{Kind: late, One: one, For: exploreEvery},
+		)
+		for other := range instances {
+			if other != one {
+				list = append(list, change{Kind: cutOneWay, One: one, Other: other, For: exploreEvery})
+			}
+		}
+	}
+	return list
+}
+
+// explored is what an exploration has seen. Two states are the same when each instance has the same role, view and owners, and names the same addresses.
+type explored struct {
+	depth     int
+	changes   []change
+	mutex     sync.Mutex
+	schedules int
+	steps     int
+	states    map[string]bool
+}
+
+// Every order of a few changes to a small fleet, of which seeds draw only some, must leave it as the checks say.
+func TestVirtualFleetExplored(t *testing.T) {
+	scopes := []struct {
+		name                            string
+		instances, dataCentres, servers int
+		// depth and kinds are those of a short run; others take changes of all kinds.
+		depth int
+		kinds []changeKind
+	}{
+		{"all serve", 3, 2, 2, 2, []changeKind{nothing, removeServer, kill, stop, leave, cutOff}},
+		{"one stands by", 4, 1, 2, 1, nil},
+	}
+	for _, scope := range scopes {
+		t.Run(scope.name, func(t *testing.T) {
+			if *exploreDepth > 0 {
+				scope.depth, scope.kinds = *exploreDepth, nil
+			}
+			options := virtualOptions{
+				seed: 1, instances: scope.instances, dataCentres: scope.dataCentres, servers: scope.servers,
+				length: exploreFrom + clock.Milliseconds(scope.depth)*exploreEvery + settledIn + 2*clock.Second,
+			}
+			changes := slices.DeleteFunc(alphabet(scope.instances), func(change change) bool {
+				return scope.kinds != nil && !slices.Contains(scope.kinds, change.Kind)
+			})
+			explored := &explored{depth: scope.depth, changes: changes, states: map[string]bool{}}
+			t.Run("first", func(t *testing.T) {
+				for _, first := range changes {
+					t.Run(first.String(), func(t *testing.T) {
+						t.Parallel()
+						explored.extend(t, options, []change{first})
+					})
+				}
+			})
+			t.Logf("%d instances, %d data centres, %d servers: %d schedules of depth %d out of %d changes, %d steps, %d states", scope.instances, scope.dataCentres,
+				scope.servers, explored.schedules, scope.depth, len(changes), explored.steps, len(explored.states))
+			t.Log("abstracted: changes begin once a second and last a second; datagrams of one second are lost or late together; requests end after 50 ms")
+		})
+	}
+}
+
+// extend plays all schedules that begin with the given changes.
+func (explored *explored) extend(t *testing.T, options virtualOptions, schedule []change) {
+	if len(schedule) < explored.depth {
+		for _, next := range explored.changes {
+			explored.extend(t, options, append(append([]change(nil), schedule...), next))
+		}
+		return
+	}
+	for index := range schedule {
+		schedule[index].At = clock.Moment(exploreFrom + clock.Milliseconds(index)*exploreEvery)
+	}
+	var found *violation
+	synctest.Test(t, func(*testing.T) {
+		fleet := newVirtualFleet(options, schedule)
+		fleet.checks.list = append(fleet.checks.list, namedCheck{"state", func(clock.Moment) string {
+			if fleet.steps%noteEvery == 0 {
+				explored.note(fleet.state())
+			}
+			return ""
+		}})
+		found = fleet.play()
+	})
+	explored.mutex.Lock()
+	explored.schedules++
+	explored.mutex.Unlock()
+	if found != nil {
+		failVirtual(t, options, schedule, found)
+	}
+}
+
+func (explored *explored) note(state string) {
+	explored.mutex.Lock()
+	defer explored.mutex.Unlock()
+	explored.steps += noteEvery
+	explored.states[state] = true
+}
+
+// state is the fleet's as far as an exploration tells states apart.
+func (fleet *virtualFleet) state() string {
+	var text strings.Builder
+	for _, machine := range fleet.machines {
+		process := machine.process
+		if process == nil {
+			text.WriteString("off;")
+			continue
+		}
+		controller := process.controller
+		fmt.Fprintf(&text, "%s %d %t %v ", controller.members.State(), controller.role, process.gate != nil, controller.owners)
+		if controller.view != nil {
+			fmt.Fprintf(&text, "%d %d ", controller.view.Revision, len(controller.view.Servers))
+		}
+		addresses, _ := controller.Addresses()
+		fmt.Fprintf(&text, "%v;", addresses)
+	}
+	return text.String()
+}
