Cut the simulated fleet into up to four parts, and draw denser schedules

Missing: a partition cut a fleet in two by data centres, and not at all where there is one; two owners stay within what cold servers bear whatever they do.

Change: partitions have two to four parts; every fourth seed has four times the changes.

--- a/internal/fleet/virtual_change_test.go
+++ b/internal/fleet/virtual_change_test.go
@@ -85,12 +85,19 @@
 	longest      = 5 * clock.Second
 )
 
+// denseEvery is how many seeds there are for one in which so much happens that the fleet never comes to rest.
+const denseEvery = 4
+
 // newSchedule draws changes for a run. Some come in a row, as when instances are restarted one after the other.
 func newSchedule(options virtualOptions) []change {
 	random := rand.New(rand.NewPCG(options.seed, 11))
 	span := options.length - settlesFirst - settlesLast
 	var schedule []change
-	for range 2 + random.IntN(10) {
+	count := 2 + random.IntN(10)
+	if options.seed%denseEvery == 0 {
+		count *= 4
+	}
+	for range count {
 		drawn := change{
 			At:  clock.Moment(settlesFirst + clock.Milliseconds(random.IntN(int(span)/10)*10)),
 			For: clock.Milliseconds(100 + random.IntN(int(longest)/10)*10), Kind: changeKinds[random.IntN(len(changeKinds))],
--- a/internal/fleet/virtual_wire_test.go
+++ b/internal/fleet/virtual_wire_test.go
@@ -12,7 +12,8 @@
 	ends  []wireEnd
 	// oneWay are the pairs between which nothing passes.
 	oneWay map[[2]int]bool
-	parted bool
+	// parts is into how many parts the fleet is cut, by data centre if there are enough; 0 when it is whole.
+	parts int
 }
 
 // wireEnd is what a machine's links suffer.
@@ -40,7 +41,7 @@
 // refresh works out anew what links suffer by the changes that last.
 func (wire *wire) refresh(active []change) {
 	clear(wire.oneWay)
-	wire.parted = false
+	wire.parts = 0
 	for number := range wire.ends {
 		wire.ends[number] = wireEnd{sent: wire.ends[number].sent}
 	}
@@ -52,7 +53,7 @@
 		case cutOff:
 			end.off, end.storeOff = true, true
 		case partition:
-			wire.parted = true
+			wire.parts = 2 + change.Other%3
 		case lossy:
 			end.loss = lossyPart
 		case doubled:
@@ -77,10 +78,16 @@
 
 // cut reports whether nothing passes from one machine to another.
 func (wire *wire) cut(from, to *machine) bool {
-	half := wire.fleet.options.dataCentres / 2
-	side := func(machine *machine) bool { return machine.number%wire.fleet.options.dataCentres < half }
 	return wire.ends[from.number].off || wire.ends[to.number].off || wire.oneWay[[2]int{from.number, to.number}] ||
-		wire.parted && side(from) != side(to)
+		wire.parts > 0 && wire.part(from) != wire.part(to)
+}
+
+func (wire *wire) part(machine *machine) int {
+	number := machine.number
+	if wire.fleet.options.dataCentres >= wire.parts {
+		number %= wire.fleet.options.dataCentres
+	}
+	return number % wire.parts
 }
 
 // passes decides the fate of the next datagram.
