Let the parallel benchmark of choice find a calm target for each processor

Cause: 32 places of 20 targets are taken before, up to 8 more at once, and some 35 are on calm targets; a request that finds only slow ones waits. Not a fault of the choice: that something open and calm is found is checked at each step of TestChoiceIsAsGoodAsExhaustive. Change: 0.2 of what fits is taken before.

--- a/internal/service/scheduler_bench_test.go
+++ b/internal/service/scheduler_bench_test.go
@@ -185,12 +185,13 @@
 	b.StartTimer()
 }
 
-// BenchmarkSchedulerChoiceParallel measures the calm case from all processors at once, which share one mutex.
+// BenchmarkSchedulerChoiceParallel measures the same from all processors at once, which share one mutex. With 0.2 of what fits in flight each
+// of them finds a calm target also among 20.
 func BenchmarkSchedulerChoiceParallel(b *testing.B) {
 	for _, targets := range []int{20, 200, 920} {
 		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
 			fleet := newBenchFleet(targets)
-			fleet.fill(b, 0.4)
+			fleet.fill(b, 0.2)
 			b.ReportAllocs()
 			b.ResetTimer()
 			b.RunParallel(func(loop *testing.PB) {
