Pass over all targets elsewhere when none can be better

Each list of targets in the other data centres was looked at, although what their distance costs alone made them worse than the best one at home.

--- a/internal/service/comparison.go
+++ b/internal/service/comparison.go
@@ -107,20 +107,21 @@
 
 // among compares some targets of each phase, beginning with the one whose slowness may just have changed.
 func (comparison *comparison) among(index *phasedIndex, local bool) {
-	if index.notEmpty == 0 {
-		return
-	}
-	most := (compareMost + bits.OnesCount32(index.notEmpty) - 1) / bits.OnesCount32(index.notEmpty)
-	scheduler, further := comparison.scheduler, clock.Milliseconds(0)
+	further := clock.Milliseconds(0)
 	if !local {
 		further = 2 * farCostOf(comparison.prediction.expected)
 	}
+	if index.notEmpty == 0 || comparison.settled(further, 0) {
+		return
+	}
+	scheduler := comparison.scheduler
+	most := (compareMost + bits.OnesCount32(index.notEmpty) - 1) / bits.OnesCount32(index.notEmpty)
 	// Those of the youngest phase and the older ones come first, then the others from the highest number on.
 	upTo := uint32(2)<<phaseOf(comparison.prediction.now, scheduler.period) - 1
 	for _, remaining := range [...]uint32{index.notEmpty & upTo, index.notEmpty &^ upTo} {
 		for ; remaining != 0; remaining &^= 1 << (bits.Len32(remaining) - 1) {
 			listed := &index.lists[bits.Len32(remaining)-1]
-			if comparison.considered >= compareLeast && further+comparison.leastOn(listed)*(1+choiceSpread) >= comparison.leastCost {
+			if comparison.settled(further, listed.lowest()) {
 				continue
 			}
 			if most == 1 {
@@ -135,10 +136,15 @@
 	}
 }
 
-// leastOn is the least cost that a listed target can have: as slow as it is for requests that keep that, soon as slow as usual for others.
-func (comparison *comparison) leastOn(listed *levelIndex[candidate]) clock.Milliseconds {
+// settled reports whether enough were compared and targets of the level can't be better by more than the chance in a choice. What they cost
+// at least is as slow as they are for requests that keep that, and soon as slow as usual for others.
+func (comparison *comparison) settled(further clock.Milliseconds, level int) bool {
+	if comparison.considered < compareLeast {
+		return false
+	}
 	prediction := &comparison.prediction
-	kept := levelTimes[listed.lowest()]
+	kept := levelTimes[level]
 	followed := min(kept, clock.Milliseconds(prediction.overSpells))
-	return (1 + longTimes) * prediction.expected.work * (followed + prediction.keeping*(kept-followed))
+	least := (1 + longTimes) * prediction.expected.work * (followed + prediction.keeping*(kept-followed))
+	return further+(1+choiceSpread)*least >= comparison.leastCost
 }
