--- a/internal/httppart/httppart_test.go
+++ b/internal/httppart/httppart_test.go
@@ -16,8 +16,7 @@
 	waitTick = time.Millisecond
 )
 
-// Guards against requests that are dropped on connections from before the part was started again, because only the newest listener is
-// drained.
+// Guards against requests that are dropped on connections from before the part was started again.
 func TestShutdownDrainsFormerListenersAsWell(t *testing.T) {
 	var listeners []net.Listener
 	drained := make(chan int, 2)
