Name what is learnt of many requests at once by the field's term

TestLaterCrowdTellsNothing is TestLaterRequestsTellNothing, unchanged but for names. In the fleet in virtual time a machine is undisturbed.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -20,8 +20,8 @@
 const (
 	// replayBodyMost is the largest such body, in bytes, unless the dialect says otherwise.
 	replayBodyMost = 16 << 10
-	// heldBodiesMost bounds the bytes of all larger ones that are held at once: an instance has a few hundred megabytes, and a
-	// crowd of callers with batches must not take them.
+	// heldBodiesMost bounds the bytes of all larger ones that are held at once: an instance has a few hundred megabytes, and
+	// many callers with batches must not take them.
 	heldBodiesMost = 32 << 20
 )
 
--- a/internal/caller/body_test.go
+++ b/internal/caller/body_test.go
@@ -52,7 +52,7 @@
 }
 
 // A server refuses a batch of timesheets as not run, and another one has room. A batch that was streamed is gone with the first try, and
-// its caller has to send it all again; one that was held goes on. But a crowd of batches must not fill the instance's memory, so what
+// its caller has to send it all again; one that was held goes on. But many batches must not fill the instance's memory, so what
 // is held at once is bounded, and the rest is streamed as before.
 func TestBatchesAreHeldWithinBounds(t *testing.T) {
 	const length = 300 << 10
--- a/internal/fleet/virtual_checks_test.go
+++ b/internal/fleet/virtual_checks_test.go
@@ -133,8 +133,8 @@
 	return ""
 }
 
-// calm reports whether the machine was left alone for a while.
-func (machine *machine) calm(now clock.Moment, length clock.Milliseconds) bool {
+// undisturbed reports whether the machine was left alone for a while.
+func (machine *machine) undisturbed(now clock.Moment, length clock.Milliseconds) bool {
 	return now.Since(machine.disturbed) >= length
 }
 
@@ -144,7 +144,7 @@
 		return ""
 	}
 	return checks.running(now, func(machine *machine, process *process) string {
-		if !machine.calm(now, contactTime) || process.controller.Table() == nil {
+		if !machine.undisturbed(now, contactTime) || process.controller.Table() == nil {
 			return ""
 		}
 		return visit(machine, process)
@@ -190,7 +190,7 @@
 		bound += skewMost
 	}
 	return checks.running(now, func(machine *machine, process *process) string {
-		if !machine.calm(now, contactTime) || process.controller.Table() == nil {
+		if !machine.undisturbed(now, contactTime) || process.controller.Table() == nil {
 			return ""
 		}
 		version := process.controller.view.Configuration.Version
--- a/internal/fleet/virtual_settled_test.go
+++ b/internal/fleet/virtual_settled_test.go
@@ -50,7 +50,7 @@
 func (checks *checks) someoneServes(now clock.Moment) string {
 	able := map[settings.DataCentreName]settings.InstanceName{}
 	_ = checks.running(now, func(machine *machine, process *process) string {
-		if machine.calm(now, settledIn) && process.leftAt == 0 && process.controller.Table() != nil {
+		if machine.undisturbed(now, settledIn) && process.leftAt == 0 && process.controller.Table() != nil {
 			able[machine.identity.DataCentre] = machine.identity.Name
 		}
 		return ""
@@ -84,7 +84,7 @@
 	return checks.running(now, func(machine *machine, process *process) string {
 		book := process.controller.book.Load()
 		named := book != nil && slices.ContainsFunc(book.all, func(address string) bool { return running[address] })
-		if named || !machine.calm(now, settledIn) || process.leftAt > 0 {
+		if named || !machine.undisturbed(now, settledIn) || process.leftAt > 0 {
 			delete(checks.misled, machine)
 			return ""
 		}
--- a/internal/service/admission.go
+++ b/internal/service/admission.go
@@ -86,9 +86,9 @@
 func (scheduler *Scheduler) taken(now clock.Moment) (int, int) {
 	scheduler.refresh(now)
 	taken, room := 0, 0
-	for _, crowd := range scheduler.crowding.crowds {
-		each := crowd.roomNow()
-		for count, targets := range crowd.targets {
+	for _, slotClass := range scheduler.concurrency.slotClasses {
+		each := slotClass.roomNow()
+		for count, targets := range slotClass.targets {
 			room += targets * each
 			taken += targets * min(count, each)
 		}
--- a/internal/service/candidate.go
+++ b/internal/service/candidate.go
@@ -44,7 +44,7 @@
 // Room on a target.
 const (
 	// sharedRoom is the room above which half of it is left to the target's owner. Instances that fill a target without
-	// knowing of each other crowd it, and all that is on it slows down.
+	// knowing of each other slotClass it, and all that is on it slows down.
 	sharedRoom = 2
 	// silentShare is the room on a target that doesn't tell its load which is left to those that don't own it.
 	silentShare = 1
@@ -75,10 +75,10 @@
 	flights []*flight
 	// ownAtReading is what this instance itself had in flight there at the reading.
 	ownAtReading int
-	// coldShare and crowding are the scheduler's, crowd is what that knows of targets with as many slots.
-	coldShare *float64
-	crowding  *crowding
-	crowd     *crowd
+	// coldShare and concurrency are the scheduler's, slotClass is what that knows of targets with as many slots.
+	coldShare   *float64
+	concurrency *concurrency
+	slotClass   *slotClass
 	// reading is the newest one, read tells whether there is any.
 	reading Reading
 	read    bool
@@ -182,7 +182,7 @@
 
 // room is the number of requests that may be in flight there at once.
 func (candidate *candidate) room() int {
-	return candidate.crowd.roomNow()
+	return candidate.slotClass.roomNow()
 }
 
 // cold reports whether the target bears only its cold rate, or may.
--- a/internal/service/choice.go
+++ b/internal/service/choice.go
@@ -13,16 +13,16 @@
 	// away; for nearer ones a request counts as late a little too soon, which costs it its rank and nothing else.
 	CallerDistance = 34 * clock.Millisecond
 	// farCost is what a target in another data centre costs against one in the own: what is in flight there is known only
-	// from readings, so that instances which all see the same calm target crowd it; and the links between data centres
+	// from readings, so that instances which all see the same fast target fill it; and the links between data centres
 	// are shared.
 	farCost = 50 * clock.Millisecond
 	// bytesPerMillisecond turns the usual length of a request and its answer into time. 90 KB over the links between
 	// data centres count for as much as a late answer, 300 ms: a download goes to a slow target of the own data centre rather
-	// than to a calm one elsewhere.
+	// than to a fast one elsewhere.
 	bytesPerMillisecond = 300.0
-	// crowdCost is the part of the usual work that a full target costs against an empty one: with all else equal, the
+	// concurrencyCost is the part of the usual work that a full target costs against an empty one: with all else equal, the
 	// emptier one is taken, whose spell of slowness would hit fewer.
-	crowdCost = 0.15
+	concurrencyCost = 0.15
 )
 
 // farCostOf is what a target in another data centre costs on top of the time that a request takes there.
@@ -55,12 +55,12 @@
 // choiceSpread is the chance in a choice, as a part of the predicted time.
 const choiceSpread = 0.02
 
-// overSpells is how many times longer than usual work takes that lasts for many spells, slow and calm ones.
+// overSpells is how many times longer than usual work takes that lasts for many spells, slow and fast ones.
 func (scheduler *Scheduler) overSpells() float64 {
 	return 1 / scheduler.meanSpeed
 }
 
-// choose picks the target for a request, or nil when none is open or when it is better off waiting for a calm one.
+// choose picks the target for a request, or nil when none is open or when it is better off waiting for a fast one.
 func (scheduler *Scheduler) choose(now clock.Moment, waiter *rankedWaiter) *candidate {
 	chosen, finish := scheduler.best(now, waiter.expected, waiter.demand.Tried, false)
 	if chosen == nil {
@@ -73,14 +73,14 @@
 	return chosen
 }
 
-// anyOpen reports whether any target takes a request now that need not wait for it to be calm.
+// anyOpen reports whether any target takes a request now that need not wait for it to be fast.
 func (scheduler *Scheduler) anyOpen(now clock.Moment) bool {
 	scheduler.refresh(now)
-	if scheduler.open.calm > 0 {
+	if scheduler.open.fast > 0 {
 		return true
 	}
-	for _, crowd := range scheduler.crowding.crowds {
-		if crowd.open.calm > 0 && crowd.trying() {
+	for _, slotClass := range scheduler.concurrency.slotClasses {
+		if slotClass.open.fast > 0 && slotClass.trying() {
 			return true
 		}
 	}
--- a/internal/service/comparison.go
+++ b/internal/service/comparison.go
@@ -92,15 +92,15 @@
 func (comparison *comparison) amongOpen(openness openness) {
 	scheduler := comparison.scheduler
 	comparison.among(&scheduler.open.near[openness], true)
-	for _, crowd := range scheduler.crowding.crowds {
-		if crowd.trying() {
-			comparison.among(&crowd.open.near[openness], true)
+	for _, slotClass := range scheduler.concurrency.slotClasses {
+		if slotClass.trying() {
+			comparison.among(&slotClass.open.near[openness], true)
 		}
 	}
 	comparison.among(&scheduler.open.far[openness], false)
-	for _, crowd := range scheduler.crowding.crowds {
-		if crowd.trying() {
-			comparison.among(&crowd.open.far[openness], false)
+	for _, slotClass := range scheduler.concurrency.slotClasses {
+		if slotClass.trying() {
+			comparison.among(&slotClass.open.far[openness], false)
 		}
 	}
 }
--- a/internal/service/crowding_test.go
+++ b/internal/service/concurrency_test.go
@@ -30,41 +30,41 @@
 	for _, testCase := range cases {
 		t.Run(testCase.name, func(t *testing.T) {
 			random := rand.New(rand.NewPCG(5, 5))
-			crowding := &crowding{learns: testCase.learns}
+			concurrency := &concurrency{learns: testCase.learns}
 			const work = 100 * clock.Millisecond
 			for range 3000 {
-				first := 1 + random.IntN(crowding.of(testCase.slots).roomNow())
+				first := 1 + random.IntN(concurrency.of(testCase.slots).roomNow())
 				held := work * clock.Milliseconds(testCase.longer(first)*(1+0.3*random.NormFloat64()))
-				crowding.of(testCase.slots).learn(&flight{first: first, peak: first}, work, held)
+				concurrency.of(testCase.slots).learn(&flight{first: first, peak: first}, work, held)
 			}
-			require.InDelta(t, testCase.room, crowding.of(testCase.slots).room, float64(testCase.slots)/16)
+			require.InDelta(t, testCase.room, concurrency.of(testCase.slots).room, float64(testCase.slots)/16)
 		})
 	}
 }
 
 // A request starts alone, and others join it. What it takes tells nothing of how it is to start beside others.
-func TestLaterCrowdTellsNothing(t *testing.T) {
-	crowding := &crowding{learns: true}
-	before := crowding.of(4).longer[3]
-	crowding.of(4).learn(&flight{first: 3, peak: 4}, 100, 1000)
-	require.InDelta(t, before, crowding.of(4).longer[3], 0)
+func TestLaterRequestsTellNothing(t *testing.T) {
+	concurrency := &concurrency{learns: true}
+	before := concurrency.of(4).longer[3]
+	concurrency.of(4).learn(&flight{first: 3, peak: 4}, 100, 1000)
+	require.InDelta(t, before, concurrency.of(4).longer[3], 0)
 }
 
 // What more requests at once do to a server is not known. Two at a time find out; were it all, every server would be too full.
 func TestFewRequestsFindOutTheRoom(t *testing.T) {
-	crowding := &crowding{learns: true}
-	crowd := crowding.of(4)
-	require.Equal(t, 4, crowd.roomNow())
-	crowd.trials = crowdTrials
-	require.Equal(t, 3, crowd.roomNow())
+	concurrency := &concurrency{learns: true}
+	slotClass := concurrency.of(4)
+	require.Equal(t, 4, slotClass.roomNow())
+	slotClass.trials = concurrencyTrials
+	require.Equal(t, 3, slotClass.roomNow())
 }
 
-// Requests ended on a server that was calm, slow and calm again while they ran. Afterwards it can be told what each assumption says
+// Requests ended on a server that was fast, slow and fast again while they ran. Afterwards it can be told what each assumption says
 // they should have taken; where a spell was never read, or a request started too near to its end, nothing can.
 func TestHindsight(t *testing.T) {
 	const start = clock.Moment(30000)
 	share := 1.0
-	known := &candidate{Target: &Target{Name: "one"}, offer: Offer{Slots: 4}, coldShare: &share, crowding: &crowding{}}
+	known := &candidate{Target: &Target{Name: "one"}, offer: Offer{Slots: 4}, coldShare: &share, concurrency: &concurrency{}}
 	for number, slowdown := range []float64{1, 5, 1, 1, 0, 1} {
 		if slowdown == 0 {
 			continue
--- a/internal/service/dispatcher.go
+++ b/internal/service/dispatcher.go
@@ -94,11 +94,11 @@
 	scheduler *Scheduler
 	candidate *candidate
 	expected  *expectation
-	calm      bool
+	fast      bool
 	// flight is what the request sees of its target while it is under way.
 	flight *flight
 	// tried is set when the request is one more than the target was thought to do well with.
-	tried *crowd
+	tried *slotClass
 }
 
 // Dispatcher gives out the places of one service at one instance. It is safe for concurrent use.
--- a/internal/service/exhaustive_test.go
+++ b/internal/service/exhaustive_test.go
@@ -34,7 +34,7 @@
 	}
 	taken := float64(candidate.own + candidate.others(now))
 	finish := exhaustive.pace.expected(forecast{kept: kept, followed: followed})
-	return finish + expected.work*clock.Milliseconds(crowdCost*taken/float64(candidate.room())+failureCosts*candidate.failRate)
+	return finish + expected.work*clock.Milliseconds(concurrencyCost*taken/float64(candidate.room())+failureCosts*candidate.failRate)
 }
 
 // cost is what targets are compared by, but for chance.
@@ -122,7 +122,7 @@
 }
 
 // A choice that doesn't look at all targets could miss the only free one, send requests to one that is leaving or down, or to a slow one
-// beside a calm one.
+// beside a fast one.
 func TestChoiceIsAsGoodAsExhaustive(t *testing.T) {
 	cases := []struct {
 		targets int
--- a/internal/service/filing.go
+++ b/internal/service/filing.go
@@ -20,13 +20,13 @@
 	outlook outlook
 	shared  float64
 	slow    bool
-	// index lists it, nil when it is closed; calm is the count of open targets that aren't slow in which it is contained, nil for none.
+	// index lists it, nil when it is closed; fast is the count of open targets that aren't slow in which it is contained, nil for none.
 	index *phasedIndex
 	phase int
-	calm  *int
-	// crowd counts it by the number of requests there, taken, nil while it isn't in use.
-	crowd *crowd
-	taken int
+	fast  *int
+	// slotClass counts it by the number of requests there, taken, nil while it isn't in use.
+	slotClass *slotClass
+	taken     int
 	// change is when it must be filed anew.
 	change timer[candidate]
 }
@@ -44,8 +44,8 @@
 // openTargets lists open targets, those of the own data centre and the others.
 type openTargets struct {
 	near, far [opennesses]phasedIndex
-	// calm is the number of them that aren't slow.
-	calm int
+	// fast is the number of them that aren't slow.
+	fast int
 }
 
 // phases is the number of parts of a period by which targets are told apart.
@@ -94,9 +94,9 @@
 func (scheduler *Scheduler) fileTaken(now clock.Moment, candidate *candidate) {
 	filing := &candidate.filing
 	taken := candidate.own + candidate.others(now)
-	filing.shared = candidate.sharedBy(taken, candidate.crowd.room)
+	filing.shared = candidate.sharedBy(taken, candidate.slotClass.room)
 	if candidate.offer.Usable && !candidate.down {
-		filing.count(candidate.crowd, taken)
+		filing.count(candidate.slotClass, taken)
 	} else {
 		filing.count(nil, 0)
 	}
@@ -110,18 +110,18 @@
 		filing.list(&open.far[openness], phaseOf(candidate.cadence.boundary, candidate.cadence.period))
 	}
 	if open == nil || filing.slow {
-		filing.countCalm(nil)
+		filing.countFast(nil)
 	} else {
-		filing.countCalm(&open.calm)
+		filing.countFast(&open.fast)
 	}
 }
 
 // fileEnded files a candidate on which a request has ended, and all if that has changed how many a target runs well.
 func (scheduler *Scheduler) fileEnded(now clock.Moment, candidate *candidate, result Result) {
-	crowd := candidate.crowd
+	slotClass := candidate.slotClass
 	switch {
-	case crowd.filedRoom != crowd.room:
-		crowd.filedRoom = crowd.room
+	case slotClass.filedRoom != slotClass.room:
+		slotClass.filedRoom = slotClass.room
 		scheduler.fileAll(now)
 	case result == Failed:
 		scheduler.file(now, candidate)
@@ -140,7 +140,7 @@
 // unfile takes a candidate out that is forgotten.
 func (scheduler *Scheduler) unfile(candidate *candidate) {
 	candidate.filing.list(nil, 0)
-	candidate.filing.countCalm(nil)
+	candidate.filing.countFast(nil)
 	candidate.filing.count(nil, 0)
 	scheduler.changes.remove(&candidate.filing.change)
 }
@@ -173,50 +173,50 @@
 	}
 }
 
-func (filing *filing) countCalm(calm *int) {
-	if filing.calm == calm {
+func (filing *filing) countFast(fast *int) {
+	if filing.fast == fast {
 		return
 	}
-	if filing.calm != nil {
-		*filing.calm--
+	if filing.fast != nil {
+		*filing.fast--
 	}
-	if calm != nil {
-		*calm++
+	if fast != nil {
+		*fast++
 	}
-	filing.calm = calm
+	filing.fast = fast
 }
 
-func (filing *filing) count(crowd *crowd, taken int) {
-	if crowd != nil {
-		taken = min(max(taken, 0), len(crowd.targets)-1)
+func (filing *filing) count(slotClass *slotClass, taken int) {
+	if slotClass != nil {
+		taken = min(max(taken, 0), len(slotClass.targets)-1)
 	}
-	if filing.crowd == crowd && filing.taken == taken {
+	if filing.slotClass == slotClass && filing.taken == taken {
 		return
 	}
-	if filing.crowd != nil {
-		filing.crowd.targets[filing.taken]--
+	if filing.slotClass != nil {
+		filing.slotClass.targets[filing.taken]--
 	}
-	if crowd != nil {
-		crowd.targets[taken]++
+	if slotClass != nil {
+		slotClass.targets[taken]++
 	}
-	filing.crowd, filing.taken = crowd, taken
+	filing.slotClass, filing.taken = slotClass, taken
 }
 
 // openBy returns the list of open targets to which the candidate belongs, nil when it is closed. One that is open only while
-// its crowd finds out about one more request has a list of its own, for that begins and ends with any request.
+// its slotClass finds out about one more request has a list of its own, for that begins and ends with any request.
 func (scheduler *Scheduler) openBy(now clock.Moment, candidate *candidate, taken int) (*openTargets, openness) {
-	crowd := candidate.crowd
-	switch next := crowd.next(); {
+	slotClass := candidate.slotClass
+	switch next := slotClass.next(); {
 	case !candidate.offer.Usable || candidate.down || taken >= candidate.share(next):
 		return nil, openToAll
-	case candidate.openWith(now, crowd.room, false):
+	case candidate.openWith(now, slotClass.room, false):
 		return &scheduler.open, openToAll
 	case candidate.openWith(now, next, false):
-		return &crowd.open, openToAll
-	case candidate.openWith(now, crowd.room, true):
+		return &slotClass.open, openToAll
+	case candidate.openWith(now, slotClass.room, true):
 		return &scheduler.open, openDespiteFailures
 	case candidate.openWith(now, next, true):
-		return &crowd.open, openDespiteFailures
+		return &slotClass.open, openDespiteFailures
 	}
 	return nil, openToAll
 }
--- a/internal/service/learning.go
+++ b/internal/service/learning.go
@@ -7,7 +7,7 @@
 
 // expectation is what is known of a class's requests.
 type expectation struct {
-	// work is how long a request takes on a calm target that runs few others, told the number of those that have told.
+	// work is how long a request takes on a fast target that runs few others, told the number of those that have told.
 	work clock.Milliseconds
 	told int
 	// size is the length of a request and its answer.
@@ -101,7 +101,7 @@
 	return unknown
 }
 
-// Expected is how long a request of the class takes on a calm target.
+// Expected is how long a request of the class takes on a fast target.
 func (scheduler *Scheduler) Expected(class settings.ClassName) clock.Milliseconds {
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
@@ -124,22 +124,22 @@
 	learntFrom = 5
 )
 
-// learn takes the time of a request that started on a calm target as the usual one, but for what others on the target made of it.
+// learn takes the time of a request that started on a fast target as the usual one, but for what others on the target made of it.
 func (scheduler *Scheduler) learn(place Place, held clock.Milliseconds) {
 	known := place.expected
 	known.size += learnWeight * (float64(place.Size) - known.size)
-	crowd := place.candidate.crowd
-	alone := held / crowd.times(place.flight.first)
-	if !place.calm || known.told >= learntFrom && alone > mostOutlying*known.work {
+	slotClass := place.candidate.slotClass
+	alone := held / slotClass.times(place.flight.first)
+	if !place.fast || known.told >= learntFrom && alone > mostOutlying*known.work {
 		// Slowed down on the way; a slow spell says nothing about the usual time. A guess that is far too low is
 		// still raised, slowly.
 		known.work += learnWeight * learnWeight * (alone - known.work)
 		return
 	}
-	// Were both learnt from crowded requests, each could take the other's part.
-	if known.told >= learntFrom && !crowd.uncrowded(place.flight.peak) {
-		scheduler.crowding.learns = !scheduler.mayFollow(scheduler.clock.Now())
-		crowd.learn(place.flight, known.work, held)
+	// Were both learnt from requests beside many others, each could take the other's part.
+	if known.told >= learntFrom && !slotClass.unhindered(place.flight.peak) {
+		scheduler.concurrency.learns = !scheduler.mayFollow(scheduler.clock.Now())
+		slotClass.learn(place.flight, known.work, held)
 		return
 	}
 	known.told++
@@ -153,13 +153,13 @@
 	if known.told < learntFrom {
 		return
 	}
-	work := known.work * place.candidate.crowd.times(place.flight.first)
+	work := known.work * place.candidate.slotClass.times(place.flight.first)
 	if told, found := place.candidate.hindsight(place.since, now, work, scheduler.overSpells()); found {
 		scheduler.pace.learn(told, work, held, finished)
 	}
 }
 
-// Where requests follow the pace of their target, what they take tells little of how crowded it was when they started.
+// Where requests follow the pace of their target, what they take tells little of how many others it ran when they started.
 const (
 	// followsBelow is the weight of the assumption that they keep their own below which they count as following it.
 	followsBelow = 0.7
--- a/internal/service/patience.go
+++ b/internal/service/patience.go
@@ -2,7 +2,7 @@
 
 import "github.com/jaywheel/jaywheel/pkg/clock"
 
-// A request that would start on a slow target can wait for a calm one instead. Where requests keep the pace at which they start,
+// A request that would start on a slow target can wait for a fast one instead. Where requests keep the pace at which they start,
 // one that starts slow takes a place for several times as long: with a quarter of the targets slow at any moment, half of all
 // places would be held by such requests, and under load the service would get half as much done. Where requests follow their
 // target's pace, a slow spell costs no more than what is left of it, and nobody waits. Which of the two holds is learnt.
@@ -35,8 +35,8 @@
 	return candidate.cadence.spell(now) == candidate.cadence.spell(candidate.reading.At)+1 && candidate.cadence.since(now) < readingDue
 }
 
-// calmIn is how long a slow target takes until it may be calm.
-func (candidate *candidate) calmIn(now clock.Moment) clock.Milliseconds {
+// fastIn is how long a slow target takes until it may be fast.
+func (candidate *candidate) fastIn(now clock.Moment) clock.Milliseconds {
 	switch {
 	case candidate.cadence.period == 0:
 		return spellLength
@@ -51,18 +51,18 @@
 // over does nothing meanwhile, and the target may stay slow.
 const waitGain = 1.5
 
-// betterLater reports whether a request that would be finished on a slow target after the given time is to wait for a calm one. One
+// betterLater reports whether a request that would be finished on a slow target after the given time is to wait for a fast one. One
 // that can't wait that long starts if it would be finished before its deadline.
 func (scheduler *Scheduler) betterLater(now clock.Moment, waiter *rankedWaiter, slow *candidate, finish clock.Milliseconds) bool {
-	wait := slow.calmIn(now)
+	wait := slow.fastIn(now)
 	if now.Add(wait) >= waiter.until {
 		return now.Add(finish) > waiter.demand.Deadline
 	}
-	return finish > waitGain*(wait+scheduler.calmFinish(waiter.expected.work))
+	return finish > waitGain*(wait+scheduler.fastFinish(waiter.expected.work))
 }
 
-// calmFinish is how long a request of the given usual length takes that starts when a target has just turned calm.
-func (scheduler *Scheduler) calmFinish(work clock.Milliseconds) clock.Milliseconds {
+// fastFinish is how long a request of the given usual length takes that starts when a target has just turned fast.
+func (scheduler *Scheduler) fastFinish(work clock.Milliseconds) clock.Milliseconds {
 	spell := spellLength
 	if scheduler.period > 0 {
 		spell = scheduler.period
--- a/internal/service/patience_test.go
+++ b/internal/service/patience_test.go
@@ -90,7 +90,7 @@
 			scheduler.Observe("one", reading(1, 145))
 			place, found, err := ticket.Poll()
 			require.NoError(t, err)
-			require.True(t, found, "the server is calm now")
+			require.True(t, found, "the server is fast now")
 			require.EqualValues(t, "one", place.Target.Name)
 		})
 	}
@@ -106,6 +106,6 @@
 	known.observe(Reading{At: manual.Now(), Slowdown: 1, SteadyFor: 20, Period: 150, ColdKnown: true})
 	require.False(t, known.slow(manual.Now()))
 	require.True(t, known.slow(manual.Now().Add(25)))
-	require.InDelta(t, float64(readingDue-5), float64(known.calmIn(manual.Now().Add(25))), 0.01)
+	require.InDelta(t, float64(readingDue-5), float64(known.fastIn(manual.Now().Add(25))), 0.01)
 	require.False(t, known.slow(manual.Now().Add(20+readingDue+1)))
 }
--- a/internal/service/placing.go
+++ b/internal/service/placing.go
@@ -2,7 +2,7 @@
 
 import "github.com/jaywheel/jaywheel/pkg/clock"
 
-// TryTake takes a place for a second copy of a request, if one is free on another target that is calm.
+// TryTake takes a place for a second copy of a request, if one is free on another target that is fast.
 func (scheduler *Scheduler) TryTake(demand Demand) (Place, bool) {
 	now := scheduler.clock.Now()
 	scheduler.mutex.Lock()
@@ -58,8 +58,8 @@
 	scheduler.own++
 	scheduler.started.count(rank)
 	taken := chosen.own + 1 + chosen.others(now)
-	var tried *crowd
-	if room := chosen.crowd; taken > room.room {
+	var tried *slotClass
+	if room := chosen.slotClass; taken > room.room {
 		tried = room
 		tried.trials++
 	}
@@ -74,7 +74,7 @@
 		flight: started, tried: tried,
 		Target: chosen.Target, scheduler: scheduler, candidate: chosen, expected: expected,
 		Taken: taken, Listed: scheduler.usable, since: now,
-		calm:    !cold && chosen.slowdownAt(now, scheduler.meanSlowdown) < slowFrom,
+		fast:    !cold && chosen.slowdownAt(now, scheduler.meanSlowdown) < slowFrom,
 		Reading: chosen.reading,
 	}
 }
--- a/internal/service/prediction.go
+++ b/internal/service/prediction.go
@@ -52,7 +52,7 @@
 
 // sharedBy is how many times the usual work a request takes longer for those beside it and for failures.
 func (candidate *candidate) sharedBy(taken, room int) float64 {
-	return crowdCost*float64(taken)/float64(room) + failureCosts*candidate.failRate
+	return concurrencyCost*float64(taken)/float64(room) + failureCosts*candidate.failRate
 }
 
 // outlook is how slow a target is expected to be.
--- a/internal/service/scheduler.go
+++ b/internal/service/scheduler.go
@@ -45,16 +45,16 @@
 	ordered    []*candidate
 	usable     int
 	waiting    rankedQueue
-	// work is the usual time of a request on a calm target, by class; size is the usual length of its answer.
+	// work is the usual time of a request on a fast target, by class; size is the usual length of its answer.
 	work map[settings.ClassName]*expectation
 	// meanSlowdown is the average over all readings.
 	meanSlowdown float64
-	// meanSpeed is the average over all readings of the work done in a unit of time, 1 on a calm target.
+	// meanSpeed is the average over all readings of the work done in a unit of time, 1 on a fast target.
 	meanSpeed float64
 	// slowAt is when a target last was slow, or might have been: nothing is known at first.
-	slowAt   clock.Moment
-	pace     pace
-	crowding crowding
+	slowAt      clock.Moment
+	pace        pace
+	concurrency concurrency
 	// own is the number of places taken, meanHold how long one is taken.
 	own      int
 	meanHold clock.Milliseconds
@@ -132,7 +132,7 @@
 	if !found {
 		known = &candidate{
 			Target: &Target{Name: offer.Name, Address: offer.Address, DataCentre: offer.DataCentre}, tokensAt: now, learningFrom: now,
-			coldShare: &scheduler.coldShare, crowding: &scheduler.crowding,
+			coldShare: &scheduler.coldShare, concurrency: &scheduler.concurrency,
 		}
 		known.filing.entry = levelEntry[candidate]{item: known, level: unlisted}
 		known.filing.change.item = known
@@ -148,7 +148,7 @@
 	}
 	known.refill(now)
 	known.offer = offer
-	known.crowd = known.crowding.of(offer.Slots)
+	known.slotClass = known.concurrency.of(offer.Slots)
 	if known.Address != offer.Address || known.DataCentre != offer.DataCentre {
 		known.Target = &Target{Name: offer.Name, Address: offer.Address, DataCentre: offer.DataCentre}
 	}
--- a/internal/service/scheduler_bench_test.go
+++ b/internal/service/scheduler_bench_test.go
@@ -186,7 +186,7 @@
 }
 
 // BenchmarkSchedulerChoiceParallel measures the same from all processors at once, which share one mutex. With 0.2 of what fits in flight each
-// of them finds a calm target also among 20.
+// of them finds a fast target also among 20.
 func BenchmarkSchedulerChoiceParallel(b *testing.B) {
 	for _, targets := range []int{20, 200, 920} {
 		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
--- a/internal/service/upheaval_test.go
+++ b/internal/service/upheaval_test.go
@@ -116,7 +116,7 @@
 	case kind < 992:
 		scheduler.Forget()
 	case kind < 996:
-		scheduler.crowding.learns = !scheduler.crowding.learns
+		scheduler.concurrency.learns = !scheduler.concurrency.learns
 	default:
 		upheaval.clock.Advance(clock.Milliseconds(2000 * random.Float64()))
 	}
@@ -129,9 +129,9 @@
 	}
 	position := upheaval.random.IntN(len(upheaval.places))
 	if upheaval.chance(0.05) {
-		crowd := upheaval.places[position].candidate.crowd
-		crowd.longer[1+upheaval.random.IntN(len(crowd.longer)-1)] = 1 + 2*upheaval.random.Float64()
-		crowd.setRoom()
+		slotClass := upheaval.places[position].candidate.slotClass
+		slotClass.longer[1+upheaval.random.IntN(len(slotClass.longer)-1)] = 1 + 2*upheaval.random.Float64()
+		slotClass.setRoom()
 	}
 	result := []Result{Succeeded, Succeeded, Succeeded, Succeeded, Failed, Cancelled}[upheaval.random.IntN(6)]
 	upheaval.places[position].Release(result)
