--- a/internal/service/filing.go
+++ b/internal/service/filing.go
@@ -10,7 +10,7 @@
 // Targets are filed for that whenever something that matters has changed: a request starts or ends on them, they tell something, they
 // are offered anew or found to be down. What changes by time alone, such as the end of a spell, has a timer.
 //
-// Filing only says which targets are compared. Whether one is open and how long a request takes there is worked out for each choice.
+// Filing only says which targets are compared: whether the chosen one is open is asked again.
 
 // filing is where a candidate is filed.
 type filing struct {
