Read a peer's view again when the first attempt after a suspension fails

An instance that stands by and was suspended forgets its routes and asks a peer for its view. When that one did not answer, because it was suspended or cut off as well, it was not asked again: the instance refused every request and was not ready until something changed in the store.

Change: an instance that is to read everything anew stays so until it did.

Tests: TestRefreshIsTriedAgain (failed before) and a case of TestVirtualFleetCases.

--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -10,7 +10,7 @@
 )
 
 // followOnce reads a peer's view when it is newer, and waits until there is something to do.
-func (reader *Reader) followOnce(ctx context.Context, refresh bool) {
+func (reader *Reader) followOnce(ctx context.Context) {
 	reader.whole = false
 	if reader.dropLapsed() {
 		reader.handOn(ctx)
@@ -24,8 +24,8 @@
 		// Until a peer has answered.
 		reader.askAgain = now.Add(heldAgain)
 	}
-	if behind || refresh || due {
-		reader.readPeer(ctx, refresh)
+	if behind || reader.refreshing || due {
+		reader.readPeer(ctx, reader.refreshing)
 		sleep(ctx, followPause)
 		return
 	}
@@ -56,6 +56,7 @@
 		return
 	}
 	reader.askAgain = view.HeldUntil
+	reader.refreshing = reader.refreshing && !again
 	reader.options.Events.Add(EventFromPeer, 1)
 	reader.options.Log.Debug().Uint64("revision", uint64(view.Revision)).Uint64("before", uint64(reader.revision)).Msg("view taken from a peer")
 	reader.setConfiguration(view.Configuration)
--- a/internal/catalog/held_test.go
+++ b/internal/catalog/held_test.go
@@ -103,3 +103,26 @@
 		require.Equal(t, before, asked, "a peer that holds nothing is not asked again")
 	})
 }
+
+// A machine was suspended and forgot its routes. The peer that it asks first does not answer; were it not to ask again, it would refuse all requests until
+// something changes in the store.
+func TestRefreshIsTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bench := newBench(t)
+		bench.peer = &View{Revision: 7, Configuration: &Configuration{Version: 1}, Servers: []Server{{Name: "one"}}}
+		bench.reader.Follow(7)
+		pass(clock.Second)
+		require.Equal(t, Revision(7), bench.last().Revision)
+		bench.mutex.Lock()
+		peer := bench.peer
+		bench.peer, bench.view = nil, View{}
+		bench.mutex.Unlock()
+		bench.reader.Refresh()
+		pass(clock.Second)
+		bench.mutex.Lock()
+		bench.peer = peer
+		bench.mutex.Unlock()
+		pass(clock.Second)
+		require.Equal(t, Revision(7), bench.last().Revision)
+	})
+}
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -90,8 +90,10 @@
 	cancelIO context.CancelFunc
 
 	// The fields below belong to the goroutine that runs Serve.
-	revision      Revision
-	whole         bool
+	revision Revision
+	whole    bool
+	// refreshing is true from when all is to be read anew until it was.
+	refreshing    bool
 	configuration *Configuration
 	servers       map[Key]Server
 	out           map[Key]settings.DataCentreName
@@ -188,9 +190,10 @@
 		leads, refresh := reader.task()
 		if refresh {
 			reader.whole = false
+			reader.refreshing = true
 		}
 		if !leads {
-			reader.followOnce(ctx, refresh)
+			reader.followOnce(ctx)
 			continue
 		}
 		if refresh && reader.failures > 0 {
@@ -271,6 +274,7 @@
 	reader.answered()
 	reader.applySnapshot(snapshot)
 	reader.whole = true
+	reader.refreshing = false
 	return reader.publish(ctx)
 }
 
--- a/internal/fleet/virtual_cases_test.go
+++ b/internal/fleet/virtual_cases_test.go
@@ -47,6 +47,10 @@
 			{At: 12080, For: 2900, Kind: cutOff, One: 10},
 			{At: 13070, For: 2900, Kind: cutOff, One: 11},
 		}},
+		{"one that was suspended asks a peer that is suspended as well", 7, 8, 2, 6, []change{
+			{At: 13210, For: 1350, Kind: suspend},
+			{At: 14340, For: 1350, Kind: suspend, One: 3},
+		}},
 	}
 	for _, testCase := range cases {
 		t.Run(testCase.name, func(t *testing.T) {
