Share the accepted connection of two drain tests

The two tests of retired connections made the same connection line by line; acceptOne makes it for both. A case of the concurrency tests loses a metaphor in its name.

--- a/internal/caller/drain_test.go
+++ b/internal/caller/drain_test.go
@@ -123,6 +123,22 @@
 	require.Empty(t, drained.reached)
 }
 
+// acceptOne returns both ends of a connection to a listener for callers.
+func acceptOne(t *testing.T) (net.Conn, *guardedConnection) {
+	listener, err := Listen("127.0.0.1:0", settings.Callers{ConnectionsMost: 1}, &makeFixture(t, fixtureService()).registry.Events)
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	peer, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { peer.Close() })
+	accepted, err := listener.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { accepted.Close() })
+	guarded, isGuarded := accepted.(*guardedConnection)
+	require.True(t, isGuarded)
+	return peer, guarded
+}
+
 // Guards against a connection that is closed as idle between the arrival of a request and its handling.
 func TestRetiredConnectionKeepsTheRequestThatHasArrived(t *testing.T) {
 	cases := []struct {
@@ -138,21 +154,11 @@
 	}
 	for _, testCase := range cases {
 		t.Run(testCase.name, func(t *testing.T) {
-			listener, err := Listen("127.0.0.1:0", settings.Callers{ConnectionsMost: 1}, &makeFixture(t, fixtureService()).registry.Events)
-			require.NoError(t, err)
-			t.Cleanup(func() { listener.Close() })
-			peer, err := net.Dial("tcp", listener.Addr().String())
-			require.NoError(t, err)
-			t.Cleanup(func() { peer.Close() })
-			accepted, err := listener.Accept()
-			require.NoError(t, err)
-			t.Cleanup(func() { accepted.Close() })
-			guarded, isGuarded := accepted.(*guardedConnection)
-			require.True(t, isGuarded)
+			peer, guarded := acceptOne(t)
 			guarded.setState(http.StateIdle)
 			buffer := make([]byte, len(lookRequest))
 			if testCase.arrived {
-				_, err = io.WriteString(peer, lookRequest)
+				_, err := io.WriteString(peer, lookRequest)
 				require.NoError(t, err)
 				_, err = io.ReadFull(guarded, buffer)
 				require.NoError(t, err)
@@ -160,7 +166,7 @@
 			testCase.before(guarded)
 			guarded.retire(false)
 			require.NoError(t, guarded.SetReadDeadline(time.Time{}))
-			_, err = io.WriteString(peer, "more")
+			_, err := io.WriteString(peer, "more")
 			require.NoError(t, err)
 			_, err = guarded.Read(buffer)
 			require.Equal(t, testCase.ends, err != nil)
@@ -172,19 +178,9 @@
 func TestRetiredConnectionKeepsTheRequestThatWaitsToBeRead(t *testing.T) {
 	for _, state := range []http.ConnState{http.StateNew, http.StateIdle} {
 		t.Run(state.String(), func(t *testing.T) {
-			listener, err := Listen("127.0.0.1:0", settings.Callers{ConnectionsMost: 1}, &makeFixture(t, fixtureService()).registry.Events)
-			require.NoError(t, err)
-			t.Cleanup(func() { listener.Close() })
-			peer, err := net.Dial("tcp", listener.Addr().String())
-			require.NoError(t, err)
-			t.Cleanup(func() { peer.Close() })
-			accepted, err := listener.Accept()
-			require.NoError(t, err)
-			t.Cleanup(func() { accepted.Close() })
-			guarded, isGuarded := accepted.(*guardedConnection)
-			require.True(t, isGuarded)
+			peer, guarded := acceptOne(t)
 			guarded.setState(state)
-			_, err = io.WriteString(peer, lookRequest)
+			_, err := io.WriteString(peer, lookRequest)
 			require.NoError(t, err)
 			raw, err := guarded.SyscallConn()
 			require.NoError(t, err)
--- a/internal/service/concurrency_test.go
+++ b/internal/service/concurrency_test.go
@@ -80,7 +80,7 @@
 		kept     float64
 		followed float64
 	}{
-		{"within the calm", 20, 120, true, 100, 100},
+		{"within the fast spell", 20, 120, true, 100, 100},
 		{"caught by the slow spell", 100, 300, true, 100, 50 + 150 + 20},
 		{"started slow", 200, 500, true, 500, 100 + 80},
 		{"over a spell that nobody read", 560, 200, false, 0, 0},
