--- a/internal/catalog/held_test.go
+++ b/internal/catalog/held_test.go
@@ -126,3 +126,37 @@
 		require.Equal(t, Revision(7), bench.last().Revision)
 	})
 }
+
+// Guards against a removed server that is held for longer than a reader is given once its links are sound again.
+func TestHoldIsCountedFromTheLastFailedCall(t *testing.T) {
+	for later := range 12 {
+		synctest.Test(t, func(t *testing.T) {
+			bench := newBench(t)
+			bench.reader.SetRole(RoleLead)
+			pass(clock.Second)
+			bench.source.setFaults(true, false)
+			pass(clock.Second)
+			bench.source.remove(ServerKey("one"))
+			pass(4*clock.Second + clock.Milliseconds(later)*100)
+			bench.source.setFaults(false, false)
+			pass(3 * clock.Second)
+			require.Equal(t, []string{"two"}, bench.names())
+		})
+	}
+}
+
+// Guards against a server that said it was leaving while a reader was cut off, and is held for one whose entry has only lapsed.
+func TestServerThatWasLeavingIsNotHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bench := newBench(t)
+		bench.reader.SetRole(RoleLead)
+		pass(clock.Second)
+		bench.source.setFaults(true, false)
+		pass(4 * clock.Second)
+		bench.source.set(serverItem("one", ServerLeaving))
+		bench.source.remove(ServerKey("one"))
+		bench.source.setFaults(false, false)
+		pass(watchSlack + mostBackoff + 100)
+		require.Equal(t, []string{"two"}, bench.names())
+	})
+}
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -41,6 +41,9 @@
 	outageFrom = 800 * clock.Millisecond
 	// returnWithin is the time after the store's return within which servers that live are listed again.
 	returnWithin = 2500 * clock.Millisecond
+	// holdMost bounds, from the start of the last call that failed, how long entries are held that may have lapsed. The store may have
+	// been back since just then, and an instance is bound by its removals 3 s later.
+	holdMost = 2900 * clock.Millisecond
 	// followPause is the least time between two readings of a peer's view.
 	followPause = 100 * clock.Millisecond
 	// heldAgain is the time between two looks at a peer that may have dropped servers which it held.
@@ -98,7 +101,10 @@
 	servers       map[Key]Server
 	out           map[Key]settings.DataCentreName
 	lapsed        map[Key]clock.Moment
-	returned      clock.Moment
+	// calledAt is when the last call to the source began, failedAt when the last one did that failed.
+	calledAt, failedAt clock.Moment
+	// holdsUntil is until when removed entries are held that may only have lapsed.
+	holdsUntil clock.Moment
 	// askAgain is when a peer whose view was taken drops servers that it held, 0 when it held none.
 	askAgain clock.Moment
 	failures int
@@ -221,10 +227,11 @@
 	if !reader.whole {
 		return reader.readAll(ctx)
 	}
-	ctx, cancel := reader.bounded(ctx, watchWait+watchSlack)
+	wait := reader.nextWait()
+	ctx, cancel := reader.bounded(ctx, wait+watchSlack)
 	defer cancel()
 	reader.options.Events.Add(EventWatch, 1)
-	changes, err := reader.options.Source.Watch(ctx, reader.revision, reader.nextWait())
+	changes, err := reader.options.Source.Watch(ctx, reader.revision, wait)
 	if errors.Is(err, ErrGone) {
 		reader.whole = false
 		reader.options.Log.Info().Uint64("revision", uint64(reader.revision)).Msg("history is gone, reading everything")
@@ -246,16 +253,22 @@
 	if reader.failures > 0 {
 		return shortestWait
 	}
-	wait := watchWait
+	return max(min(watchWait, reader.untilLapsed()), shortestWait)
+}
+
+// untilLapsed is the time after which the first entry is dropped that may only have lapsed; a very long one when none is held.
+func (reader *Reader) untilLapsed() clock.Milliseconds {
+	left := clock.Minute
 	now := reader.options.Clock.Now()
 	for _, until := range reader.lapsed {
-		wait = min(wait, until.Since(now))
+		left = min(left, until.Since(now))
 	}
-	return max(wait, shortestWait)
+	return max(left, 0)
 }
 
-// bounded returns a context that ends after the time, and when the reader is told to stop or to read anew.
+// bounded returns the context of a call to the source. It ends after the time, and when the reader is told to stop or to read anew.
 func (reader *Reader) bounded(ctx context.Context, length clock.Milliseconds) (context.Context, context.CancelFunc) {
+	reader.calledAt = reader.options.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, length.Duration())
 	reader.mutex.Lock()
 	defer reader.mutex.Unlock()
@@ -290,7 +303,7 @@
 	if reader.failures > 0 {
 		reader.options.Log.Info().Stringer("silentFor", silent).Int("failures", reader.failures).Msg("store answers again")
 		if silent > outageFrom+watchWait || reader.failures > 1 {
-			reader.returned = now
+			reader.holdsUntil = min(now.Add(returnWithin), reader.failedAt.Add(holdMost))
 		}
 	}
 	if first {
@@ -301,7 +314,7 @@
 
 // mayHaveLapsed reports whether a removal seen now may be owed to the store's absence alone.
 func (reader *Reader) mayHaveLapsed(now clock.Moment) bool {
-	return reader.returned > 0 && now.Since(reader.returned) < returnWithin
+	return now < reader.holdsUntil
 }
 
 func (reader *Reader) applySnapshot(snapshot Snapshot) {
@@ -341,7 +354,7 @@
 	if err := reader.publish(ctx); err != nil {
 		return err
 	}
-	sleep(ctx, gatherFor)
+	sleep(ctx, min(gatherFor, reader.untilLapsed()))
 	return nil
 }
 
@@ -383,7 +396,7 @@
 	}
 	if server.State == ServerReady && reader.mayHaveLapsed(now) {
 		if _, noted := reader.lapsed[key]; !noted {
-			reader.lapsed[key] = reader.returned.Add(returnWithin)
+			reader.lapsed[key] = reader.holdsUntil
 		}
 		return
 	}
--- a/internal/catalog/retry.go
+++ b/internal/catalog/retry.go
@@ -15,6 +15,7 @@
 		return
 	}
 	reader.failures++
+	reader.failedAt = reader.calledAt
 	reader.options.Events.Add(EventFailed, 1)
 	if text := err.Error(); reader.failures == 1 || reader.problem != text {
 		reader.problem = text
