Read the store at once when a newer view is known and no peer tells it

Cause: an instance that stands by reads backend servers from its peers once a second at most. Those that served told it of a newer revision and died before it asked. It then waited 1.5 s from their last beat before it read the store.

Ruled out: a shorter wait for silent peers. It would have all that stand by read the store whenever beats are lost.

Change: a peer that does not answer is left alone for a second and another one is asked at once; asking for changes is bounded by 0.4 s; an instance that knows of a newer view and is told it by nobody reads the store, and gives up a call to a peer that still hangs.

--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -44,11 +44,8 @@
 // readPeer takes over a newer view of a peer that the source answers. The store may turn away some instances and serve
 // the others.
 func (reader *Reader) readPeer(ctx context.Context, again bool) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
-	defer cancel()
-	view, err := reader.peerView(ctx, again)
+	view, err := reader.askPeers(ctx, again)
 	if err != nil {
-		reader.options.Events.Add(EventPeerFailed, 1)
 		return
 	}
 	known := view.Revision < reader.revision || view.Revision == reader.revision && !again && reader.askAgain == 0
@@ -75,6 +72,24 @@
 	reader.handOn(ctx)
 }
 
+// askPeers asks a second peer at once when the first does not answer: it may just have been lost.
+func (reader *Reader) askPeers(ctx context.Context, again bool) (View, error) {
+	ctx, cancel := reader.cancellable(ctx, readTimeout)
+	defer cancel()
+	view, err := reader.peerView(ctx, again)
+	if err != nil && ctx.Err() == nil {
+		reader.options.Events.Add(EventPeerFailed, 1)
+		view, err = reader.peerView(ctx, again)
+	}
+	if err != nil {
+		reader.options.Events.Add(EventPeerFailed, 1)
+	}
+	reader.mutex.Lock()
+	reader.peerFailing = err != nil
+	reader.mutex.Unlock()
+	return view, err
+}
+
 func (reader *Reader) handOn(ctx context.Context) {
 	if err := reader.publish(ctx); err != nil {
 		reader.options.Log.Warn().Str("problem", err.Error()).Msg("view not handed on")
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -84,13 +84,15 @@
 	options Options
 	wake    chan struct{}
 
-	mutex    sync.Mutex
-	role     Role
-	follows  Revision
-	refresh  bool
-	contact  clock.Moment
-	failing  bool
-	cancelIO context.CancelFunc
+	mutex   sync.Mutex
+	role    Role
+	follows Revision
+	refresh bool
+	contact clock.Moment
+	failing bool
+	// peerFailing says that peers did not tell their view when they were last asked.
+	peerFailing bool
+	cancelIO    context.CancelFunc
 
 	// The fields below belong to the goroutine that runs Serve.
 	revision Revision
@@ -135,14 +137,17 @@
 // SetRole changes how the view is kept current.
 func (reader *Reader) SetRole(role Role) {
 	reader.mutex.Lock()
-	changed := reader.role != role
+	before := reader.role
 	reader.role = role
 	cancel := reader.cancelIO
+	if role == RoleFollow && before != RoleFollow {
+		reader.peerFailing = false
+	}
 	reader.mutex.Unlock()
-	if !changed {
+	if role == before {
 		return
 	}
-	if role == RoleFollow && cancel != nil {
+	if (role == RoleFollow || before == RoleFollow) && cancel != nil {
 		cancel()
 	}
 	reader.nudge()
@@ -183,6 +188,13 @@
 	return reader.failing
 }
 
+// PeerFailing reports whether peers did not tell their view when they were last asked.
+func (reader *Reader) PeerFailing() bool {
+	reader.mutex.Lock()
+	defer reader.mutex.Unlock()
+	return reader.peerFailing
+}
+
 func (reader *Reader) nudge() {
 	select {
 	case reader.wake <- struct{}{}:
@@ -266,9 +278,14 @@
 	return max(left, 0)
 }
 
-// bounded returns the context of a call to the source. It ends after the time, and when the reader is told to stop or to read anew.
+// bounded returns the context of a call to the source.
 func (reader *Reader) bounded(ctx context.Context, length clock.Milliseconds) (context.Context, context.CancelFunc) {
 	reader.calledAt = reader.options.Clock.Now()
+	return reader.cancellable(ctx, length)
+}
+
+// cancellable returns a context that ends after the time, and when the reader is told to stop or to read anew.
+func (reader *Reader) cancellable(ctx context.Context, length clock.Milliseconds) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithTimeout(ctx, length.Duration())
 	reader.mutex.Lock()
 	defer reader.mutex.Unlock()
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -112,6 +112,8 @@
 	Refresh func()
 	Contact func() clock.Moment
 	Failing func() bool
+	// PeerFailing reports whether peers did not tell their view when they were last asked.
+	PeerFailing func() bool
 }
 
 // Controller owns an instance's control state. Its methods are safe for concurrent use; its fields below the inbox belong
--- a/internal/fleet/controller_test.go
+++ b/internal/fleet/controller_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"net/netip"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -189,3 +190,39 @@
 		})
 	}
 }
+
+// Guards against an instance that knows of a newer view, is told it by nobody, and waits until those that serve count as silent.
+func TestUntoldViewIsReadFromTheStore(t *testing.T) {
+	cases := []struct {
+		name        string
+		revision    catalog.Revision
+		peerFailing bool
+		leads       bool
+	}{
+		{"nothing newer is known", 1, true, false},
+		{"peers tell", 2, false, false},
+		{"peers don't tell", 2, true, true},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			fixture := newStandby(t, 12, 30)
+			fixture.hear(0, membership.Serving, testCase.revision)
+			fixture.peerFailing = testCase.peerFailing
+			fixture.pass(tickStandby)
+			fixture.controller.tick()
+			require.Equal(t, testCase.leads, fixture.leads)
+		})
+	}
+}
+
+// Guards against a peer that was lost and is asked again and again while another one would answer.
+func TestPeerThatDoesNotAnswerIsAvoided(t *testing.T) {
+	fixture := newStandby(t, 12, 30)
+	fixture.hear(3, membership.Serving, 2)
+	fixture.hear(0, membership.Serving, 2)
+	require.Equal(t, identity(3).Name, fixture.controller.freshPeer().Identity.Name)
+	fixture.controller.members.SetUnreachable(netip.MustParseAddrPort(identity(3).Peer))
+	require.Equal(t, identity(0).Name, fixture.controller.freshPeer().Identity.Name)
+	fixture.pass(clock.Second)
+	require.Equal(t, identity(3).Name, fixture.controller.freshPeer().Identity.Name)
+}
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -33,7 +33,7 @@
 	case controller.unledFrom == 0:
 		controller.unledFrom = now
 	}
-	silent := heard > 0 && now.Since(heard) >= silentLead
+	silent := heard > 0 && now.Since(heard) >= silentLead || controller.untold()
 	switch {
 	case serves || controller.view == nil && controller.startsAlone(now):
 		return catalog.RoleLead
@@ -44,6 +44,12 @@
 	}
 }
 
+// untold reports whether a serving instance is known to have a newer view, and nobody tells it.
+func (controller *Controller) untold() bool {
+	newest, _ := controller.members.Newest()
+	return controller.view != nil && newest > controller.view.Revision && controller.feed.PeerFailing()
+}
+
 // startsAlone reports whether this instance, which knows nothing yet, reads the store for want of others who do.
 func (controller *Controller) startsAlone(now clock.Moment) bool {
 	return !controller.options.FleetStarts || controller.isSeed || now.Since(controller.started) >= startAlone
--- a/internal/fleet/ownership_test.go
+++ b/internal/fleet/ownership_test.go
@@ -83,7 +83,7 @@
 	})
 	node.controller.SetFeed(Feed{
 		SetRole: func(catalog.Role) {}, Follow: func(catalog.Revision) {}, Refresh: func() {},
-		Contact: fleet.clock.Now, Failing: func() bool { return false },
+		Contact: fleet.clock.Now, Failing: func() bool { return false }, PeerFailing: func() bool { return false },
 	})
 	node.controller.applyView(coldView(ownedTargets, fixtureDataCentres))
 }
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -128,9 +128,33 @@
 	return max(controller.view.HeldUntil.Since(controller.options.Clock.Now()), heldLeast)
 }
 
-// FreshPeer returns the instance whose view is worth asking for, whether it serves or not: the store may turn away just those
+// updateTimeout bounds asking a peer for what has changed since a revision: a few backend servers, mostly.
+const updateTimeout = 400 * clock.Millisecond
+
+// FromPeer has the instance asked whose view is worth asking for, by the given call. One that does not answer is left alone for a while.
+func (controller *Controller) FromPeer(
+	ctx context.Context, after catalog.Revision, read func(context.Context, netip.AddrPort, catalog.Revision) (catalog.Update, error),
+) (catalog.Update, error) {
+	address, err := controller.freshAddress(ctx)
+	if err != nil {
+		return catalog.Update{}, err
+	}
+	calling := ctx
+	if after > 0 {
+		var cancel context.CancelFunc
+		calling, cancel = context.WithTimeout(ctx, updateTimeout.Duration())
+		defer cancel()
+	}
+	update, err := read(calling, address, after)
+	if err == nil {
+		return update, nil
+	}
+	return update, errors.CombineErrors(err, controller.post(ctx, func(controller *Controller) { controller.members.SetUnreachable(address) }))
+}
+
+// freshAddress is where the instance is whose view is worth asking for, whether it serves or not: the store may turn away just those
 // that serve. The error is ErrNoPeer.
-func (controller *Controller) FreshPeer(ctx context.Context) (netip.AddrPort, error) {
+func (controller *Controller) freshAddress(ctx context.Context) (netip.AddrPort, error) {
 	address, err := ask(ctx, controller, func(controller *Controller) netip.AddrPort {
 		if best := controller.freshPeer(); best != nil {
 			return best.Address
@@ -151,7 +175,7 @@
 func (controller *Controller) freshPeer() *membership.Member {
 	var own, best *membership.Member
 	var newest catalog.Version
-	for _, peer := range controller.members.Living() {
+	for _, peer := range controller.members.Reachable() {
 		newest = max(newest, peer.Version)
 		if best == nil || peer.Revision > best.Revision || peer.Revision == best.Revision && peer.Fresh && !best.Fresh {
 			best = peer
--- a/internal/fleet/virtual_process_test.go
+++ b/internal/fleet/virtual_process_test.go
@@ -65,7 +65,7 @@
 		Clock: own, Events: new(expvar.Map).Init(), Log: zerolog.Nop(), Jitter: rand.New(rand.NewPCG(random.Uint64(), 2)).Float64,
 	})
 	process.controller.SetFeed(Feed{
-		SetRole: reader.SetRole, Follow: reader.Follow, Refresh: reader.Refresh, Contact: reader.Contact, Failing: reader.Failing,
+		SetRole: reader.SetRole, Follow: reader.Follow, Refresh: reader.Refresh, Contact: reader.Contact, Failing: reader.Failing, PeerFailing: reader.PeerFailing,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	process.cancel = cancel
@@ -133,9 +133,12 @@
 	if err := process.pass(ctx, callTime); err != nil {
 		return catalog.Update{}, err
 	}
-	address, err := process.controller.FreshPeer(ctx)
-	if passed := process.pass(ctx, callTime); passed != nil || err != nil {
-		return catalog.Update{}, errors.CombineErrors(err, passed)
+	return process.controller.FromPeer(ctx, after, process.askPeer)
+}
+
+func (process *process) askPeer(ctx context.Context, address netip.AddrPort, after catalog.Revision) (catalog.Update, error) {
+	if err := process.pass(ctx, callTime); err != nil {
+		return catalog.Update{}, err
 	}
 	peer, reached := process.reach(address)
 	if !reached {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -137,14 +137,17 @@
 		Servers: gateway.servers, Registry: gateway.registry, Log: gateway.options.Log,
 		Send: gateway.datagrams.Send, SetJobs: gateway.prober.Set,
 	})
-	peers := &peerReader{address: gateway.controller.FreshPeer, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	peers := &peerReader{http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	gateway.reader = catalog.NewReader(catalog.Options{
-		Source: gateway.options.Platform.Source, FromPeer: peers.read, Publish: gateway.controller.ViewRead,
+		Source: gateway.options.Platform.Source, Publish: gateway.controller.ViewRead,
+		FromPeer: func(ctx context.Context, after catalog.Revision) (catalog.Update, error) {
+			return gateway.controller.FromPeer(ctx, after, peers.read)
+		},
 		Clock: gateway.clock, Events: events, Log: gateway.options.Log, Jitter: rand.Float64,
 	})
 	gateway.controller.SetFeed(fleet.Feed{
 		SetRole: gateway.reader.SetRole, Follow: gateway.reader.Follow, Refresh: gateway.reader.Refresh, Contact: gateway.reader.Contact,
-		Failing: gateway.reader.Failing,
+		Failing: gateway.reader.Failing, PeerFailing: gateway.reader.PeerFailing,
 	})
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -39,16 +39,11 @@
 
 // peerReader reads the catalog of another instance.
 type peerReader struct {
-	address func(context.Context) (netip.AddrPort, error)
-	http    *http.Client
+	http *http.Client
 }
 
-func (peerReader *peerReader) read(ctx context.Context, after catalog.Revision) (catalog.Update, error) {
+func (peerReader *peerReader) read(ctx context.Context, address netip.AddrPort, after catalog.Revision) (catalog.Update, error) {
 	var update catalog.Update
-	address, err := peerReader.address(ctx)
-	if err != nil {
-		return update, err
-	}
 	from := url.URL{Scheme: "http", Host: address.String(), Path: catalogPath, RawQuery: afterField + "=" + strconv.FormatUint(uint64(after), 10)}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, from.String(), http.NoBody)
 	if err != nil {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -62,6 +62,8 @@
 	callHolds = 500 * clock.Millisecond
 	// demoteAfter is how long a serving instance is not needed before it stands by.
 	demoteAfter = 1500 * clock.Millisecond
+	// avoidFor is how long an instance is not called again that did not answer a call.
+	avoidFor = clock.Second
 )
 
 // servingLeast is the number of serving instances that a fleet should have at least, whatever its data centres: the loss
@@ -133,6 +135,8 @@
 	// heard is when it last spoke itself, known when it was first heard of.
 	heard, known clock.Moment
 	next         clock.Moment
+	// unreachable is when it last did not answer a call, 0 when it always did.
+	unreachable clock.Moment
 }
 
 // Options are what Members are made from.
@@ -420,6 +424,21 @@
 	return members.roster.listLiving()
 }
 
+// SetUnreachable notes that the instance at the address did not answer a call.
+func (members *Members) SetUnreachable(address netip.AddrPort) {
+	for _, member := range members.roster.all {
+		if member.Address == address {
+			member.unreachable = members.options.Clock.Now()
+		}
+	}
+}
+
+// Reachable returns the other instances that count as alive and have not just failed to answer a call, by name.
+func (members *Members) Reachable() []*Member {
+	now := members.options.Clock.Now()
+	return filter(members.Living(), func(member *Member) bool { return member.unreachable == 0 || now.Since(member.unreachable) >= avoidFor })
+}
+
 // NewestOfAll returns the newest revision that any other instance has.
 func (members *Members) NewestOfAll() catalog.Revision {
 	var newest catalog.Revision
