Greet only those that could serve when a fleet starts, and work out news once a tick

What operators saw: 312 instances that start together each spent 0.384 s of processor until half a second of traffic (0.147 s at 17), which is 2.4 s on 0.16 of a processor; after a loss of all power callers wait for that.

Cause, by a profile of 312 controllers in virtual time: an instance that joined sent a beat to every other one each 60 ms and answered every such beat within a tick, so two that joined answered each other without end; one that knew of nobody serving spoke to all; each beat that told anything new sorted the whole fleet, compared addresses as text and worked owners and routes out anew.

Ruled out: reading the view. Publishing it took a fifth of the time, the rest was beats.

Change: one that joins speaks to seeds, to those that serve and to the first few of its data centre; one that knows nobody who serves asks seeds and the first few of each; beats mention who should serve, so all still learn of the same ones; a reply is given at most every 50 ms; only those that are asked can be lost by their silence; what peers tell is worked out once in the next tick, 10 ms later at most; members are found by address.

TestOnlyServingInstancesChangeOwners looks after a tick now, since a beat alone changes nothing any more; it also demands that the tick after a standby's beat changes nothing.

--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -151,6 +151,9 @@
 	nextClean  clock.Moment
 	behindFrom clock.Moment
 	awakeSkew  clock.Milliseconds
+	// heardNews says that peers told something since the last tick that others are to hear of.
+	heardNews bool
+	nextTick  clock.Moment
 }
 
 // ownReading is what a probe has just told.
@@ -214,17 +217,27 @@
 			return ctx.Err()
 		case arrived := <-controller.inbox:
 			arrived(controller)
+			if controller.hastens() {
+				timer.Reset(tickServing.Duration())
+			}
 		case <-timer.C:
 			controller.tick()
-			every := tickStandby
-			if controller.members.State() == membership.Serving {
-				every = tickServing
-			}
-			timer.Reset(every.Duration())
+			timer.Reset(controller.nextTick.Since(controller.options.Clock.Now()).Duration())
 		}
 	}
 }
 
+// hastens brings the next tick forward when there is news, and reports whether it did. Hundreds of instances that start together
+// tell of each other within a moment; what follows from that is worked out once for all of them.
+func (controller *Controller) hastens() bool {
+	soon := controller.options.Clock.Now().Add(tickServing)
+	if !controller.heardNews || controller.nextTick <= soon {
+		return false
+	}
+	controller.nextTick = soon
+	return true
+}
+
 // event is something that reaches the control goroutine.
 type event func(*Controller)
 
@@ -301,7 +314,8 @@
 func (controller *Controller) tick() {
 	now := controller.options.Clock.Now()
 	controller.checkFrozen()
-	if controller.members.Review() {
+	if changed := controller.members.Review(); changed || controller.heardNews {
+		controller.heardNews = false
 		controller.membersChanged()
 	}
 	controller.moveOn(now)
@@ -318,6 +332,11 @@
 		controller.nextClean = now.Add(clock.Second)
 		controller.options.Servers.CloseIdle()
 	}
+	every := tickStandby
+	if controller.members.State() == membership.Serving {
+		every = tickServing
+	}
+	controller.nextTick = now.Add(every)
 }
 
 // checkFrozen finds out whether the machine stood still. Timers don't count that time, so nothing else would show that
@@ -385,8 +404,7 @@
 func (controller *Controller) hear(message *Message) {
 	now := controller.options.Clock.Now()
 	if message.Beat != nil && controller.members.Hear(*message.Beat) {
-		controller.membersChanged()
-		controller.sendBeats()
+		controller.heardNews = true
 	}
 	for index := range message.Readings {
 		shared := &message.Readings[index]
--- a/internal/fleet/controller_test.go
+++ b/internal/fleet/controller_test.go
@@ -54,8 +54,10 @@
 	fixture := newStandby(t, 20, 30)
 	before := fixture.controller.Table()
 	fixture.hear(30, membership.StandingBy, 1)
+	fixture.controller.tick()
 	require.Same(t, before, fixture.controller.Table())
 	fixture.hear(2, membership.Leaving, 1)
+	fixture.controller.tick()
 	require.NotSame(t, before, fixture.controller.Table())
 	require.NotContains(t, fixture.controller.owners, identity(2).Name)
 }
--- a/internal/fleet/virtual_process_test.go
+++ b/internal/fleet/virtual_process_test.go
@@ -37,7 +37,7 @@
 	// suspended is the time, in whole steps, that the process's clock did not count.
 	suspended atomic.Int64
 
-	nextTick, nextProbe clock.Moment
+	nextProbe clock.Moment
 	// leftAt is when it was told to leave, leavesAt when it ends for that.
 	leftAt, leavesAt clock.Moment
 	// version and revision are the newest that it has followed.
@@ -180,12 +180,9 @@
 }
 
 func (process *process) tick(now clock.Moment) {
-	if now >= process.nextTick {
+	process.controller.hastens()
+	if process.time(now) >= process.controller.nextTick {
 		process.controller.tick()
-		process.nextTick = now.Add(tickStandby)
-		if process.controller.members.State() == membership.Serving {
-			process.nextTick = now.Add(tickServing)
-		}
 	}
 	if now >= process.nextProbe {
 		process.nextProbe = now.Add(ownedPause)
--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 
 	"github.com/jaywheel/jaywheel/internal/catalog"
 	"github.com/jaywheel/jaywheel/pkg/clock"
@@ -37,11 +36,14 @@
 func (members *Members) Due() []netip.AddrPort {
 	now := members.options.Clock.Now()
 	var due []netip.AddrPort
-	orphan := members.orphan()
+	leaderless := members.leaderless()
 	for _, member := range members.roster.all {
-		every, wanted := members.pace(member, orphan)
-		if wanted && now >= member.next {
+		every, wanted := members.pace(member, leaderless)
+		owed := member.owed && now.Since(member.sent) >= replyEvery
+		if wanted && now >= member.next || owed {
 			member.next = now.Add(every)
+			member.sent = now
+			member.owed = false
 			due = append(due, member.Address)
 		}
 	}
@@ -61,21 +63,29 @@
 
 // heardFrom reports whether a member that lives has spoken from the address.
 func (members *Members) heardFrom(address netip.AddrPort) bool {
-	return slices.ContainsFunc(members.roster.listLiving(), func(member *Member) bool { return member.Address == address && member.heard > 0 })
+	member, known := members.roster.at(address)
+	return known && member.State != Lost && member.heard > 0
 }
 
-// orphan reports whether no serving instance is known, so that all must be asked.
-func (members *Members) orphan() bool {
+// leaderless reports whether no serving instance is known.
+func (members *Members) leaderless() bool {
 	return members.state != Serving && len(members.Peers()) == 0
 }
 
-// pace is how often a member is sent a beat, and whether it is at all.
-func (members *Members) pace(member *Member, orphan bool) (clock.Milliseconds, bool) {
+// asks reports whether the member is asked while nobody is known to serve: one that could serve, or that others ask.
+func (members *Members) asks(member *Member) bool {
+	return members.roster.ranked(members).leading[member] || members.isSeed(member.Address)
+}
+
+// pace is how often a member is sent a beat, and whether it is at all. In a fleet that has just been started nobody speaks to all others:
+// the number of datagrams would grow with the square of that of instances.
+func (members *Members) pace(member *Member, leaderless bool) (clock.Milliseconds, bool) {
 	switch {
 	case member.State == Lost:
-		return lostEvery, members.state == Serving || orphan
+		return lostEvery, members.state == Serving || leaderless
 	case members.state == Joining:
-		return joinEvery, true
+		near := member.Identity.DataCentre == members.options.Self.DataCentre || members.isSeed(member.Address)
+		return joinEvery, member.State == Serving || near && members.asks(member)
 	case members.state == Serving && (member.State == Serving || member.State == Joining):
 		return servingEvery, true
 	case members.state == Serving || member.State == Serving:
@@ -83,7 +93,7 @@
 	case members.state == Leaving:
 		return standbyEvery, member.next == 0
 	default:
-		return servingEvery, orphan || member.State == Joining
+		return servingEvery, leaderless && members.asks(member)
 	}
 }
 
@@ -107,24 +117,23 @@
 	if members.options.Clock.Now().Since(members.changed) < tellChangesFor || members.sequence%tellEvery == 0 {
 		return true
 	}
-	for _, member := range members.roster.all {
-		if member.Address == to {
-			return member.State == Joining
-		}
-	}
-	return true
+	member, known := members.roster.at(to)
+	return !known || member.State == Joining
 }
 
-// mentions tells of serving and newly lost members first, and of the others in turn. Whoever is asked tells of them, also
-// an instance that stands by: after all were restarted at once, those that serve may know nobody but the seeds.
+// mentions tells of serving and newly lost members first, then of those that should serve, and of the others in turn. Whoever is asked
+// tells of them, also an instance that stands by: after all were restarted at once, those that serve may know nobody but the seeds.
 func (members *Members) mentions() []Mention {
 	now := members.options.Clock.Now()
-	var serving, lost, others []Mention
+	ranking := members.roster.ranked(members)
+	var serving, next, lost, others []Mention
 	for _, member := range members.All() {
 		mention := Mention{Identity: member.Identity, State: member.State}
 		switch {
 		case member.State == Serving:
 			serving = append(serving, mention)
+		case ranking.due[member]:
+			next = append(next, mention)
 		case member.State != Lost:
 			others = append(others, mention)
 		case now.Since(member.heard) < 2*standbySilence:
@@ -133,6 +142,7 @@
 	}
 	members.cursor++
 	mentions := inTurn(serving, members.cursor, mentionsMost)
+	mentions = append(mentions, inTurn(next, members.cursor, mentionsMost)...)
 	mentions = append(mentions, inTurn(lost, members.cursor, mentionsMost-len(mentions))...)
 	return append(mentions, inTurn(others, members.cursor, mentionsOfStandby)...)
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -38,7 +38,10 @@
 	// 0.3 s, and seeds take a round trip to tell of the others. What more of it would save is two instances that serve
 	// one data centre for some seconds; what less of it saves is callers who find nobody after all were killed.
 	joinFor   = 300 * clock.Millisecond
-	joinEvery = 60 * clock.Millisecond
+	joinEvery = 100 * clock.Millisecond
+	// replyEvery is the least time between two replies to one that has just started. Two that start together would else reply to each other
+	// without end.
+	replyEvery = 50 * clock.Millisecond
 	// seekSeedsFor is how long seeds that don't answer are asked often: after all were restarted at once they may be the
 	// last to be there, and nobody knows anyone else.
 	seekSeedsFor = 3 * clock.Second
@@ -135,6 +138,11 @@
 	// heard is when it last spoke itself, known when it was first heard of.
 	heard, known clock.Moment
 	next         clock.Moment
+	// sent is when it was last sent a beat, owed whether it waits for one.
+	sent clock.Moment
+	owed bool
+	// askedFrom is since when it is asked because nobody is known to serve, 0 when it is not.
+	askedFrom clock.Moment
 	// unreachable is when it last did not answer a call, 0 when it always did.
 	unreachable clock.Moment
 }
@@ -164,8 +172,8 @@
 	cursor int
 	// stateFrom is since when the own state is what it is.
 	stateFrom clock.Moment
-	// orphanedAt is since when no serving instance is known, 0 when one is.
-	orphanedAt clock.Moment
+	// asking says that nobody was known to serve when that was last looked at.
+	asking bool
 	// changed is when the view of the fleet last changed.
 	changed clock.Moment
 	// unneeded is since when this instance serves without being needed, 0 when it is.
@@ -245,7 +253,7 @@
 		return false
 	}
 	if !known {
-		member = &Member{known: now, Identity: beat.Identity}
+		member = &Member{known: now, Identity: beat.Identity, Address: address}
 		members.roster.add(beat.Identity.Name, member)
 	}
 	changed := !known || member.State != beat.State || member.Incarnation != beat.Incarnation
@@ -253,7 +261,7 @@
 		members.roster.changed()
 	}
 	member.Identity = beat.Identity
-	member.Address = address
+	members.roster.move(member, address)
 	member.State = beat.State
 	member.Incarnation = beat.Incarnation
 	member.Sequence = beat.Sequence
@@ -262,9 +270,9 @@
 	member.Fresh = beat.Fresh
 	member.Called = beat.Called
 	member.heard = now
-	if beat.State == Joining || changed {
-		// It waits for a first word, or now expects to hear from here more often than before: without one it would take
-		// this instance for lost.
+	member.owed = member.owed || beat.State == Joining
+	if changed {
+		// It now expects to hear from here more often than before: without a word it would take this instance for lost.
 		member.next = 0
 	}
 	for _, mention := range beat.Mentions {
@@ -336,7 +344,7 @@
 func (members *Members) Review() bool {
 	now := members.options.Clock.Now()
 	changed := false
-	members.noteOrphaned(now)
+	members.noteAsked(now)
 	var forgotten []settings.InstanceName
 	for _, member := range members.roster.all {
 		silent := members.silentFor(now, member)
@@ -370,19 +378,26 @@
 	return changed
 }
 
-// noteOrphaned notes since when no serving instance is known.
-func (members *Members) noteOrphaned(now clock.Moment) {
-	switch {
-	case !members.orphan():
-		members.orphanedAt = 0
-	case members.orphanedAt == 0:
-		members.orphanedAt = now
+// noteAsked notes since when members are asked because nobody is known to serve.
+func (members *Members) noteAsked(now clock.Moment) {
+	leaderless := members.leaderless()
+	if !leaderless && !members.asking {
+		return
+	}
+	members.asking = leaderless
+	for _, member := range members.roster.all {
+		switch {
+		case !leaderless || !members.asks(member):
+			member.askedFrom = 0
+		case member.askedFrom == 0:
+			member.askedFrom = now
+		}
 	}
 }
 
-// silentFor is how long a member has been silent although it should have spoken. Instances that stand by don't speak to
-// each other while there are serving ones, who say when one is lost. If they counted each other as lost for that silence,
-// each would hold itself for the next to serve, and all would take over at once.
+// silentFor is how long a member has been silent although it should have spoken. Instances that stand by speak only to those among them
+// that they ask because nobody serves; while someone does, those say when one is lost. If they counted each other as lost for that
+// silence, each would hold itself for the next to serve, and all would take over at once.
 func (members *Members) silentFor(now clock.Moment, member *Member) clock.Milliseconds {
 	silent := now.Since(member.heard)
 	if members.state == Serving && member.State == Serving {
@@ -392,10 +407,10 @@
 	if members.state == Serving || member.State != StandingBy {
 		return silent
 	}
-	if members.orphanedAt == 0 {
+	if member.askedFrom == 0 {
 		return 0
 	}
-	return min(silent, now.Since(members.orphanedAt))
+	return min(silent, now.Since(member.askedFrom))
 }
 
 // joined reports whether this instance has listened long enough.
@@ -412,7 +427,7 @@
 func (members *Members) Sight() float64 {
 	known := len(members.roster.all) + 1
 	for _, seed := range members.options.Seeds {
-		if seed != members.self && !slices.ContainsFunc(members.roster.all, func(member *Member) bool { return member.Address == seed }) {
+		if _, met := members.roster.at(seed); seed != members.self && !met {
 			known++
 		}
 	}
@@ -426,10 +441,8 @@
 
 // SetUnreachable notes that the instance at the address did not answer a call.
 func (members *Members) SetUnreachable(address netip.AddrPort) {
-	for _, member := range members.roster.all {
-		if member.Address == address {
-			member.unreachable = members.options.Clock.Now()
-		}
+	if member, known := members.roster.at(address); known {
+		member.unreachable = members.options.Clock.Now()
 	}
 }
 
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -445,3 +445,24 @@
 		})
 	}
 }
+
+// Guards against a start in which each instance speaks to all others, so that datagrams grow with the square of the fleet.
+func TestStartCostIsFlat(t *testing.T) {
+	perInstance := func(count int) float64 {
+		fleet := newFleet(count, 5, []int{0, 1, 2}, func(number int) int {
+			if number%20 == 5 {
+				return 800
+			}
+			return 160
+		})
+		fleet.run(3 * clock.Second)
+		require.Len(t, fleet.serving(), 5, "%d instances", count)
+		return float64(fleet.sent) / float64(count)
+	}
+	small := perInstance(30)
+	for _, count := range []int{100, 312, 1000} {
+		large := perInstance(count)
+		t.Logf("datagrams for each instance in the first 3 s: %.0f at 30, %.0f at %d", small, large, count)
+		require.Less(t, large, 1.5*small)
+	}
+}
--- a/internal/membership/rank.go
+++ b/internal/membership/rank.go
@@ -27,8 +27,10 @@
 
 // ranked is an instance that could serve.
 type ranked struct {
-	identity Identity
-	serving  bool
+	identity      Identity
+	serving, seed bool
+	// member is nil for this instance itself.
+	member *Member
 }
 
 // calls returns the instances that should begin to serve. Serving ones know all that stand by; those don't know each other,
@@ -75,7 +77,7 @@
 		return false
 	}
 	starting := members.options.Clock.Now().Since(members.started) < startsFor
-	if members.state == StandingBy && !members.orphan() && !starting {
+	if members.state == StandingBy && !members.leaderless() && !starting {
 		return members.called()
 	}
 	byDataCentre, places := members.candidates()
@@ -93,29 +95,33 @@
 type ranking struct {
 	byDataCentre map[settings.DataCentreName][]ranked
 	places       int
+	// leading are the members that come first in their data centre, some more than are needed; due are those that should serve and don't.
+	leading, due map[*Member]bool
 }
 
+// leadingSpare is the number of members in each data centre that count as leading beyond those that are needed: the first may just
+// have died.
+const leadingSpare = 2
+
 // candidates returns the ranking of this instance and all others that live.
 func (members *Members) candidates() (map[settings.DataCentreName][]ranked, int) {
-	if members.roster.ranking == nil {
-		members.roster.ranking = members.rank()
-	}
-	return members.roster.ranking.byDataCentre, members.roster.ranking.places
+	ranking := members.roster.ranked(members)
+	return ranking.byDataCentre, ranking.places
 }
 
 func (members *Members) rank() *ranking {
 	byDataCentre := map[settings.DataCentreName][]ranked{}
-	add := func(identity Identity, serving bool) {
-		byDataCentre[identity.DataCentre] = append(byDataCentre[identity.DataCentre], ranked{identity: identity, serving: serving})
+	add := func(candidate ranked) {
+		byDataCentre[candidate.identity.DataCentre] = append(byDataCentre[candidate.identity.DataCentre], candidate)
 	}
 	if members.state != Leaving {
-		add(members.options.Self, members.state == Serving)
+		add(ranked{identity: members.options.Self, serving: members.state == Serving, seed: members.isSeed(members.self)})
 	}
 	for _, member := range members.roster.listLiving() {
 		// One that is joining stands by within a moment. If it were left out, all that were restarted together would find
 		// themselves first, since they cease to join at the same time.
 		if member.State != Leaving {
-			add(member.Identity, member.State == Serving)
+			add(ranked{identity: member.Identity, serving: member.State == Serving, seed: members.isSeed(member.Address), member: member})
 		}
 	}
 	for _, candidates := range byDataCentre {
@@ -123,18 +129,35 @@
 			return cmp.Or(
 				right.identity.Size-left.identity.Size,
 				boolOrder(right.serving)-boolOrder(left.serving),
-				boolOrder(members.isSeed(left.identity))-boolOrder(members.isSeed(right.identity)),
+				boolOrder(left.seed)-boolOrder(right.seed),
 				cmp.Compare(left.identity.Name, right.identity.Name),
 			)
 		})
 	}
 	dataCentres := max(len(byDataCentre), 1)
-	return &ranking{byDataCentre: byDataCentre, places: (servingLeast + dataCentres - 1) / dataCentres}
+	ranking := &ranking{
+		byDataCentre: byDataCentre, places: (servingLeast + dataCentres - 1) / dataCentres, leading: map[*Member]bool{}, due: map[*Member]bool{},
+	}
+	for _, candidates := range byDataCentre {
+		ranking.note(candidates)
+	}
+	return ranking
+}
+
+// note notes which of a data centre's candidates are leading, and which should serve and don't.
+func (ranking *ranking) note(candidates []ranked) {
+	for place, candidate := range candidates[:min(ranking.places+leadingSpare, len(candidates))] {
+		if candidate.member == nil {
+			continue
+		}
+		ranking.leading[candidate.member] = true
+		ranking.due[candidate.member] = place < ranking.places && !candidate.serving
+	}
 }
 
-// isSeed reports whether others look for the instance when they start.
-func (members *Members) isSeed(identity Identity) bool {
-	return slices.ContainsFunc(members.options.Seeds, func(seed netip.AddrPort) bool { return seed.String() == identity.Peer })
+// isSeed reports whether others look for the instance at the address when they start.
+func (members *Members) isSeed(address netip.AddrPort) bool {
+	return slices.Contains(members.options.Seeds, address)
 }
 
 func boolOrder(value bool) int {
