Tell views to other instances in compressed CBOR, encoded once

An instance of 20 Mbit/s needs over two seconds to tell 60 others a view of 540 servers.

Cause: a view was told as JSON with its field names, and encoded anew for each that asked.

Change: CBOR arrays without field names, deflated from 4 KB on, and the last encoding kept for all who ask for the same.

As JSON a server alone takes some 170 bytes.

--- /dev/null
+++ b/internal/catalog/encoding.go
@@ -0,0 +1,86 @@
+package catalog
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// ErrEncoding says that what a peer told is no update.
+var ErrEncoding = errors.New("update not understood")
+
+// An encoded update begins with a byte that says whether the CBOR after it is compressed.
+const (
+	formPlain   byte = 'p'
+	formDeflate byte = 'd'
+)
+
+// compressFrom is the length from which an update is compressed: a few backend servers are not worth a compressor's memory.
+const compressFrom = 4 << 10
+
+// updateMost bounds an update that is read, in bytes.
+const updateMost = 64 << 20
+
+var encoding, decoding = func() (cbor.EncMode, cbor.DecMode) {
+	encoding, err := cbor.EncOptions{ShortestFloat: cbor.ShortestFloat16}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	decoding, err := cbor.DecOptions{
+		MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 16, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return encoding, decoding
+}()
+
+// Encode returns the update as it is told to another instance.
+func (update *Update) Encode() ([]byte, error) {
+	plain, err := encoding.Marshal(update)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode update")
+	}
+	if len(plain) < compressFrom {
+		return append([]byte{formPlain}, plain...), nil
+	}
+	encoded := bytes.NewBuffer([]byte{formDeflate})
+	compressor, err := flate.NewWriter(encoded, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "compress update")
+	}
+	if _, err := compressor.Write(plain); err != nil {
+		return nil, errors.Wrap(err, "compress update")
+	}
+	if err := compressor.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress update")
+	}
+	return encoded.Bytes(), nil
+}
+
+// DecodeUpdate reads an update to its end. The error is ErrEncoding, or the reader's.
+func DecodeUpdate(reader io.Reader) (Update, error) {
+	var update Update
+	var form [1]byte
+	if _, err := io.ReadFull(reader, form[:]); err != nil {
+		return update, errors.Wrap(err, "read update")
+	}
+	switch form[0] {
+	case formPlain:
+	case formDeflate:
+		reader = flate.NewReader(reader)
+	default:
+		return update, errors.Wrapf(ErrEncoding, "form %q", form[0])
+	}
+	text, err := io.ReadAll(io.LimitReader(reader, updateMost))
+	if err != nil {
+		return update, errors.Wrap(err, "read update")
+	}
+	if err := decoding.Unmarshal(text, &update); err != nil {
+		return Update{}, errors.Wrapf(ErrEncoding, "%v", err)
+	}
+	return update, nil
+}
--- a/internal/catalog/update.go
+++ b/internal/catalog/update.go
@@ -15,21 +15,23 @@
 // Update is what one instance tells another of its view: all of it, or what has changed since a revision. Most changes
 // concern one server of hundreds; told whole, each would cost every instance that follows the reading of all of them.
 type Update struct {
-	Revision Revision `json:"revision"`
+	_ struct{} `cbor:",toarray"`
+
+	Revision Revision
 	// Since is the revision to which the update is to be applied, 0 when it tells everything.
-	Since Revision `json:"since"`
+	Since Revision
 	// Configuration is nil when it has not changed.
-	Configuration *Configuration            `json:"configuration,omitempty"`
-	Servers       []Server                  `json:"servers,omitempty"`
-	Removed       []settings.TargetName     `json:"removed,omitempty"`
-	Out           []settings.DataCentreName `json:"out,omitempty"`
+	Configuration *Configuration
+	Servers       []Server
+	Removed       []settings.TargetName
+	Out           []settings.DataCentreName
 	// Digest is that of all servers after the update. Two instances that read the source differ for a while in the servers
 	// that they keep after an outage; an update of the one to the view of the other would leave servers behind that nobody
 	// ever removes, and requests would be sent to them.
-	Digest Digest `json:"digest,string"`
+	Digest Digest
 	// HeldFor is the time after which the update may hold no more although nothing changes in the source, 0 when that is not so: some
 	// servers are kept for a while after an outage.
-	HeldFor clock.Milliseconds `json:"heldFor,omitempty"`
+	HeldFor clock.Milliseconds
 }
 
 // Digest stands for a set of servers.
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -15,46 +15,54 @@
 
 // Configuration is everything that operators decide, complete.
 type Configuration struct {
-	Version  Version                                `json:"version"`
-	Routes   []Route                                `json:"routes"`
-	Services map[settings.ServiceName]ServiceLimits `json:"services"`
+	_ struct{} `cbor:",toarray"`
+
+	Version  Version
+	Routes   []Route
+	Services map[settings.ServiceName]ServiceLimits
 	// Doubts say what in it was not understood, and what stands in for it. They are for the log of whoever read the source.
-	Doubts []string `json:"-"`
+	Doubts []string `cbor:"-"`
 }
 
 // Route sends the requests of a host below a path prefix to one service, or splits them.
 type Route struct {
-	Name settings.ClassName `json:"name"`
-	Host string             `json:"host"`
+	_ struct{} `cbor:",toarray"`
+
+	Name settings.ClassName
+	Host string
 	// Prefix begins and ends with a slash.
-	Prefix string `json:"prefix"`
+	Prefix string
 	// Idempotent says that a request may run more than once.
-	Idempotent bool `json:"idempotent"`
+	Idempotent bool
 	// Timeout is the longest time that a request may be kept without its final answer.
-	Timeout clock.Milliseconds `json:"timeout"`
+	Timeout clock.Milliseconds
 	// Aim is the time within which an answer is worth most.
-	Aim clock.Milliseconds `json:"aim"`
+	Aim clock.Milliseconds
 	// Attempts is the largest number of backend servers that one request may be sent to.
-	Attempts int               `json:"attempts"`
-	Priority settings.Priority `json:"priority"`
+	Attempts int
+	Priority settings.Priority
 	// Split is empty when it is not known where the requests belong. They are refused then, and go by no other route.
-	Split []Share `json:"split"`
+	Split []Share
 }
 
 // Share is a service's part of a route's requests.
 type Share struct {
-	Service settings.ServiceName `json:"service"`
-	Weight  int                  `json:"weight"`
+	_ struct{} `cbor:",toarray"`
+
+	Service settings.ServiceName
+	Weight  int
 }
 
 // ServiceLimits are what operators say of a service's backend servers.
 type ServiceLimits struct {
+	_ struct{} `cbor:",toarray"`
+
 	// ProbePath is empty when servers are not to be probed.
-	ProbePath string `json:"probePath"`
+	ProbePath string
 	// ConnectionsMost is the number of connections that one backend server takes from all callers together.
-	ConnectionsMost int `json:"connectionsMost"`
+	ConnectionsMost int
 	// ColdRate is how many requests a second a cold backend server bears.
-	ColdRate float64 `json:"coldRate"`
+	ColdRate float64
 }
 
 // ServerState tells whether a backend server takes new work.
@@ -68,26 +76,28 @@
 
 // Server is one backend server. Its Name belongs to one run of it, mostly; Started tells runs under one name apart.
 type Server struct {
-	Name       settings.TargetName     `json:"name"`
-	Service    settings.ServiceName    `json:"service"`
-	Address    string                  `json:"address"`
-	DataCentre settings.DataCentreName `json:"dataCentre"`
-	Slots      int                     `json:"slots"`
-	State      ServerState             `json:"state"`
+	_ struct{} `cbor:",toarray"`
+
+	Name       settings.TargetName
+	Service    settings.ServiceName
+	Address    string
+	DataCentre settings.DataCentreName
+	Slots      int
+	State      ServerState
 	// ColdFor is how long it stays cold, counted from when it said so.
-	ColdFor clock.Milliseconds `json:"coldFor"`
+	ColdFor clock.Milliseconds
 	// Started is when it started, by its own wall clock; only whether it changed counts.
-	Started int64 `json:"started"`
+	Started int64
 }
 
 // View is what a source held at one revision.
 type View struct {
-	Revision      Revision                  `json:"revision"`
-	Configuration *Configuration            `json:"configuration"`
-	Servers       []Server                  `json:"servers"`
-	Out           []settings.DataCentreName `json:"out"`
+	Revision      Revision
+	Configuration *Configuration
+	Servers       []Server
+	Out           []settings.DataCentreName
 	// HeldUntil is when the first of the servers is dropped whose entries are gone and may only have lapsed, 0 when there is none.
-	HeldUntil clock.Moment `json:"-"`
+	HeldUntil clock.Moment `cbor:"-"`
 }
 
 // IsOut reports whether operators have taken the data centre out.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,6 +84,7 @@
 	prober     *sensing.Prober
 	datagrams  *instance.Datagrams
 	traces     *trace.Ring
+	told       toldUpdate
 	callers    *httppart.Part
 	handler    *caller.Handler
 	parts      []namedPart
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"net/netip"
 	"net/url"
 	"strconv"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 
@@ -32,9 +32,38 @@
 		http.Error(writer, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	writer.Header().Set("Content-Type", "application/json")
+	encoded, err := gateway.told.encode(&update)
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/octet-stream")
 	// A peer that is gone can't be told.
-	_ = json.NewEncoder(writer).Encode(update)
+	_, _ = writer.Write(encoded)
+}
+
+// toldUpdate keeps the update that was told last. After a change all that follow ask for the same.
+type toldUpdate struct {
+	mutex   sync.Mutex
+	update  catalog.Update
+	encoded []byte
+}
+
+func (toldUpdate *toldUpdate) encode(update *catalog.Update) ([]byte, error) {
+	toldUpdate.mutex.Lock()
+	defer toldUpdate.mutex.Unlock()
+	last := &toldUpdate.update
+	same := toldUpdate.encoded != nil && last.Revision == update.Revision && last.Since == update.Since && last.Digest == update.Digest &&
+		last.Configuration == update.Configuration && last.HeldFor == 0 && update.HeldFor == 0
+	if same {
+		return toldUpdate.encoded, nil
+	}
+	encoded, err := update.Encode()
+	if err != nil {
+		return nil, err
+	}
+	toldUpdate.update, toldUpdate.encoded = *update, encoded
+	return encoded, nil
 }
 
 // peerReader reads the catalog of another instance.
@@ -57,5 +86,6 @@
 	if response.StatusCode != http.StatusOK {
 		return update, errors.Newf("catalog of %s: status %d", address, response.StatusCode)
 	}
-	return update, errors.Wrapf(json.NewDecoder(response.Body).Decode(&update), "catalog of %s", address)
+	update, err = catalog.DecodeUpdate(response.Body)
+	return update, errors.Wrapf(err, "catalog of %s", address)
 }
