Let a restarted instance follow those that serve, and ask nobody before there is a configuration

Cause, read in the code: an instance that was restarted read the whole store at once, while those that serve would have told it; one without a view asked a peer for everything each 100 ms as long as that peer had no configuration, and threw away what it was told; readers looked every 300 ms while hundreds of servers came up.

Ruled out: waiting for seeds after a restart, as at a fleet's first start (design 0003: two seconds after a loss of power were worse). Those that come first in their data centre, which callers will be sent to, still read at once; they begin to serve 0.3 s after their start in any case.

Change: a restarted instance waits 0.1 s for a first word and 0.7 s for a view where somebody serves, or where others come first; a revision is followed only if its teller has a configuration; the pause between readings is 0.7 s until there is one. One that joins looks after its peers every 10 ms.

--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -29,6 +29,8 @@
 	// gatherFor is the pause after changes before the next call. Calls are priced and limited; changes come in bunches
 	// when servers are replaced. It is a seventh of the time in which a change must be in force.
 	gatherFor = 300 * clock.Millisecond
+	// gatherUnconfigured is that pause while there is no configuration: hundreds of servers come up together before a fleet's first one.
+	gatherUnconfigured = 700 * clock.Millisecond
 	// firstBackoff and mostBackoff bound the pause after a failed call of an instance that serves.
 	firstBackoff = 100 * clock.Millisecond
 	mostBackoff  = 500 * clock.Millisecond
@@ -371,7 +373,11 @@
 	if err := reader.publish(ctx); err != nil {
 		return err
 	}
-	sleep(ctx, min(gatherFor, reader.untilLapsed()))
+	gather := gatherFor
+	if reader.configuration == nil {
+		gather = gatherUnconfigured
+	}
+	sleep(ctx, min(gather, reader.untilLapsed()))
 	return nil
 }
 
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -24,8 +24,8 @@
 
 // Times of control.
 const (
-	// tickServing is how often a serving instance looks after waiting requests and its peers, tickStandby how often
-	// the others do.
+	// tickServing is how often an instance that serves or has just started looks after waiting requests and its peers, tickStandby
+	// how often the others do.
 	tickServing = 10 * clock.Millisecond
 	tickStandby = 50 * clock.Millisecond
 	// shareEvery is how often readings are told to the other serving instances: a tenth of a spell later they hold
@@ -55,8 +55,12 @@
 	silentLead = 1500 * clock.Millisecond
 	// startAlone is how long an instance waits for others to tell their view before it reads the store itself, when a whole
 	// fleet starts for the first time. Seeds read at once, but there may be no configuration yet, and a view without one is of no
-	// use to others; callers come some seconds later. After a restart callers wait, and nobody holds back.
+	// use to others; callers come some seconds later.
 	startAlone = 3 * clock.Second
+	// restartAlone is how long an instance that was restarted waits for those that serve to tell their view, restartUnmet how long it waits
+	// for a first word of any other. Callers wait when all were restarted: then those that come first read the store at once.
+	restartAlone = 700 * clock.Millisecond
+	restartUnmet = 100 * clock.Millisecond
 	// helpEvery is the least time between two readings of a peer's view while the store turns this instance away.
 	helpEvery = 200 * clock.Millisecond
 	// followEvery is the least time between two readings of a peer's view for the sake of backend servers alone. An
@@ -333,7 +337,7 @@
 		controller.options.Servers.CloseIdle()
 	}
 	every := tickStandby
-	if controller.members.State() == membership.Serving {
+	if state := controller.members.State(); state == membership.Serving || state == membership.Joining {
 		every = tickServing
 	}
 	controller.nextTick = now.Add(every)
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -19,7 +19,7 @@
 	case leads:
 		controller.seekHelp(now)
 	case controller.view == nil:
-		controller.feed.Follow(controller.members.NewestOfAll())
+		controller.feed.Follow(controller.members.NewestConfigured())
 	case newest > controller.view.Revision && (now.Since(controller.viewAt) >= followEvery || controller.versionBehind()):
 		controller.feed.Follow(newest)
 	}
@@ -52,7 +52,17 @@
 
 // startsAlone reports whether this instance, which knows nothing yet, reads the store for want of others who do.
 func (controller *Controller) startsAlone(now clock.Moment) bool {
-	return !controller.options.FleetStarts || controller.isSeed || now.Since(controller.started) >= startAlone
+	waited := now.Since(controller.started)
+	switch {
+	case controller.options.FleetStarts:
+		return controller.isSeed || waited >= startAlone
+	case waited >= restartAlone:
+		return true
+	case controller.members.Leaderless():
+		return controller.members.Leading() && (controller.members.Met() || waited >= restartUnmet)
+	default:
+		return false
+	}
 }
 
 // seekHelp has a newer view of any other instance read while the store turns this one away.
@@ -60,7 +70,7 @@
 	if controller.view == nil || !controller.feed.Failing() || now < controller.nextHelp {
 		return
 	}
-	if known := controller.members.NewestOfAll(); known > controller.view.Revision {
+	if known := controller.members.NewestConfigured(); known > controller.view.Revision {
 		controller.nextHelp = now.Add(helpEvery)
 		controller.feed.Follow(known)
 	}
--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -36,7 +36,7 @@
 func (members *Members) Due() []netip.AddrPort {
 	now := members.options.Clock.Now()
 	var due []netip.AddrPort
-	leaderless := members.leaderless()
+	leaderless := members.Leaderless()
 	for _, member := range members.roster.all {
 		every, wanted := members.pace(member, leaderless)
 		owed := member.owed && now.Since(member.sent) >= replyEvery
@@ -67,8 +67,8 @@
 	return known && member.State != Lost && member.heard > 0
 }
 
-// leaderless reports whether no serving instance is known.
-func (members *Members) leaderless() bool {
+// Leaderless reports whether no serving instance is known.
+func (members *Members) Leaderless() bool {
 	return members.state != Serving && len(members.Peers()) == 0
 }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -172,6 +172,8 @@
 	cursor int
 	// stateFrom is since when the own state is what it is.
 	stateFrom clock.Moment
+	// met says that another instance has spoken.
+	met bool
 	// asking says that nobody was known to serve when that was last looked at.
 	asking bool
 	// changed is when the view of the fleet last changed.
@@ -271,6 +273,7 @@
 	member.Called = beat.Called
 	member.heard = now
 	member.owed = member.owed || beat.State == Joining
+	members.met = true
 	if changed {
 		// It now expects to hear from here more often than before: without a word it would take this instance for lost.
 		member.next = 0
@@ -380,7 +383,7 @@
 
 // noteAsked notes since when members are asked because nobody is known to serve.
 func (members *Members) noteAsked(now clock.Moment) {
-	leaderless := members.leaderless()
+	leaderless := members.Leaderless()
 	if !leaderless && !members.asking {
 		return
 	}
@@ -452,15 +455,22 @@
 	return filter(members.Living(), func(member *Member) bool { return member.unreachable == 0 || now.Since(member.unreachable) >= avoidFor })
 }
 
-// NewestOfAll returns the newest revision that any other instance has.
-func (members *Members) NewestOfAll() catalog.Revision {
+// NewestConfigured returns the newest revision of any other instance that has a configuration, 0 if there is none.
+func (members *Members) NewestConfigured() catalog.Revision {
 	var newest catalog.Revision
 	for _, member := range members.roster.listLiving() {
-		newest = max(newest, member.Revision)
+		if member.Version > 0 {
+			newest = max(newest, member.Revision)
+		}
 	}
 	return newest
 }
 
+// Met reports whether any other instance has spoken to this one.
+func (members *Members) Met() bool {
+	return members.met
+}
+
 // Present returns the callers' addresses of all instances that are there and don't leave, this one included.
 func (members *Members) Present() []string {
 	var present []string
--- a/internal/membership/rank.go
+++ b/internal/membership/rank.go
@@ -77,7 +77,7 @@
 		return false
 	}
 	starting := members.options.Clock.Now().Since(members.started) < startsFor
-	if members.state == StandingBy && !members.leaderless() && !starting {
+	if members.state == StandingBy && !members.Leaderless() && !starting {
 		return members.called()
 	}
 	byDataCentre, places := members.candidates()
@@ -155,6 +155,13 @@
 	}
 }
 
+// Leading reports whether this instance comes first in its data centre, or nearly.
+func (members *Members) Leading() bool {
+	byDataCentre, places := members.candidates()
+	own := byDataCentre[members.options.Self.DataCentre]
+	return slices.ContainsFunc(own[:min(places+leadingSpare, len(own))], func(candidate ranked) bool { return candidate.member == nil })
+}
+
 // isSeed reports whether others look for the instance at the address when they start.
 func (members *Members) isSeed(address netip.AddrPort) bool {
 	return slices.Contains(members.options.Seeds, address)
