Count only instances that spoke as recently as they should as seen

Cause: an owner paces cold servers by the part of the fleet that it sees, and took those that stand by for seen until they had been silent for 3.2 s. For that long each of the four parts gave the server the whole fleet's share.

Change: sight counts members that spoke within 1.45 s, though they count as lost later. It is worked out once a review.

Before: the new case of TestVirtualFleetCases fails. After: it passes.

--- a/internal/fleet/virtual_cases_test.go
+++ b/internal/fleet/virtual_cases_test.go
@@ -47,6 +47,10 @@
 			{At: 12080, For: 2900, Kind: cutOff, One: 10},
 			{At: 13070, For: 2900, Kind: cutOff, One: 11},
 		}},
+		{"a server is new in a fleet that has just fallen apart", 1098, 10, 4, 6, []change{
+			{At: 19050, For: 2185, Kind: partition, One: 8, Other: 8},
+			{At: 20160, For: 78, Kind: addServer, One: 9, Other: 4},
+		}},
 		{"one that stands by holds for standing by what others say serves", 35, 100, 4, 6, nil},
 		{"one that was suspended asks a peer that is suspended as well", 7, 8, 2, 6, []change{
 			{At: 13210, For: 1350, Kind: suspend},
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -348,6 +348,7 @@
 	now := members.options.Clock.Now()
 	changed := false
 	members.noteAsked(now)
+	mayForget := members.Sight() >= sightToForget
 	var forgotten []settings.InstanceName
 	for _, member := range members.roster.all {
 		silent := members.silentFor(now, member)
@@ -356,7 +357,7 @@
 			// It stands by since. Those that stand by don't hear each other, so this one would take it for lost for its silence.
 			member.State = StandingBy
 			members.roster.changed()
-		case member.State == Lost && silent > forgetAfter && members.Sight() >= sightToForget:
+		case member.State == Lost && silent > forgetAfter && mayForget:
 			forgotten = append(forgotten, member.Identity.Name)
 		case member.State != Lost && silent > members.silence(member):
 			member.State = Lost
@@ -425,7 +426,8 @@
 		now.Since(members.started) >= joinFor/2
 }
 
-// Sight is the part of all instances known that count as alive, this one included. Seeds that were never heard count as known: one that
+// Sight is the part of all instances known that have spoken as recently as they should, this one included. It falls before those that are
+// cut off count as lost, since each part of a fleet that falls apart goes by it at once. Seeds that were never heard count as known: one that
 // has just started and is cut off knows nobody else.
 func (members *Members) Sight() float64 {
 	known := len(members.roster.all) + 1
@@ -434,7 +436,14 @@
 			known++
 		}
 	}
-	return float64(len(members.roster.listLiving())+1) / float64(known)
+	now := members.options.Clock.Now()
+	seen := 1
+	for _, member := range members.roster.all {
+		if member.State != Lost && members.silentFor(now, member) <= rarelyHeard {
+			seen++
+		}
+	}
+	return float64(seen) / float64(known)
 }
 
 // Living returns the other instances that count as alive, by name. The list is not to be changed.
