Name only those that could serve, and have spoken, while nobody serves

Cause: while nobody is known to serve an instance names all that it holds for present. Since instances that join no longer speak to all others, it does not hear that one of them leaves. It would also have named hundreds, most of them small and without routes.

Before: the new case of TestVirtualFleetCases fails. After: it passes.

--- a/internal/fleet/virtual_cases_test.go
+++ b/internal/fleet/virtual_cases_test.go
@@ -51,6 +51,10 @@
 			{At: 19050, For: 2185, Kind: partition, One: 8, Other: 8},
 			{At: 20160, For: 78, Kind: addServer, One: 9, Other: 4},
 		}},
+		{"nobody serves and one that leaves did not tell all others", 2135, 100, 4, 6, []change{
+			{At: 9010, For: 79, Kind: leave, One: 13, Other: 74},
+			{At: 9880, For: 4530, Kind: killServing, One: 73, Other: 26},
+		}},
 		{"one that stands by holds for standing by what others say serves", 35, 100, 4, 6, nil},
 		{"one that was suspended asks a peer that is suspended as well", 7, 8, 2, 6, []change{
 			{At: 13210, For: 1350, Kind: suspend},
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -480,14 +480,16 @@
 	return members.met
 }
 
-// Present returns the callers' addresses of all instances that are there and don't leave, this one included.
+// Present returns the callers' addresses of this instance and of those that should serve next and have spoken to it, as far as they don't
+// leave. Of the others it would not hear that they leave.
 func (members *Members) Present() []string {
 	var present []string
+	leading := members.roster.ranked(members).leading
 	if members.state != Leaving {
 		present = append(present, members.options.Self.Caller)
 	}
 	for _, member := range members.roster.listLiving() {
-		if member.State != Leaving {
+		if member.State != Leaving && member.Sequence > 0 && leading[member] {
 			present = append(present, member.Identity.Caller)
 		}
 	}
