Name only those that have just spoken while nobody serves, and answer whoever asks one that leaves

Cause: one that leaves tells those that it knows, and answered nobody after that; one that stood by had heard it long ago and went by that.

Before: the new case of TestVirtualFleetCases fails. After: it passes.

--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -324,6 +324,10 @@
 	}
 	controller.moveOn(now)
 	controller.sendBeats()
+	if controller.members.Leaderless() {
+		// Who is there changes with each word.
+		controller.publishAddresses()
+	}
 	if controller.members.State() == membership.Serving || controller.members.State() == membership.Leaving {
 		share := min(coldShareMost*controller.members.Sight(), 1)
 		for _, state := range controller.services {
--- a/internal/fleet/virtual_cases_test.go
+++ b/internal/fleet/virtual_cases_test.go
@@ -55,6 +55,12 @@
 			{At: 9010, For: 79, Kind: leave, One: 13, Other: 74},
 			{At: 9880, For: 4530, Kind: killServing, One: 73, Other: 26},
 		}},
+		{"nobody serves and one that leaves is asked in vain", 3524, 13, 1, 6, []change{
+			{At: 7380, For: 4990, Kind: cutOff, One: 11},
+			{At: 8990, For: 1930, Kind: killServing, One: 2, Other: 7},
+			{At: 16540, For: 72, Kind: leave, One: 9, Other: 11},
+			{At: 16550, For: 1710, Kind: killServing, One: 6, Other: 4},
+		}},
 		{"one that stands by holds for standing by what others say serves", 35, 100, 4, 6, nil},
 		{"one that was suspended asks a peer that is suspended as well", 7, 8, 2, 6, []change{
 			{At: 13210, For: 1350, Kind: suspend},
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -272,7 +272,8 @@
 	member.Fresh = beat.Fresh
 	member.Called = beat.Called
 	member.heard = now
-	member.owed = member.owed || beat.State == Joining
+	// Whoever speaks to one that leaves may hold it for one that stays.
+	member.owed = member.owed || beat.State == Joining || members.state == Leaving
 	members.met = true
 	if changed {
 		// It now expects to hear from here more often than before: without a word it would take this instance for lost.
@@ -480,16 +481,18 @@
 	return members.met
 }
 
-// Present returns the callers' addresses of this instance and of those that should serve next and have spoken to it, as far as they don't
-// leave. Of the others it would not hear that they leave.
+// Present returns the callers' addresses of this instance and of those that should serve next and have just spoken to it, as far as they
+// don't leave. Of the others it would not hear that they leave.
 func (members *Members) Present() []string {
 	var present []string
+	now := members.options.Clock.Now()
 	leading := members.roster.ranked(members).leading
 	if members.state != Leaving {
 		present = append(present, members.options.Self.Caller)
 	}
 	for _, member := range members.roster.listLiving() {
-		if member.State != Leaving && member.Sequence > 0 && leading[member] {
+		spoke := member.Sequence > 0 && now.Since(member.heard) <= rarelyHeard
+		if spoke && member.State != Leaving && leading[member] {
 			present = append(present, member.Identity.Caller)
 		}
 	}
