Read what the store held some seconds ago at a restart, and follow while leaving

Cause: one that leaves counted as one that serves; after a restart an instance that knew of nobody better read the store as those do that serve, and watched it.

Change: one that leaves follows those that serve like one that stands by.

--- a/internal/catalog/item.go
+++ b/internal/catalog/item.go
@@ -54,6 +54,8 @@
 type Source struct {
 	// ReadAll reads everything.
 	ReadAll func(ctx context.Context) (Snapshot, error)
+	// ReadStale reads everything as it was up to some seconds ago, which costs the source little.
+	ReadStale func(ctx context.Context) (Snapshot, error)
 	// Watch returns the changes after a revision, as soon as there are any, or none when the wait is over. The error is
 	// ErrGone when the source can't tell.
 	Watch func(ctx context.Context, after Revision, wait clock.Milliseconds) (Changes, error)
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -57,6 +57,7 @@
 // Events of a Reader.
 const (
 	EventRead       = "catalog.read"
+	EventGlance     = "catalog.glance"
 	EventWatch      = "catalog.watch"
 	EventFailed     = "catalog.failed"
 	EventFromPeer   = "catalog.fromPeer"
@@ -90,6 +91,7 @@
 	role    Role
 	follows Revision
 	refresh bool
+	glance  bool
 	contact clock.Moment
 	failing bool
 	// peerFailing says that peers did not tell their view when they were last asked.
@@ -176,6 +178,14 @@
 	reader.nudge()
 }
 
+// Glance has everything read once as it was some seconds ago, for an instance that knows nothing yet.
+func (reader *Reader) Glance() {
+	reader.mutex.Lock()
+	reader.glance = true
+	reader.mutex.Unlock()
+	reader.nudge()
+}
+
 // Contact returns when the source last answered, 0 before the first time.
 func (reader *Reader) Contact() clock.Moment {
 	reader.mutex.Lock()
@@ -207,6 +217,7 @@
 // Serve reads and watches until the context ends.
 func (reader *Reader) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
+		reader.readStale(ctx)
 		leads, refresh := reader.task()
 		if refresh {
 			reader.whole = false
@@ -310,6 +321,27 @@
 	return reader.publish(ctx)
 }
 
+// readStale does what Glance asks for. It tells nothing of whether the source answers, nor what it holds now.
+func (reader *Reader) readStale(ctx context.Context) {
+	reader.mutex.Lock()
+	wanted := reader.glance
+	reader.glance = false
+	reader.mutex.Unlock()
+	if !wanted || reader.configuration != nil {
+		return
+	}
+	ctx, cancel := reader.cancellable(ctx, readTimeout)
+	defer cancel()
+	reader.options.Events.Add(EventGlance, 1)
+	snapshot, err := reader.options.Source.ReadStale(ctx)
+	if err != nil {
+		reader.options.Log.Info().Str("problem", err.Error()).Msg("store not read at the start")
+		return
+	}
+	reader.applySnapshot(snapshot)
+	reader.handOn(ctx)
+}
+
 // answered notes that the source has answered. After an outage, entries that are gone may only have lapsed.
 func (reader *Reader) answered() {
 	now := reader.options.Clock.Now()
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -57,10 +57,9 @@
 	// fleet starts for the first time. Seeds read at once, but there may be no configuration yet, and a view without one is of no
 	// use to others; callers come some seconds later.
 	startAlone = 3 * clock.Second
-	// restartAlone is how long an instance that was restarted waits for those that serve to tell their view, restartUnmet how long it waits
-	// for a first word of any other. Callers wait when all were restarted: then those that come first read the store at once.
-	restartAlone = 700 * clock.Millisecond
-	restartUnmet = 100 * clock.Millisecond
+	// restartAlone is how long an instance that was restarted waits for one that serves to tell a fresh view before it reads the store for want
+	// of it. Callers may wait: it serves them at once by what the store held some seconds ago.
+	restartAlone = clock.Second
 	// helpEvery is the least time between two readings of a peer's view while the store turns this instance away.
 	helpEvery = 200 * clock.Millisecond
 	// followEvery is the least time between two readings of a peer's view for the sake of backend servers alone. An
@@ -114,6 +113,8 @@
 	SetRole func(catalog.Role)
 	Follow  func(catalog.Revision)
 	Refresh func()
+	// Glance reads what the store held some seconds ago.
+	Glance  func()
 	Contact func() clock.Moment
 	Failing func() bool
 	// PeerFailing reports whether peers did not tell their view when they were last asked.
@@ -158,6 +159,8 @@
 	// heardNews says that peers told something since the last tick that others are to hear of.
 	heardNews bool
 	nextTick  clock.Moment
+	// glanced says that the store was read as the instance started.
+	glanced bool
 }
 
 // ownReading is what a probe has just told.
@@ -370,7 +373,7 @@
 func (controller *Controller) moveOn(now clock.Moment) {
 	state := controller.members.State()
 	needed := controller.members.Needed()
-	controller.lead(now, needed || state == membership.Serving || state == membership.Leaving)
+	controller.lead(now, needed || state == membership.Serving)
 	current := controller.viewAt > 0 && controller.view.Configuration != nil
 	switch {
 	case state == membership.StandingBy && needed && current:
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -8,6 +8,7 @@
 // lead decides whether this instance reads the store or follows a peer that does. One that finds no peer with a fresh
 // view reads for itself, since it is bound by what it would have read there.
 func (controller *Controller) lead(now clock.Moment, serves bool) {
+	controller.glance()
 	newest, heard := controller.members.Newest()
 	role := controller.nextRole(now, serves, heard)
 	if role != controller.role {
@@ -37,7 +38,9 @@
 	switch {
 	case serves || controller.view == nil && controller.startsAlone(now):
 		return catalog.RoleLead
-	case silent || controller.unledFrom > 0 && now.Since(controller.unledFrom) >= unledFor:
+	case silent:
+		return catalog.RoleStandIn
+	case controller.unledFrom > 0 && now.Since(controller.unledFrom) >= unledFor && now.Since(controller.started) >= restartAlone:
 		return catalog.RoleStandIn
 	default:
 		return catalog.RoleFollow
@@ -53,16 +56,19 @@
 // startsAlone reports whether this instance, which knows nothing yet, reads the store for want of others who do.
 func (controller *Controller) startsAlone(now clock.Moment) bool {
 	waited := now.Since(controller.started)
-	switch {
-	case controller.options.FleetStarts:
+	if controller.options.FleetStarts {
 		return controller.isSeed || waited >= startAlone
-	case waited >= restartAlone:
-		return true
-	case controller.members.Leaderless():
-		return controller.members.Leading() && (controller.members.Met() || waited >= restartUnmet)
-	default:
-		return false
 	}
+	return waited >= restartAlone
+}
+
+// glance has the store read once when this instance was restarted.
+func (controller *Controller) glance() {
+	if controller.glanced || controller.options.FleetStarts {
+		return
+	}
+	controller.glanced = true
+	controller.feed.Glance()
 }
 
 // seekHelp has a newer view of any other instance read while the store turns this one away.
