Let nobody serve before it has heard of those that come first

Cause: the seeds are back last. One that knows of nobody holds itself for the first of its data centre 0.3 s after its start, before they are there. And one that asked a seed later got no answer, since those that stand by don't answer each other.

Ruled out: nothing serves callers meanwhile. One that stands by has routes and takes requests; it only leaves cold servers alone.

Change: one that has started serves 0.25 s after the first word of another at the earliest, or after 1 s without any. A beat says whether its sender looks for those who serve; whoever gets such a beat replies, and tells of others. One that is asked while nobody serves is lost after 1.6 s of silence, not 3.2 s, so that takeover is not later.

--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -26,7 +26,9 @@
 	Revision catalog.Revision
 	Version  catalog.Version
 	// Fresh says that the sender itself reads the catalog and is answered.
-	Fresh    bool
+	Fresh bool
+	// Asks says that the sender looks for those who serve, and waits for an answer.
+	Asks     bool
 	Mentions []Mention
 	// Called are instances that stand by and are to serve, in the view of a serving sender.
 	Called []settings.InstanceName
@@ -39,11 +41,12 @@
 	leaderless := members.Leaderless()
 	for _, member := range members.roster.all {
 		every, wanted := members.pace(member, leaderless)
+		paced := wanted && now >= member.next
 		owed := member.owed && now.Since(member.sent) >= replyEvery
-		if wanted && now >= member.next || owed {
+		if paced || owed {
 			member.next = now.Add(every)
 			member.sent = now
-			member.owed = false
+			member.owed, member.replied = false, !paced
 			due = append(due, member.Address)
 		}
 	}
@@ -77,6 +80,11 @@
 	return members.roster.ranked(members).leading[member] || members.isSeed(member.Address)
 }
 
+// near reports whether the member tells who comes first in the own data centre: those there know, and seeds.
+func (members *Members) near(member *Member) bool {
+	return member.Identity.DataCentre == members.options.Self.DataCentre || members.isSeed(member.Address)
+}
+
 // pace is how often a member is sent a beat, and whether it is at all. In a fleet that has just been started nobody speaks to all others:
 // the number of datagrams would grow with the square of that of instances.
 func (members *Members) pace(member *Member, leaderless bool) (clock.Milliseconds, bool) {
@@ -84,14 +92,15 @@
 	case member.State == Lost:
 		return lostEvery, members.state == Serving || leaderless
 	case members.state == Joining:
-		near := member.Identity.DataCentre == members.options.Self.DataCentre || members.isSeed(member.Address)
-		return joinEvery, member.State == Serving || near && members.asks(member)
+		return joinEvery, member.State == Serving || members.near(member) && members.asks(member)
 	case members.state == Serving && (member.State == Serving || member.State == Joining):
 		return servingEvery, true
 	case members.state == Serving || member.State == Serving:
 		return standbyEvery, true
 	case members.state == Leaving:
 		return standbyEvery, member.next == 0
+	case members.options.Clock.Now().Since(members.started) < startsFor && members.near(member):
+		return joinEvery, leaderless && members.asks(member)
 	default:
 		return servingEvery, leaderless && members.asks(member)
 	}
@@ -104,6 +113,9 @@
 		Identity: members.options.Self, Incarnation: members.options.Incarnation, Sequence: members.sequence, State: members.state,
 		Revision: members.revision, Version: members.version, Fresh: members.fresh, Called: members.calls(),
 	}
+	if member, known := members.roster.at(to); members.state == Joining || members.Leaderless() {
+		beat.Asks = !known || !member.replied
+	}
 	if !members.newsFor(to) {
 		return beat
 	}
@@ -118,7 +130,7 @@
 		return true
 	}
 	member, known := members.roster.at(to)
-	return !known || member.State == Joining
+	return !known || member.replied
 }
 
 // mentions tells of serving and newly lost members first, then of those that should serve, and of the others in turn. Whoever is asked
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -34,13 +34,14 @@
 	// standbyEvery is the time between two beats between a serving instance and one that stands by.
 	standbyEvery   = clock.Second
 	standbySilence = 3200 * clock.Millisecond
+	// askedSilence is how long one may be silent that is asked several times a second because nobody serves.
+	askedSilence = 1600 * clock.Millisecond
 	// joinFor is how long an instance that has just started listens before it may serve. All of a fleet start within
 	// 0.3 s, and seeds take a round trip to tell of the others. What more of it would save is two instances that serve
 	// one data centre for some seconds; what less of it saves is callers who find nobody after all were killed.
 	joinFor   = 300 * clock.Millisecond
 	joinEvery = 100 * clock.Millisecond
-	// replyEvery is the least time between two replies to one that has just started. Two that start together would else reply to each other
-	// without end.
+	// replyEvery is the least time between two replies to one that asks.
 	replyEvery = 50 * clock.Millisecond
 	// seekSeedsFor is how long seeds that don't answer are asked often: after all were restarted at once they may be the
 	// last to be there, and nobody knows anyone else.
@@ -59,6 +60,10 @@
 	// startsFor is how long after its start an instance decides by itself whether to serve: when all were restarted, nobody
 	// who could call it knows more.
 	startsFor = 1500 * clock.Millisecond
+	// hearsFor is how long after the first word of another instance one that has started hears of those that come before it, meetsWithin how
+	// long it waits for that word. Hundreds that know of nobody would else all serve at once.
+	hearsFor    = 250 * clock.Millisecond
+	meetsWithin = clock.Second
 	// callAfter is how long an instance serves before it calls others: it must have heard all that serve first. callHolds
 	// is how long its call is followed.
 	callAfter = 400 * clock.Millisecond
@@ -138,9 +143,10 @@
 	// heard is when it last spoke itself, known when it was first heard of.
 	heard, known clock.Moment
 	next         clock.Moment
-	// sent is when it was last sent a beat, owed whether it is to get one although nothing else calls for that.
-	sent clock.Moment
-	owed bool
+	// sent is when it was last sent a beat, owed whether it is to get one although nothing else calls for that, replied whether the last one
+	// was sent for that alone.
+	sent          clock.Moment
+	owed, replied bool
 	// askedFrom is since when it is asked because nobody is known to serve, 0 when it is not.
 	askedFrom clock.Moment
 	// unreachable is when it last did not answer a call, 0 when it always did.
@@ -172,8 +178,8 @@
 	cursor int
 	// stateFrom is since when the own state is what it is.
 	stateFrom clock.Moment
-	// met says that another instance has spoken.
-	met bool
+	// metAt is when another instance first spoke, 0 before.
+	metAt clock.Moment
 	// asking says that nobody was known to serve when that was last looked at.
 	asking bool
 	// changed is when the view of the fleet last changed.
@@ -273,8 +279,10 @@
 	member.Called = beat.Called
 	member.heard = now
 	// Whoever speaks to one that leaves may hold it for one that stays.
-	member.owed = member.owed || beat.State == Joining || members.state == Leaving
-	members.met = true
+	member.owed = member.owed || beat.Asks || members.state == Leaving
+	if members.metAt == 0 {
+		members.metAt = now
+	}
 	if changed {
 		// It now expects to hear from here more often than before: without a word it would take this instance for lost.
 		member.next = 0
@@ -338,10 +346,14 @@
 
 // silence is how long a member may be silent before it counts as lost.
 func (members *Members) silence(member *Member) clock.Milliseconds {
-	if members.state == Serving && member.State == Serving {
+	switch {
+	case members.state == Serving && member.State == Serving:
 		return servingSilence
+	case member.askedFrom > 0:
+		return askedSilence
+	default:
+		return standbySilence
 	}
-	return standbySilence
 }
 
 // Review drops members that have fallen silent, and moves this instance on. It reports whether anything changed.
@@ -476,11 +488,6 @@
 	return newest
 }
 
-// Met reports whether any other instance has spoken to this one.
-func (members *Members) Met() bool {
-	return members.met
-}
-
 // Present returns the callers' addresses of this instance and of those that should serve next and have just spoken to it, as far as they
 // don't leave. Of the others it would not hear that they leave.
 func (members *Members) Present() []string {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -475,3 +475,43 @@
 		require.Less(t, large, 1.5*small)
 	}
 }
+
+// Guards against hundreds that all serve after a loss of power because the seeds, which they find each other by, are back last.
+func TestFewServeWhileSeedsAreMissing(t *testing.T) {
+	cases := []struct {
+		name               string
+		count, dataCentres int
+		most               int
+	}{
+		{"17 in 3", 17, 3, 6},
+		{"100 in 4", 100, 4, 8},
+		{"312 in 5", 312, 5, 10},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			fleet := newFleet(testCase.count, testCase.dataCentres, []int{0, 1, 2}, func(number int) int {
+				if number < 3*testCase.dataCentres && testCase.count > 20 {
+					return 800
+				}
+				return 160
+			})
+			fleet.run(8 * clock.Second)
+			for _, instance := range fleet.instances {
+				after := clock.Milliseconds(fleet.random.Float64() * 250)
+				if instance.number < 3 {
+					after += 350 * clock.Millisecond
+				}
+				fleet.start(instance, after)
+			}
+			ever := map[int]bool{}
+			for range 60 {
+				fleet.run(50 * clock.Millisecond)
+				for _, number := range fleet.serving() {
+					ever[number] = true
+				}
+			}
+			require.Len(t, fleet.serving(), max(testCase.dataCentres, 3))
+			require.LessOrEqual(t, len(ever), testCase.most, "%v", ever)
+		})
+	}
+}
--- a/internal/membership/rank.go
+++ b/internal/membership/rank.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 
+	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
 
@@ -76,9 +77,13 @@
 	if members.state == Leaving || members.state == Joining {
 		return false
 	}
-	starting := members.options.Clock.Now().Since(members.started) < startsFor
-	if members.state == StandingBy && !members.Leaderless() && !starting {
+	now := members.options.Clock.Now()
+	starting := now.Since(members.started) < startsFor
+	switch {
+	case members.state == StandingBy && !members.Leaderless() && !starting:
 		return members.called()
+	case members.state == StandingBy && starting && members.hears(now):
+		return false
 	}
 	byDataCentre, places := members.candidates()
 	own := byDataCentre[members.options.Self.DataCentre]
@@ -101,7 +106,7 @@
 
 // leadingSpare is the number of members in each data centre that count as leading beyond those that are needed: the first may just
 // have died.
-const leadingSpare = 2
+const leadingSpare = 1
 
 // candidates returns the ranking of this instance and all others that live.
 func (members *Members) candidates() (map[settings.DataCentreName][]ranked, int) {
@@ -155,11 +160,13 @@
 	}
 }
 
-// Leading reports whether this instance comes first in its data centre, or nearly.
-func (members *Members) Leading() bool {
-	byDataCentre, places := members.candidates()
-	own := byDataCentre[members.options.Self.DataCentre]
-	return slices.ContainsFunc(own[:min(places+leadingSpare, len(own))], func(candidate ranked) bool { return candidate.member == nil })
+// hears reports whether this instance, which has just started, has yet to hear of those that come before it.
+func (members *Members) hears(now clock.Moment) bool {
+	if members.metAt > 0 {
+		return now.Since(members.metAt) < hearsFor
+	}
+	others := slices.ContainsFunc(members.options.Seeds, func(seed netip.AddrPort) bool { return seed != members.self })
+	return others && now.Since(members.started) < meetsWithin
 }
 
 // isSeed reports whether others look for the instance at the address when they start.
