Take no larger part of the fleet for seen than of its seeds, right after a start

Cause: an owner paces cold servers by the part of the fleet that it sees. After a restart each part knew itself and, as one instance each, the seeds elsewhere, so each took itself for nearly all.

Change: for a minute after its start an instance sees no larger part of the fleet than of the seeds. TestSightOfTheFleet demands 0 in place of 0.25 for one that has heard no seed, and 0.25 a minute later.

Before: the new case of TestVirtualFleetCases fails. After: it passes.

--- a/internal/fleet/virtual_cases_test.go
+++ b/internal/fleet/virtual_cases_test.go
@@ -61,6 +61,10 @@
 			{At: 16540, For: 72, Kind: leave, One: 9, Other: 11},
 			{At: 16550, For: 1710, Kind: killServing, One: 6, Other: 4},
 		}},
+		{"all are back while the seeds are cut off from most", 4139, 100, 4, 6, []change{
+			{At: 13590, For: 2490, Kind: powerLoss, One: 36, Other: 82},
+			{At: 15570, For: 4910, Kind: partition, One: 13, Other: 37},
+		}},
 		{"one that stands by holds for standing by what others say serves", 35, 100, 4, 6, nil},
 		{"one that was suspended asks a peer that is suspended as well", 7, 8, 2, 6, []change{
 			{At: 13210, For: 1350, Kind: suspend},
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -420,6 +420,8 @@
 	require.Less(t, one.members.Sight(), 0.1, "others that are out of sight for long were forgotten")
 	fleet.start(one, 0)
 	fleet.run(clock.Second)
+	require.Zero(t, one.members.Sight(), "no seed was heard")
+	fleet.run(forgetAfter)
 	require.InDelta(t, 0.25, one.members.Sight(), 0.01, "three seeds and itself")
 	fleet.cut = func(int, int) bool { return false }
 	fleet.run(10 * clock.Second)
--- a/internal/membership/rank.go
+++ b/internal/membership/rank.go
@@ -165,8 +165,12 @@
 	if members.metAt > 0 {
 		return now.Since(members.metAt) < hearsFor
 	}
-	others := slices.ContainsFunc(members.options.Seeds, func(seed netip.AddrPort) bool { return seed != members.self })
-	return others && now.Since(members.started) < meetsWithin
+	return members.seeks() && now.Since(members.started) < meetsWithin
+}
+
+// seeks reports whether there are other instances to look for.
+func (members *Members) seeks() bool {
+	return slices.ContainsFunc(members.options.Seeds, func(seed netip.AddrPort) bool { return seed != members.self })
 }
 
 // isSeed reports whether others look for the instance at the address when they start.
