Have callers call for an old view, and let those next to serve read the store first

Cause, by the logs of all instances: all 312 read the store as they were back, half a megabyte each with 1,400 more routes, over its link of 1 Gbit/s; 297 gave up after a second, and those that callers hold addresses of had no routes for as long. While the store was silent from 18 to 26 s all that stood by called it in vain.

Change: an instance reads an old view when a caller's request comes and there are no routes; the request waits for it, 0.15 s at most, in place of a refusal. The store is read for want of a fresh peer by those that are next to serve, after 0.6 s as before; all others wait 4 s, or 2.5 s after a restart. They follow revisions of those that serve also while these learn them from others, as when the store turns just them away.

--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -21,6 +21,8 @@
 type Options struct {
 	// Table returns the table in force, or nil before there are settings.
 	Table func() *routing.Table
+	// AwaitTable waits a moment for a table when there is none yet. It may be nil.
+	AwaitTable func(context.Context) *routing.Table
 	// Servers are the connections to backend servers.
 	Servers *backendserver.Servers
 	// Registry counts what belongs to no class.
@@ -115,6 +117,9 @@
 		id:      handler.requestID(request),
 		table:   handler.options.Table(),
 	}
+	if call.table == nil && handler.options.AwaitTable != nil {
+		call.table = handler.options.AwaitTable(request.Context())
+	}
 	return call
 }
 
--- a/internal/fleet/consumer_test.go
+++ b/internal/fleet/consumer_test.go
@@ -54,6 +54,10 @@
 	}
 	consumer.places = kept
 	var sent []settings.TargetName
+	if consumer.controller.Table() == nil {
+		// A caller comes, and waits for a table.
+		consumer.controller.glance()
+	}
 	for _, name := range slices.Sorted(maps.Keys(consumer.controller.services)) {
 		for range 4 {
 			place, ticket, err := consumer.controller.services[name].scheduler.Enter(service.Demand{
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -46,9 +46,11 @@
 	// is back at once, most of its instances serve for a moment, since nobody knows of the others yet; each probing every backend
 	// server, they would open hundreds of thousands of connections, and small ones would have no processor left for callers.
 	settlesIn = clock.Second
-	// unledFor is how long an instance that stands by waits for a serving one with a fresh view before it reads for
-	// itself. It is more than what passes until another one has taken over, and less than what binds those who read.
-	unledFor = 600 * clock.Millisecond
+	// unledFor is how long an instance that is the next to serve waits for a serving one with a fresh view before it reads for
+	// itself. It is more than what passes until another one has taken over, and less than what binds those who read. unledLast is how long
+	// all others wait: they are told what it reads, and hundreds of calls to a store that is away serve nobody.
+	unledFor  = 600 * clock.Millisecond
+	unledLast = 4 * clock.Second
 	// silentLead is how long all serving instances with a fresh view may be silent before one that stands by reads for itself. They
 	// speak to it once a second each; that they are gone is known only when they were silent for 3.2 s, and a server that leaves is
 	// to get nothing after 2 s.
@@ -58,8 +60,14 @@
 	// use to others; callers come some seconds later.
 	startAlone = 3 * clock.Second
 	// restartAlone is how long an instance that was restarted waits for one that serves to tell a fresh view before it reads the store for want
-	// of it. Callers may wait: it serves them at once by what the store held some seconds ago.
-	restartAlone = clock.Second
+	// of it, if it is the next to serve, and restartAloneLast how long any other does. Callers that come to it meanwhile are served by what
+	// the store held some seconds ago.
+	restartAlone     = clock.Second
+	restartAloneLast = 2500 * clock.Millisecond
+	// awaitTable is how long a request waits for an instance that has no routes yet, and glanceEvery the least time between two readings of
+	// the store for the sake of such requests.
+	awaitTable  = 150 * clock.Millisecond
+	glanceEvery = 500 * clock.Millisecond
 	// helpEvery is the least time between two readings of a peer's view while the store turns this instance away.
 	helpEvery = 200 * clock.Millisecond
 	// followEvery is the least time between two readings of a peer's view for the sake of backend servers alone. An
@@ -128,8 +136,13 @@
 	feed    Feed
 	table   atomic.Pointer[routing.Table]
 	book    atomic.Pointer[addressBook]
-	ready   atomic.Bool
-	inbox   chan event
+	// tabled is closed when a table comes into force, and replaced.
+	tabled atomic.Pointer[chan struct{}]
+	ready  atomic.Bool
+	inbox  chan event
+	// glanceMutex guards nextGlance, before which no request has the store read.
+	glanceMutex sync.Mutex
+	nextGlance  clock.Moment
 
 	// latest are the newest readings of own targets, to be told to peers.
 	latestMutex sync.Mutex
@@ -159,8 +172,6 @@
 	// heardNews says that peers told something since the last tick that others are to hear of.
 	heardNews bool
 	nextTick  clock.Moment
-	// glanced says that the store was read as the instance started.
-	glanced bool
 }
 
 // ownReading is what a probe has just told.
@@ -184,7 +195,7 @@
 
 // NewController returns a controller that knows nothing yet.
 func NewController(options Options) *Controller {
-	return &Controller{
+	controller := &Controller{
 		options: options,
 		inbox:   make(chan event, inboxLength),
 		latest:  map[settings.TargetName]ownReading{},
@@ -198,6 +209,9 @@
 		awakeSkew: awakeSkew(options), started: options.Clock.Now(),
 		isSeed: slices.ContainsFunc(options.Seeds, func(seed netip.AddrPort) bool { return seed.String() == options.Self.Peer }),
 	}
+	tabled := make(chan struct{})
+	controller.tabled.Store(&tabled)
+	return controller
 }
 
 func awakeSkew(options Options) clock.Milliseconds {
@@ -214,6 +228,45 @@
 	return controller.table.Load()
 }
 
+// AwaitTable waits a moment for the table of an instance that has none yet, and has an old view read for it after a restart. It returns nil
+// when there is none in time.
+func (controller *Controller) AwaitTable(ctx context.Context) *routing.Table {
+	ctx, cancel := context.WithTimeout(ctx, awaitTable.Duration())
+	defer cancel()
+	controller.glance()
+	for {
+		tabled := *controller.tabled.Load()
+		if table := controller.table.Load(); table != nil {
+			return table
+		}
+		select {
+		case <-tabled:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// glance has an old view read, unless that was done just now.
+func (controller *Controller) glance() {
+	if controller.options.FleetStarts {
+		return
+	}
+	controller.glanceMutex.Lock()
+	defer controller.glanceMutex.Unlock()
+	if now := controller.options.Clock.Now(); now >= controller.nextGlance {
+		controller.nextGlance = now.Add(glanceEvery)
+		controller.feed.Glance()
+	}
+}
+
+// setTable puts a table in force.
+func (controller *Controller) setTable(table *routing.Table) {
+	controller.table.Store(table)
+	next := make(chan struct{})
+	close(*controller.tabled.Swap(&next))
+}
+
 // Serve runs the control goroutine until the context ends.
 func (controller *Controller) Serve(ctx context.Context) error {
 	timer := time.NewTimer(0)
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -8,7 +8,6 @@
 // lead decides whether this instance reads the store or follows a peer that does. One that finds no peer with a fresh
 // view reads for itself, since it is bound by what it would have read there.
 func (controller *Controller) lead(now clock.Moment, serves bool) {
-	controller.glance()
 	newest, heard := controller.members.Newest()
 	role := controller.nextRole(now, serves, heard)
 	if role != controller.role {
@@ -40,7 +39,7 @@
 		return catalog.RoleLead
 	case silent:
 		return catalog.RoleStandIn
-	case controller.unledFrom > 0 && now.Since(controller.unledFrom) >= unledFor && now.Since(controller.started) >= restartAlone:
+	case controller.unledFrom > 0 && now.Since(controller.unledFrom) >= controller.unledMost() && now.Since(controller.started) >= restartAlone:
 		return catalog.RoleStandIn
 	default:
 		return catalog.RoleFollow
@@ -59,16 +58,15 @@
 	if controller.options.FleetStarts {
 		return controller.isSeed || waited >= startAlone
 	}
-	return waited >= restartAlone
+	return waited >= restartAlone && controller.members.Leading() || waited >= restartAloneLast
 }
 
-// glance has the store read once when this instance was restarted.
-func (controller *Controller) glance() {
-	if controller.glanced || controller.options.FleetStarts {
-		return
+// unledMost is how long this instance waits for a serving one with a fresh view before it reads the store for itself.
+func (controller *Controller) unledMost() clock.Milliseconds {
+	if controller.members.Leading() {
+		return unledFor
 	}
-	controller.glanced = true
-	controller.feed.Glance()
+	return unledLast
 }
 
 // seekHelp has a newer view of any other instance read while the store turns this one away.
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -80,7 +80,7 @@
 	controller.setServices()
 	controller.setOwners()
 	controller.setTargets()
-	controller.table.Store(controller.newTable())
+	controller.setTable(controller.newTable())
 }
 
 // setServices keeps a state for every service that routes or servers name.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -160,7 +160,7 @@
 		IdleMost: idleMost, StallMost: stallMost,
 	}
 	gateway.handler = caller.NewHandler(caller.Options{
-		Table: gateway.controller.Table, Servers: gateway.servers, Registry: gateway.registry, Traces: gateway.traces,
+		Table: gateway.controller.Table, AwaitTable: gateway.controller.AwaitTable, Servers: gateway.servers, Registry: gateway.registry, Traces: gateway.traces,
 		Clock: gateway.clock, Instance: file.Instance, StallMost: stallMost, Dialect: gateway.options.Platform.Dialect,
 		Decided: newDecisionLog(gateway.options.Log, gateway.clock, &gateway.registry.Events).write,
 	})
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -549,14 +549,13 @@
 	return members.roster.all
 }
 
-// Newest returns the newest revision that a serving instance has whose view is fresh, and when such an instance was last heard, 0 if
-// there is none.
+// Newest returns the newest revision that a serving instance has, and when one whose view is fresh was last heard, 0 if there is none.
 func (members *Members) Newest() (catalog.Revision, clock.Moment) {
 	var newest catalog.Revision
 	var heard clock.Moment
 	for _, peer := range members.Peers() {
+		newest = max(newest, peer.Revision)
 		if peer.Fresh {
-			newest = max(newest, peer.Revision)
 			heard = max(heard, peer.heard)
 		}
 	}
--- a/internal/membership/rank.go
+++ b/internal/membership/rank.go
@@ -160,6 +160,13 @@
 	}
 }
 
+// Leading reports whether this instance comes first in its data centre, or is the next to.
+func (members *Members) Leading() bool {
+	byDataCentre, places := members.candidates()
+	own := byDataCentre[members.options.Self.DataCentre]
+	return slices.ContainsFunc(own[:min(places+leadingSpare, len(own))], func(candidate ranked) bool { return candidate.member == nil })
+}
+
 // hears reports whether this instance, which has just started, has yet to hear of those that come before it.
 func (members *Members) hears(now clock.Moment) bool {
 	if members.metAt > 0 {
