Send callers to those that come first, and let others call the store only after 12 s

What operators saw: 299 calls within 0.9 s, when the store had been silent for 6 s, from instances whose leaders were there all the while.

Change: while nobody serves an instance names those that come first and have just spoken, and itself only if it is one of them or knows of none; one that is not next to serve waits 12 s for a fresh peer.

TestThoseThatComeFirstAreNamedWhileNobodyServes is new.

--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -50,7 +50,7 @@
 	// itself. It is more than what passes until another one has taken over, and less than what binds those who read. unledLast is how long
 	// all others wait: they are told what it reads, and hundreds of calls to a store that is away serve nobody.
 	unledFor  = 600 * clock.Millisecond
-	unledLast = 4 * clock.Second
+	unledLast = 12 * clock.Second
 	// silentLead is how long all serving instances with a fresh view may be silent before one that stands by reads for itself. They
 	// speak to it once a second each; that they are gone is known only when they were silent for 3.2 s, and a server that leaves is
 	// to get nothing after 2 s.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -521,21 +521,21 @@
 	return newest
 }
 
-// Present returns the callers' addresses of this instance and of those that should serve next and have just spoken to it, as far as they
-// don't leave. Of the others it would not hear that they leave.
+// Present returns the callers' addresses of those that should serve next and have just spoken to this instance, as far as they don't leave. Of
+// the others it would not hear that they leave. It names itself if it is one of them, or knows of none.
 func (members *Members) Present() []string {
 	var present []string
 	now := members.options.Clock.Now()
 	leading := members.roster.ranked(members).leading
-	if members.state != Leaving {
-		present = append(present, members.options.Self.Caller)
-	}
 	for _, member := range members.roster.listLiving() {
 		spoke := member.Sequence > 0 && now.Since(member.heard) <= rarelyHeard
 		if spoke && member.State != Leaving && leading[member] {
 			present = append(present, member.Identity.Caller)
 		}
 	}
+	if members.state != Leaving && (len(present) == 0 || members.Leading()) {
+		present = append(present, members.options.Self.Caller)
+	}
 	return present
 }
 
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -517,3 +517,20 @@
 		})
 	}
 }
+
+// Guards against small instances that name themselves to callers after a loss of power, while those that come first are there.
+func TestThoseThatComeFirstAreNamedWhileNobodyServes(t *testing.T) {
+	fleet := newFleet(60, 4, []int{0, 1, 2}, func(number int) int {
+		if number < 12 {
+			return 800
+		}
+		return 160
+	})
+	fleet.run(350 * clock.Millisecond)
+	small := fleet.instances[40].members
+	require.True(t, small.Leaderless())
+	require.NotEmpty(t, small.Present())
+	require.NotContains(t, small.Present(), fleet.instances[40].options.Self.Caller)
+	alone := New(fleet.instances[40].options)
+	require.Equal(t, []string{fleet.instances[40].options.Self.Caller}, alone.Present(), "one that knows of nobody")
+}
