Read for want of a leader when all who serve are silent, and prefer a peer's view to an old one

Cause: silence was counted for those with a fresh view alone, of which there was none; an old view was waited for for a second, and the word of a newer one did not end that.

Change: silence is counted for all that serve. A peer's view is read first if one is known; an old one is waited for for 0.3 s, or until a peer turns out to have one.

Before: the two new cases of TestVirtualFleetCases fail. After: they pass.

--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -15,9 +15,7 @@
 	if reader.dropLapsed() {
 		reader.handOn(ctx)
 	}
-	reader.mutex.Lock()
-	behind := reader.follows > reader.revision
-	reader.mutex.Unlock()
+	behind := reader.behind()
 	now := reader.options.Clock.Now()
 	due := reader.askAgain > 0 && now >= reader.askAgain
 	if due {
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -20,6 +20,8 @@
 	// readTimeout bounds reading everything. A slow store answers in some 250 ms; one whose connection went silent never
 	// does, and is asked again on a new connection.
 	readTimeout = clock.Second
+	// glanceTimeout bounds reading an old view, for want of which callers wait.
+	glanceTimeout = 300 * clock.Millisecond
 	// watchWait is how long a watch waits for a change, and watchSlack how much later its answer may come. A connection
 	// that has gone silent is noticed when both have passed; instances must follow changes within 3 s of that.
 	watchWait  = 2 * clock.Second
@@ -92,6 +94,8 @@
 	follows Revision
 	refresh bool
 	glance  bool
+	// glances says that an old view is being read, in place of which any peer's will do.
+	glances bool
 	contact clock.Moment
 	failing bool
 	// peerFailing says that peers did not tell their view when they were last asked.
@@ -160,8 +164,14 @@
 // Follow says that a peer has the given revision.
 func (reader *Reader) Follow(revision Revision) {
 	reader.mutex.Lock()
+	newer := revision > reader.follows
 	reader.follows = revision
+	cancel := reader.cancelIO
+	glances := reader.glances
 	reader.mutex.Unlock()
+	if glances && newer {
+		cancel()
+	}
 	reader.nudge()
 }
 
@@ -321,6 +331,19 @@
 	return reader.publish(ctx)
 }
 
+func (reader *Reader) setGlances(glances bool) {
+	reader.mutex.Lock()
+	defer reader.mutex.Unlock()
+	reader.glances = glances
+}
+
+// behind reports whether a peer is known to have a newer view.
+func (reader *Reader) behind() bool {
+	reader.mutex.Lock()
+	defer reader.mutex.Unlock()
+	return reader.follows > reader.revision
+}
+
 // readStale does what Glance asks for. It tells nothing of whether the source answers, nor what it holds now.
 func (reader *Reader) readStale(ctx context.Context) {
 	reader.mutex.Lock()
@@ -330,8 +353,17 @@
 	if !wanted || reader.configuration != nil {
 		return
 	}
-	ctx, cancel := reader.cancellable(ctx, readTimeout)
+	if reader.behind() {
+		// A peer's view is newer, and may be had while the store is away.
+		reader.readPeer(ctx, false)
+	}
+	if reader.configuration != nil {
+		return
+	}
+	ctx, cancel := reader.cancellable(ctx, glanceTimeout)
 	defer cancel()
+	reader.setGlances(true)
+	defer reader.setGlances(false)
 	reader.options.Events.Add(EventGlance, 1)
 	snapshot, err := reader.options.Source.ReadStale(ctx)
 	if err != nil {
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -2,14 +2,16 @@
 
 import (
 	"github.com/jaywheel/jaywheel/internal/catalog"
+	"github.com/jaywheel/jaywheel/internal/membership"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 )
 
 // lead decides whether this instance reads the store or follows a peer that does. One that finds no peer with a fresh
 // view reads for itself, since it is bound by what it would have read there.
 func (controller *Controller) lead(now clock.Moment, serves bool) {
-	newest, heard := controller.members.Newest()
-	role := controller.nextRole(now, serves, heard)
+	leaders := controller.members.Leaders()
+	newest := leaders.Newest
+	role := controller.nextRole(now, serves, leaders)
 	if role != controller.role {
 		controller.role = role
 		controller.feed.SetRole(role)
@@ -25,15 +27,15 @@
 	}
 }
 
-// nextRole chooses the reader's role. Serving instances with a fresh view were last heard at the given moment, 0 when there are none.
-func (controller *Controller) nextRole(now clock.Moment, serves bool, heard clock.Moment) catalog.Role {
+// nextRole chooses the reader's role.
+func (controller *Controller) nextRole(now clock.Moment, serves bool, leaders membership.Leaders) catalog.Role {
 	switch {
-	case serves || heard > 0:
+	case serves || leaders.Fresh > 0:
 		controller.unledFrom = 0
 	case controller.unledFrom == 0:
 		controller.unledFrom = now
 	}
-	silent := heard > 0 && now.Since(heard) >= silentLead || controller.untold()
+	silent := leaders.Heard > 0 && now.Since(max(leaders.Heard, controller.started)) >= silentLead || controller.untold()
 	switch {
 	case serves || controller.view == nil && controller.startsAlone(now):
 		return catalog.RoleLead
@@ -48,8 +50,7 @@
 
 // untold reports whether a serving instance is known to have a newer view, and nobody tells it.
 func (controller *Controller) untold() bool {
-	newest, _ := controller.members.Newest()
-	return controller.view != nil && newest > controller.view.Revision && controller.feed.PeerFailing()
+	return controller.view != nil && controller.members.Leaders().Newest > controller.view.Revision && controller.feed.PeerFailing()
 }
 
 // startsAlone reports whether this instance, which knows nothing yet, reads the store for want of others who do.
@@ -112,8 +113,7 @@
 func (controller *Controller) checkBehind(now clock.Moment) {
 	newer := false
 	if controller.role != catalog.RoleFollow && controller.view != nil {
-		newest, _ := controller.members.Newest()
-		newer = newest > controller.view.Revision
+		newer = controller.members.Leaders().Newest > controller.view.Revision
 	}
 	switch {
 	case !newer:
--- a/internal/fleet/virtual_cases_test.go
+++ b/internal/fleet/virtual_cases_test.go
@@ -65,6 +65,20 @@
 			{At: 13590, For: 2490, Kind: powerLoss, One: 36, Other: 82},
 			{At: 15570, For: 4910, Kind: partition, One: 13, Other: 37},
 		}},
+		{"a caller comes to one that could be told a view while the store is down", 6158, 6, 4, 6, []change{
+			{At: 10780, For: 1830, Kind: killServing, One: 1, Other: 1},
+			{At: 11140, For: 3460, Kind: storeDown, One: 3},
+			{At: 13820, For: 69, Kind: replace, One: 4, Other: 2},
+		}},
+		{"all who serve die while the store is down", 6320, 13, 1, 6, []change{
+			{At: 8510, For: 55, Kind: addServer, One: 10, Other: 3},
+			{At: 8680, For: 55, Kind: addServer, One: 11, Other: 11},
+			{At: 10640, For: 585, Kind: storeDown, Other: 4},
+			{At: 11600, For: 292, Kind: storeDown, One: 12},
+			{At: 11610, For: 94, Kind: configure, One: 4, Other: 7},
+			{At: 12060, For: 3860, Kind: storeDown, One: 9, Other: 11},
+			{At: 15650, For: 5000, Kind: killServing, One: 4, Other: 6},
+		}},
 		{"one that stands by holds for standing by what others say serves", 35, 100, 4, 6, nil},
 		{"one that was suspended asks a peer that is suspended as well", 7, 8, 2, 6, []change{
 			{At: 13210, For: 1350, Kind: suspend},
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -549,15 +549,23 @@
 	return members.roster.all
 }
 
-// Newest returns the newest revision that a serving instance has, and when one whose view is fresh was last heard, 0 if there is none.
-func (members *Members) Newest() (catalog.Revision, clock.Moment) {
-	var newest catalog.Revision
-	var heard clock.Moment
+// Leaders is what those that serve tell of the catalog.
+type Leaders struct {
+	// Newest is the newest revision that one of them has.
+	Newest catalog.Revision
+	// Heard is when one of them was last heard, Fresh when one whose view is fresh was; 0 when there is none.
+	Heard, Fresh clock.Moment
+}
+
+// Leaders returns what the other instances that serve tell.
+func (members *Members) Leaders() Leaders {
+	var leaders Leaders
 	for _, peer := range members.Peers() {
-		newest = max(newest, peer.Revision)
+		leaders.Newest = max(leaders.Newest, peer.Revision)
+		leaders.Heard = max(leaders.Heard, peer.heard)
 		if peer.Fresh {
-			heard = max(heard, peer.heard)
+			leaders.Fresh = max(leaders.Fresh, peer.heard)
 		}
 	}
-	return newest, heard
+	return leaders
 }
