--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"expvar"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -20,8 +18,8 @@
 	// readTimeout bounds reading everything. A slow store answers in some 250 ms; one whose connection went silent never
 	// does, and is asked again on a new connection.
 	readTimeout = clock.Second
-	// glanceTimeout bounds reading an old view, for want of which callers wait.
-	glanceTimeout = 300 * clock.Millisecond
+	// staleTimeout bounds reading an old view, for want of which callers wait.
+	staleTimeout = 300 * clock.Millisecond
 	// watchWait is how long a watch waits for a change, and watchSlack how much later its answer may come. A connection
 	// that has gone silent is noticed when both have passed; instances must follow changes within 3 s of that.
 	watchWait  = 2 * clock.Second
@@ -59,7 +57,7 @@
 // Events of a Reader.
 const (
 	EventRead       = "catalog.read"
-	EventGlance     = "catalog.glance"
+	EventReadStale  = "catalog.readStale"
 	EventWatch      = "catalog.watch"
 	EventFailed     = "catalog.failed"
 	EventFromPeer   = "catalog.fromPeer"
@@ -93,11 +91,10 @@
 	role    Role
 	follows Revision
 	refresh bool
-	glance  bool
-	// glances says that an old view is being read, in place of which any peer's will do.
-	glances bool
-	contact clock.Moment
-	failing bool
+	// staleWanted says that ReadStale was called, readingStale that an old view is being read, in place of which any peer's will do.
+	staleWanted, readingStale bool
+	contact                   clock.Moment
+	failing                   bool
 	// peerFailing says that peers did not tell their view when they were last asked.
 	peerFailing bool
 	cancelIO    context.CancelFunc
@@ -129,9 +126,6 @@
 	}
 }
 
-// Role is how a reader keeps its view current. Few instances read the source, whose calls are limited and priced.
-type Role int
-
 // The roles of a reader.
 const (
 	// RoleFollow takes the views of peers.
@@ -142,88 +136,6 @@
 	RoleLead
 )
 
-// SetRole changes how the view is kept current.
-func (reader *Reader) SetRole(role Role) {
-	reader.mutex.Lock()
-	before := reader.role
-	reader.role = role
-	cancel := reader.cancelIO
-	if role == RoleFollow && before != RoleFollow {
-		reader.peerFailing = false
-	}
-	reader.mutex.Unlock()
-	if role == before {
-		return
-	}
-	if (role == RoleFollow || before == RoleFollow) && cancel != nil {
-		cancel()
-	}
-	reader.nudge()
-}
-
-// Follow says that a peer has the given revision.
-func (reader *Reader) Follow(revision Revision) {
-	reader.mutex.Lock()
-	newer := revision > reader.follows
-	reader.follows = revision
-	cancel := reader.cancelIO
-	glances := reader.glances
-	reader.mutex.Unlock()
-	if glances && newer {
-		cancel()
-	}
-	reader.nudge()
-}
-
-// Refresh has everything read anew at once: after a pause of this process, or when a peer knows a newer revision while
-// the watch stays silent.
-func (reader *Reader) Refresh() {
-	reader.mutex.Lock()
-	reader.refresh = true
-	cancel := reader.cancelIO
-	reader.mutex.Unlock()
-	if cancel != nil {
-		cancel()
-	}
-	reader.nudge()
-}
-
-// Glance has everything read once as it was some seconds ago, for an instance that knows nothing yet.
-func (reader *Reader) Glance() {
-	reader.mutex.Lock()
-	reader.glance = true
-	reader.mutex.Unlock()
-	reader.nudge()
-}
-
-// Contact returns when the source last answered, 0 before the first time.
-func (reader *Reader) Contact() clock.Moment {
-	reader.mutex.Lock()
-	defer reader.mutex.Unlock()
-	return reader.contact
-}
-
-// Failing reports whether the source's last answer was none, or a refusal.
-func (reader *Reader) Failing() bool {
-	reader.mutex.Lock()
-	defer reader.mutex.Unlock()
-	return reader.failing
-}
-
-// PeerFailing reports whether peers did not tell their view when they were last asked.
-func (reader *Reader) PeerFailing() bool {
-	reader.mutex.Lock()
-	defer reader.mutex.Unlock()
-	return reader.peerFailing
-}
-
-func (reader *Reader) nudge() {
-	select {
-	case reader.wake <- struct{}{}:
-	default:
-	}
-}
-
 // Serve reads and watches until the context ends.
 func (reader *Reader) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -331,49 +243,6 @@
 	return reader.publish(ctx)
 }
 
-func (reader *Reader) setGlances(glances bool) {
-	reader.mutex.Lock()
-	defer reader.mutex.Unlock()
-	reader.glances = glances
-}
-
-// behind reports whether a peer is known to have a newer view.
-func (reader *Reader) behind() bool {
-	reader.mutex.Lock()
-	defer reader.mutex.Unlock()
-	return reader.follows > reader.revision
-}
-
-// readStale does what Glance asks for. It tells nothing of whether the source answers, nor what it holds now.
-func (reader *Reader) readStale(ctx context.Context) {
-	reader.mutex.Lock()
-	wanted := reader.glance
-	reader.glance = false
-	reader.mutex.Unlock()
-	if !wanted || reader.configuration != nil {
-		return
-	}
-	if reader.behind() {
-		// A peer's view is newer, and may be had while the store is away.
-		reader.readPeer(ctx, false)
-	}
-	if reader.configuration != nil {
-		return
-	}
-	ctx, cancel := reader.cancellable(ctx, glanceTimeout)
-	defer cancel()
-	reader.setGlances(true)
-	defer reader.setGlances(false)
-	reader.options.Events.Add(EventGlance, 1)
-	snapshot, err := reader.options.Source.ReadStale(ctx)
-	if err != nil {
-		reader.options.Log.Info().Str("problem", err.Error()).Msg("store not read at the start")
-		return
-	}
-	reader.applySnapshot(snapshot)
-	reader.handOn(ctx)
-}
-
 // answered notes that the source has answered. After an outage, entries that are gone may only have lapsed.
 func (reader *Reader) answered() {
 	now := reader.options.Clock.Now()
@@ -395,130 +264,6 @@
 	reader.failures = 0
 }
 
-// mayHaveLapsed reports whether a removal seen now may be owed to the store's absence alone.
-func (reader *Reader) mayHaveLapsed(now clock.Moment) bool {
-	return now < reader.holdsUntil
-}
-
-func (reader *Reader) applySnapshot(snapshot Snapshot) {
-	present := map[Key]bool{}
-	for index := range snapshot.Items {
-		present[snapshot.Items[index].Key] = true
-		reader.set(&snapshot.Items[index])
-	}
-	for _, key := range slices.Collect(maps.Keys(reader.servers)) {
-		if !present[key] {
-			reader.remove(key)
-		}
-	}
-	for _, key := range slices.Collect(maps.Keys(reader.out)) {
-		if !present[key] {
-			delete(reader.out, key)
-		}
-	}
-	reader.revision = snapshot.Revision
-	reader.askAgain = 0
-}
-
-func (reader *Reader) applyChanges(ctx context.Context, changes Changes) error {
-	for index := range changes.Set {
-		reader.set(&changes.Set[index])
-	}
-	for _, key := range changes.Removed {
-		reader.remove(key)
-	}
-	lapsed := reader.dropLapsed()
-	if changes.Revision > reader.revision {
-		reader.revision = changes.Revision
-	}
-	if len(changes.Set)+len(changes.Removed) == 0 && !lapsed {
-		return nil
-	}
-	if err := reader.publish(ctx); err != nil {
-		return err
-	}
-	gather := gatherFor
-	if reader.configuration == nil {
-		gather = gatherUnconfigured
-	}
-	sleep(ctx, min(gather, reader.untilLapsed()))
-	return nil
-}
-
-func (reader *Reader) set(item *Item) {
-	switch {
-	case item.Problem != nil:
-		reader.options.Events.Add(EventUnreadable, 1)
-		reader.options.Log.Warn().Str("key", string(item.Key)).Str("problem", item.Problem.Error()).Msg("entry not understood, passed over")
-		delete(reader.servers, item.Key)
-	case item.Configuration != nil:
-		reader.setConfiguration(item.Configuration)
-	case item.Server != nil:
-		delete(reader.lapsed, item.Key)
-		reader.servers[item.Key] = *item.Server
-	case item.Out != "":
-		reader.out[item.Key] = item.Out
-	}
-}
-
-// setConfiguration puts a newer configuration in force; one that is not newer is ignored, whoever says it.
-func (reader *Reader) setConfiguration(configuration *Configuration) {
-	if reader.configuration != nil && configuration.Version <= reader.configuration.Version {
-		return
-	}
-	reader.configuration = configuration
-	reader.options.Log.Info().Uint64("version", uint64(configuration.Version)).Int("routes", len(configuration.Routes)).Msg("configuration in force")
-	for _, doubt := range configuration.Doubts {
-		reader.options.Events.Add(EventDoubt, 1)
-		reader.options.Log.Warn().Uint64("version", uint64(configuration.Version)).Str("problem", doubt).Msg("configuration not understood in part")
-	}
-}
-
-func (reader *Reader) remove(key Key) {
-	now := reader.options.Clock.Now()
-	delete(reader.out, key)
-	server, known := reader.servers[key]
-	if !known {
-		return
-	}
-	if server.State == ServerReady && reader.mayHaveLapsed(now) {
-		if _, noted := reader.lapsed[key]; !noted {
-			reader.lapsed[key] = reader.holdsUntil
-		}
-		return
-	}
-	delete(reader.servers, key)
-	delete(reader.lapsed, key)
-}
-
-// dropLapsed forgets servers that did not come back in time, and reports whether there were any.
-func (reader *Reader) dropLapsed() bool {
-	now := reader.options.Clock.Now()
-	dropped := false
-	for key, until := range reader.lapsed {
-		if now >= until {
-			delete(reader.lapsed, key)
-			delete(reader.servers, key)
-			dropped = true
-		}
-	}
-	return dropped
-}
-
-func (reader *Reader) publish(ctx context.Context) error {
-	return reader.options.Publish(ctx, reader.current())
-}
-
-func (reader *Reader) current() View {
-	view := View{Revision: reader.revision, Configuration: reader.configuration}
-	for _, key := range slices.Sorted(maps.Keys(reader.servers)) {
-		view.Servers = append(view.Servers, reader.servers[key])
-	}
-	view.Out = slices.Sorted(maps.Values(reader.out))
-	view.HeldUntil = reader.heldUntil()
-	return view
-}
-
 func sleep(ctx context.Context, length clock.Milliseconds) {
 	timer := time.NewTimer(length.Duration())
 	defer timer.Stop()
--- a/internal/catalog/reader_test.go
+++ b/internal/catalog/reader_test.go
@@ -411,10 +411,10 @@
 }
 
 // Guards against an instance that was restarted and serves nobody until those that read the store have told it their view.
-func TestGlanceServesUntilPeersTell(t *testing.T) {
+func TestStaleViewServesUntilPeersTell(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		bench := newBench(t)
-		bench.reader.Glance()
+		bench.reader.ReadStale()
 		pass(100)
 		require.Equal(t, []string{"one", "two"}, bench.names())
 		require.Zero(t, bench.reader.Contact(), "an old view does not tell that the source answers")
@@ -425,7 +425,7 @@
 		pass(500)
 		require.Equal(t, []string{"three"}, bench.names())
 		reads := bench.source.reads
-		bench.reader.Glance()
+		bench.reader.ReadStale()
 		pass(500)
 		require.Equal(t, reads, bench.source.reads, "one that has a view has no use for an old one")
 	})
--- a/internal/fleet/consumer_test.go
+++ b/internal/fleet/consumer_test.go
@@ -56,7 +56,7 @@
 	var sent []settings.TargetName
 	if consumer.controller.Table() == nil {
 		// A caller comes, and waits for a table.
-		consumer.controller.glance()
+		consumer.controller.readStale()
 	}
 	for _, name := range slices.Sorted(maps.Keys(consumer.controller.services)) {
 		for range 4 {
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -64,10 +64,10 @@
 	// the store held some seconds ago.
 	restartAlone     = clock.Second
 	restartAloneLast = 2500 * clock.Millisecond
-	// awaitTable is how long a request waits for an instance that has no routes yet, and glanceEvery the least time between two readings of
+	// awaitTable is how long a request waits for an instance that has no routes yet, and staleReadEvery the least time between two readings of
 	// the store for the sake of such requests.
-	awaitTable  = 150 * clock.Millisecond
-	glanceEvery = 500 * clock.Millisecond
+	awaitTable     = 150 * clock.Millisecond
+	staleReadEvery = 500 * clock.Millisecond
 	// helpEvery is the least time between two readings of a peer's view while the store turns this instance away.
 	helpEvery = 200 * clock.Millisecond
 	// followEvery is the least time between two readings of a peer's view for the sake of backend servers alone. An
@@ -121,10 +121,10 @@
 	SetRole func(catalog.Role)
 	Follow  func(catalog.Revision)
 	Refresh func()
-	// Glance reads what the store held some seconds ago.
-	Glance  func()
-	Contact func() clock.Moment
-	Failing func() bool
+	// ReadStale reads what the store held some seconds ago.
+	ReadStale func()
+	Contact   func() clock.Moment
+	Failing   func() bool
 	// PeerFailing reports whether peers did not tell their view when they were last asked.
 	PeerFailing func() bool
 }
@@ -136,13 +136,13 @@
 	feed    Feed
 	table   atomic.Pointer[routing.Table]
 	book    atomic.Pointer[addressBook]
-	// tabled is closed when a table comes into force, and replaced.
-	tabled atomic.Pointer[chan struct{}]
-	ready  atomic.Bool
-	inbox  chan event
-	// glanceMutex guards nextGlance, before which no request has the store read.
-	glanceMutex sync.Mutex
-	nextGlance  clock.Moment
+	// tableSet is closed when a table comes into force, and replaced.
+	tableSet atomic.Pointer[chan struct{}]
+	ready    atomic.Bool
+	inbox    chan event
+	// staleMutex guards nextStaleRead, before which no request has the store read.
+	staleMutex    sync.Mutex
+	nextStaleRead clock.Moment
 
 	// latest are the newest readings of own targets, to be told to peers.
 	latestMutex sync.Mutex
@@ -209,64 +209,16 @@
 		awakeSkew: awakeSkew(options), started: options.Clock.Now(),
 		isSeed: slices.ContainsFunc(options.Seeds, func(seed netip.AddrPort) bool { return seed.String() == options.Self.Peer }),
 	}
-	tabled := make(chan struct{})
-	controller.tabled.Store(&tabled)
+	tableSet := make(chan struct{})
+	controller.tableSet.Store(&tableSet)
 	return controller
 }
 
-func awakeSkew(options Options) clock.Milliseconds {
-	return clock.Milliseconds(options.Awake.Now()) - clock.Milliseconds(options.Clock.Now())
-}
-
 // SetFeed names the reader; it must be called before Serve.
 func (controller *Controller) SetFeed(feed Feed) {
 	controller.feed = feed
 }
 
-// Table returns the table in force, or nil while this instance doesn't know what is in force.
-func (controller *Controller) Table() *routing.Table {
-	return controller.table.Load()
-}
-
-// AwaitTable waits a moment for the table of an instance that has none yet, and has an old view read for it after a restart. It returns nil
-// when there is none in time.
-func (controller *Controller) AwaitTable(ctx context.Context) *routing.Table {
-	ctx, cancel := context.WithTimeout(ctx, awaitTable.Duration())
-	defer cancel()
-	controller.glance()
-	for {
-		tabled := *controller.tabled.Load()
-		if table := controller.table.Load(); table != nil {
-			return table
-		}
-		select {
-		case <-tabled:
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
-// glance has an old view read, unless that was done just now.
-func (controller *Controller) glance() {
-	if controller.options.FleetStarts {
-		return
-	}
-	controller.glanceMutex.Lock()
-	defer controller.glanceMutex.Unlock()
-	if now := controller.options.Clock.Now(); now >= controller.nextGlance {
-		controller.nextGlance = now.Add(glanceEvery)
-		controller.feed.Glance()
-	}
-}
-
-// setTable puts a table in force.
-func (controller *Controller) setTable(table *routing.Table) {
-	controller.table.Store(table)
-	next := make(chan struct{})
-	close(*controller.tabled.Swap(&next))
-}
-
 // Serve runs the control goroutine until the context ends.
 func (controller *Controller) Serve(ctx context.Context) error {
 	timer := time.NewTimer(0)
@@ -277,7 +229,7 @@
 			return ctx.Err()
 		case arrived := <-controller.inbox:
 			arrived(controller)
-			if controller.hastens() {
+			if controller.advanceTick() {
 				timer.Reset(tickServing.Duration())
 			}
 		case <-timer.C:
@@ -287,17 +239,6 @@
 	}
 }
 
-// hastens brings the next tick forward when there is news, and reports whether it did. Hundreds of instances that start together
-// tell of each other within a moment; what follows from that is worked out once for all of them.
-func (controller *Controller) hastens() bool {
-	soon := controller.options.Clock.Now().Add(tickServing)
-	if !controller.heardNews || controller.nextTick <= soon {
-		return false
-	}
-	controller.nextTick = soon
-	return true
-}
-
 // event is something that reaches the control goroutine.
 type event func(*Controller)
 
@@ -316,20 +257,6 @@
 	return controller.post(ctx, func(controller *Controller) { controller.applyView(&view) })
 }
 
-// Receive takes a peer's datagram. It never blocks: what is dropped is soon said again.
-func (controller *Controller) Receive(datagram []byte) {
-	message, err := Decode(datagram)
-	if err != nil {
-		controller.options.Registry.Events.Add("datagram.notUnderstood", 1)
-		return
-	}
-	select {
-	case controller.inbox <- func(controller *Controller) { controller.hear(message) }:
-	default:
-		controller.options.Registry.Events.Add(EventInboxFull, 1)
-	}
-}
-
 // Probed takes the result of a probe, on the prober's goroutine.
 func (controller *Controller) Probed(result sensing.Result) {
 	table := controller.table.Load()
@@ -369,117 +296,3 @@
 		controller.publish()
 	})
 }
-
-// tick looks after everything that depends on time.
-func (controller *Controller) tick() {
-	now := controller.options.Clock.Now()
-	controller.checkFrozen()
-	if changed := controller.members.Review(); changed || controller.heardNews {
-		controller.heardNews = false
-		controller.membersChanged()
-	}
-	controller.moveOn(now)
-	controller.sendBeats()
-	if controller.members.Leaderless() {
-		// Who is there changes with each word.
-		controller.publishAddresses()
-	}
-	if controller.members.State() == membership.Serving || controller.members.State() == membership.Leaving {
-		share := min(coldShareMost*controller.members.Sight(), 1)
-		for _, state := range controller.services {
-			state.scheduler.SetColdShare(share)
-			state.scheduler.Sweep()
-		}
-		controller.shareReadings(now)
-	}
-	if now >= controller.nextClean {
-		controller.nextClean = now.Add(clock.Second)
-		controller.options.Servers.CloseIdle()
-	}
-	every := tickStandby
-	if state := controller.members.State(); state == membership.Serving || state == membership.Joining {
-		every = tickServing
-	}
-	controller.nextTick = now.Add(every)
-}
-
-// checkFrozen finds out whether the machine stood still. Timers don't count that time, so nothing else would show that
-// all this instance knows is old: it would send work to servers that left long ago.
-func (controller *Controller) checkFrozen() {
-	skew := awakeSkew(controller.options)
-	jumped := skew - controller.awakeSkew
-	controller.awakeSkew = skew
-	if jumped < frozenFor {
-		return
-	}
-	controller.options.Registry.Events.Add(EventFrozen, 1)
-	controller.options.Log.Warn().Stringer("for", jumped).Msg("this machine stood still; reading everything anew")
-	controller.table.Store(nil)
-	controller.viewAt = 0
-	for _, state := range controller.services {
-		state.scheduler.Forget()
-	}
-	controller.feed.Refresh()
-}
-
-// moveOn changes what this instance is to the fleet, and whether it reads the catalog.
-func (controller *Controller) moveOn(now clock.Moment) {
-	state := controller.members.State()
-	needed := controller.members.Needed()
-	controller.lead(now, needed || state == membership.Serving)
-	current := controller.viewAt > 0 && controller.view.Configuration != nil
-	switch {
-	case state == membership.StandingBy && needed && current:
-		controller.changeState(membership.Serving)
-	case state == membership.Serving && controller.members.Unneeded():
-		controller.changeState(membership.StandingBy)
-	}
-	controller.checkBehind(now)
-	controller.noteCatalog(now)
-}
-
-func (controller *Controller) changeState(state membership.State) {
-	controller.options.Log.Info().Stringer("before", controller.members.State()).Stringer("now", state).Msg("state")
-	controller.members.SetState(state)
-	if state == membership.Serving {
-		controller.servesFrom = controller.options.Clock.Now()
-	}
-	controller.publish()
-}
-
-// sendBeats sends what is due.
-func (controller *Controller) sendBeats() {
-	for _, address := range controller.members.Due() {
-		beat := controller.members.Beat(address)
-		controller.send(address, &Message{Beat: &beat})
-	}
-}
-
-func (controller *Controller) send(address netip.AddrPort, message *Message) {
-	datagram, err := Encode(message)
-	if err != nil {
-		controller.options.Log.Error().Str("problem", err.Error()).Msg("datagram not sent")
-		return
-	}
-	controller.options.Send(address, datagram)
-}
-
-// hear takes a peer's message.
-func (controller *Controller) hear(message *Message) {
-	now := controller.options.Clock.Now()
-	if message.Beat != nil && controller.members.Hear(*message.Beat) {
-		controller.heardNews = true
-	}
-	for index := range message.Readings {
-		shared := &message.Readings[index]
-		ref, known := controller.targets[shared.Target]
-		if !known || controller.owners[ref.name] == controller.options.Self.Name {
-			continue
-		}
-		state := controller.services[ref.service]
-		if !shared.Down {
-			state.scheduler.Observe(ref.name, shared.reading(now))
-		}
-		state.scheduler.SetDown(ref.name, shared.Down)
-	}
-}
--- a/internal/fleet/controller_test.go
+++ b/internal/fleet/controller_test.go
@@ -50,13 +50,13 @@
 			fixture.controller.tick()
 			require.Equal(t, testCase.leads, fixture.leads)
 			require.Equal(t, testCase.follows, fixture.follows)
-			require.Zero(t, fixture.glances, "nobody asked")
+			require.Zero(t, fixture.staleReads, "nobody asked")
 			ctx, cancel := context.WithCancel(t.Context())
 			cancel()
 			for range 2 {
 				require.Nil(t, fixture.controller.AwaitTable(ctx))
 			}
-			require.Equal(t, testCase.again, fixture.glances == 1, "an old view is read once for callers that come after a restart")
+			require.Equal(t, testCase.again, fixture.staleReads == 1, "an old view is read once for callers that come after a restart")
 		})
 	}
 }
--- a/internal/fleet/fixture_test.go
+++ b/internal/fleet/fixture_test.go
@@ -23,12 +23,12 @@
 	controller *Controller
 	clock      *clock.Manual
 	// awake also counts while the machine is suspended.
-	awake     *clock.Manual
-	serving   []membership.Identity
-	sequence  uint64
-	leads     bool
-	refreshed bool
-	glances   int
+	awake      *clock.Manual
+	serving    []membership.Identity
+	sequence   uint64
+	leads      bool
+	refreshed  bool
+	staleReads int
 	// peerFailing is what its reader says of its peers.
 	peerFailing bool
 	follows     catalog.Revision
@@ -61,7 +61,8 @@
 	})
 	fixture.controller.SetFeed(Feed{
 		SetRole: func(role catalog.Role) { fixture.leads = role != catalog.RoleFollow }, Follow: func(revision catalog.Revision) { fixture.follows = revision },
-		Refresh: func() { fixture.refreshed = true }, Glance: func() { fixture.glances++ }, Contact: func() clock.Moment { return 0 }, Failing: func() bool { return false },
+		Refresh: func() { fixture.refreshed = true }, ReadStale: func() { fixture.staleReads++ },
+		Contact: func() clock.Moment { return 0 }, Failing: func() bool { return false },
 		PeerFailing: func() bool { return fixture.peerFailing },
 	})
 	return fixture
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -35,7 +35,7 @@
 	case controller.unledFrom == 0:
 		controller.unledFrom = now
 	}
-	silent := leaders.Heard > 0 && now.Since(max(leaders.Heard, controller.started)) >= silentLead || controller.untold()
+	silent := leaders.Heard > 0 && now.Since(max(leaders.Heard, controller.started)) >= silentLead || controller.missesUpdate()
 	switch {
 	case serves || controller.view == nil && controller.startsAlone(now):
 		return catalog.RoleLead
@@ -48,8 +48,8 @@
 	}
 }
 
-// untold reports whether a serving instance is known to have a newer view, and nobody tells it.
-func (controller *Controller) untold() bool {
+// missesUpdate reports whether a serving instance is known to have a newer view, and nobody tells it.
+func (controller *Controller) missesUpdate() bool {
 	return controller.view != nil && controller.members.Leaders().Newest > controller.view.Revision && controller.feed.PeerFailing()
 }
 
--- a/internal/fleet/virtual_process_test.go
+++ b/internal/fleet/virtual_process_test.go
@@ -65,7 +65,8 @@
 		Clock: own, Events: new(expvar.Map).Init(), Log: zerolog.Nop(), Jitter: rand.New(rand.NewPCG(random.Uint64(), 2)).Float64,
 	})
 	process.controller.SetFeed(Feed{
-		SetRole: reader.SetRole, Follow: reader.Follow, Refresh: reader.Refresh, Glance: reader.Glance, Contact: reader.Contact, Failing: reader.Failing, PeerFailing: reader.PeerFailing,
+		SetRole: reader.SetRole, Follow: reader.Follow, Refresh: reader.Refresh, ReadStale: reader.ReadStale,
+		Contact: reader.Contact, Failing: reader.Failing, PeerFailing: reader.PeerFailing,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	process.cancel = cancel
@@ -180,7 +181,7 @@
 }
 
 func (process *process) tick(now clock.Moment) {
-	process.controller.hastens()
+	process.controller.advanceTick()
 	if process.time(now) >= process.controller.nextTick {
 		process.controller.tick()
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,7 +84,7 @@
 	prober     *sensing.Prober
 	datagrams  *instance.Datagrams
 	traces     *trace.Ring
-	told       toldUpdate
+	updates    updateCache
 	callers    *httppart.Part
 	handler    *caller.Handler
 	parts      []namedPart
@@ -147,7 +147,7 @@
 		Clock: gateway.clock, Events: events, Log: gateway.options.Log, Jitter: rand.Float64,
 	})
 	gateway.controller.SetFeed(fleet.Feed{
-		SetRole: gateway.reader.SetRole, Follow: gateway.reader.Follow, Refresh: gateway.reader.Refresh, Glance: gateway.reader.Glance, Contact: gateway.reader.Contact,
+		SetRole: gateway.reader.SetRole, Follow: gateway.reader.Follow, Refresh: gateway.reader.Refresh, ReadStale: gateway.reader.ReadStale, Contact: gateway.reader.Contact,
 		Failing: gateway.reader.Failing, PeerFailing: gateway.reader.PeerFailing,
 	})
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -32,7 +32,7 @@
 		http.Error(writer, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	encoded, err := gateway.told.encode(&update)
+	encoded, err := gateway.updates.encode(&update)
 	if err != nil {
 		http.Error(writer, err.Error(), http.StatusInternalServerError)
 		return
@@ -42,27 +42,27 @@
 	_, _ = writer.Write(encoded)
 }
 
-// toldUpdate keeps the update that was told last. After a change all that follow ask for the same.
-type toldUpdate struct {
+// updateCache keeps the update that was told last. After a change all that follow ask for the same.
+type updateCache struct {
 	mutex   sync.Mutex
 	update  catalog.Update
 	encoded []byte
 }
 
-func (toldUpdate *toldUpdate) encode(update *catalog.Update) ([]byte, error) {
-	toldUpdate.mutex.Lock()
-	defer toldUpdate.mutex.Unlock()
-	last := &toldUpdate.update
-	same := toldUpdate.encoded != nil && last.Revision == update.Revision && last.Since == update.Since && last.Digest == update.Digest &&
+func (updateCache *updateCache) encode(update *catalog.Update) ([]byte, error) {
+	updateCache.mutex.Lock()
+	defer updateCache.mutex.Unlock()
+	last := &updateCache.update
+	same := updateCache.encoded != nil && last.Revision == update.Revision && last.Since == update.Since && last.Digest == update.Digest &&
 		last.Configuration == update.Configuration && last.HeldFor == 0 && update.HeldFor == 0
 	if same {
-		return toldUpdate.encoded, nil
+		return updateCache.encoded, nil
 	}
 	encoded, err := update.Encode()
 	if err != nil {
 		return nil, err
 	}
-	toldUpdate.update, toldUpdate.encoded = *update, encoded
+	updateCache.update, updateCache.encoded = *update, encoded
 	return encoded, nil
 }
 
--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -88,24 +88,31 @@
 // pace is how often a member is sent a beat, and whether it is at all. In a fleet that has just been started nobody speaks to all others:
 // the number of datagrams would grow with the square of that of instances.
 func (members *Members) pace(member *Member, leaderless bool) (clock.Milliseconds, bool) {
+	serves := members.state == Serving
 	switch {
 	case member.State == Lost:
-		return lostEvery, members.state == Serving || leaderless
+		return lostEvery, serves || leaderless
 	case members.state == Joining:
 		return joinEvery, member.State == Serving || members.near(member) && members.asks(member)
-	case members.state == Serving && (member.State == Serving || member.State == Joining):
+	case serves && (member.State == Serving || member.State == Joining):
 		return servingEvery, true
-	case members.state == Serving || member.State == Serving:
+	case serves || member.State == Serving:
 		return standbyEvery, true
 	case members.state == Leaving:
 		return standbyEvery, member.next == 0
-	case members.options.Clock.Now().Since(members.started) < startsFor && members.near(member):
-		return joinEvery, leaderless && members.asks(member)
 	default:
-		return servingEvery, leaderless && members.asks(member)
+		return members.askEvery(member), leaderless && members.asks(member)
 	}
 }
 
+// askEvery is how often a member is asked while nobody is known to serve.
+func (members *Members) askEvery(member *Member) clock.Milliseconds {
+	if members.near(member) && members.options.Clock.Now().Since(members.started) < startsFor {
+		return joinEvery
+	}
+	return servingEvery
+}
+
 // Beat makes the beat for one receiver.
 func (members *Members) Beat(to netip.AddrPort) Beat {
 	members.sequence++
