--- a/internal/membership/hear.go
+++ b/internal/membership/hear.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"net/netip"
 
 	"github.com/jaywheel/jaywheel/pkg/clock"
@@ -25,18 +26,14 @@
 		members.roster.add(beat.Identity.Name, member)
 	}
 	changed := !known || member.State != beat.State || member.Incarnation != beat.Incarnation
-	if changed {
-		members.roster.changed()
-	}
 	members.roster.move(member, address)
 	member.take(beat)
 	member.heard = now
 	// Whoever speaks to one that leaves may hold it for one that stays.
 	member.owed = member.owed || beat.Asks || members.state == Leaving
-	if members.metAt == 0 {
-		members.metAt = now
-	}
+	members.metAt = cmp.Or(members.metAt, now)
 	if changed {
+		members.roster.changed()
 		// It now expects to hear from here more often than before: without a word it would take this instance for lost.
 		member.next = 0
 	}
