Read everything anew when the store's address changes

Cause: changes since a revision of the old store were asked of the new one.

Change: a reload with another address has everything read anew.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,8 +89,9 @@
 	handler    *caller.Handler
 	parts      []namedPart
 	tree       *supervisor.Tree
-	// bounds are those of the newest settings.
-	bounds atomic.Pointer[settings.GatewayBounds]
+	// bounds and storeAddress are those of the newest settings.
+	bounds       atomic.Pointer[settings.GatewayBounds]
+	storeAddress atomic.Pointer[string]
 }
 
 // namedPart is a server and its name in the tree.
@@ -107,6 +108,7 @@
 	}
 	gateway := &Gateway{options: options, clock: clock.New(), registry: metrics.NewRegistry(), traces: trace.NewRing(storiesKept)}
 	gateway.bounds.Store(&options.Settings.Bounds)
+	gateway.storeAddress.Store(&options.Settings.StoreAddress)
 	gateway.servers = backendserver.NewServers(gateway.clock)
 	gateway.makeControl()
 	if err := gateway.makeParts(); err != nil {
@@ -259,6 +261,10 @@
 		gateway.options.Log.Warn().Msg("settings: who the instance is and where it listens changes only with a restart")
 	}
 	gateway.options.Platform.SetStore(file.StoreAddress)
+	if before := gateway.storeAddress.Swap(&file.StoreAddress); *before != file.StoreAddress {
+		// What has changed since a revision of one store can't be asked of another.
+		gateway.reader.Refresh()
+	}
 	gateway.bounds.Store(&file.Bounds)
 	return gateway.controller.SetSettings(ctx, file.SeedAddresses(), file.Bounds)
 }
