List instances with something wrong first, and let operators filter the fleet

What operators saw: 312 lines by name, in which one that does not answer is one of many; all 312 were asked at the same moment.

TestFleetShowsFirstWhatIsWrong is new; it fails without the order and the options.

--- a/cmd/fleet.go
+++ b/cmd/fleet.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"text/tabwriter"
 
@@ -14,16 +16,26 @@
 
 	"github.com/jaywheel/jaywheel/internal/catalog"
 	"github.com/jaywheel/jaywheel/internal/fleet"
+	"github.com/jaywheel/jaywheel/internal/membership"
 	"github.com/jaywheel/jaywheel/internal/operator"
+	"github.com/jaywheel/jaywheel/pkg/settings"
 )
 
 const fleetLong = `Shows all instances on the users' platform at once: asks one for the others it knows, and then each of them at the same
-operator port. One line for each, then what does not fit together: instances that don't answer, that have an older configuration than
-others, or that are lost to some and alive to others. Exit code 1 when anything does not fit.`
+operator port. One line for each, those first with which something is wrong, then those that serve; then how many there are of each
+state, and what does not fit together: instances that don't answer, that have an older configuration than others, or that are lost to
+some and alive to others. Exit code 1 when anything does not fit, also where a filter leaves out its line.
+
+  jaywheel fleet --operator 10.1.0.34:8544
+  jaywheel fleet --operator 10.1.0.34:8544 --state serving
+  jaywheel fleet --operator 10.1.0.34:8544 --data-centre sofia-a --problems`
 
 type fleetCommand struct {
-	Operator string `long:"operator" value-name:"IP:PORT" required:"yes" description:"Operator address of any instance"`
-	streams  streams
+	Operator   string `long:"operator" value-name:"IP:PORT" required:"yes" description:"Operator address of any instance"`
+	DataCentre string `long:"data-centre" value-name:"NAME" description:"Show the instances of this data centre only"`
+	State      string `long:"state" choice:"joining" choice:"standingBy" choice:"serving" choice:"leaving" choice:"lost" description:"Show the instances of this state only"`
+	Problems   bool   `long:"problems" description:"Show the instances only with which something is wrong"`
+	streams    streams
 }
 
 var errFleetDiffers = errors.New("the instances do not agree")
@@ -32,6 +44,14 @@
 type fleetLine struct {
 	status fleet.Status
 	err    error
+	// wrong says that a problem names the instance.
+	wrong bool
+}
+
+// problem is what is wrong with an instance.
+type problem struct {
+	instance settings.InstanceName
+	text     string
 }
 
 // Execute implements flags.Commander.
@@ -44,12 +64,15 @@
 	if err != nil {
 		return err
 	}
-	if err := printFleet(fleetCommand.streams.out, lines); err != nil {
+	problems := fleetProblems(lines)
+	sortFleet(lines, problems)
+	shown := slices.DeleteFunc(slices.Clone(lines), func(line fleetLine) bool { return !fleetCommand.shows(line) })
+	if err := printFleet(fleetCommand.streams.out, shown); err != nil {
 		return err
 	}
-	problems := fleetProblems(lines)
+	fmt.Fprintln(fleetCommand.streams.out, summary(lines))
 	for _, problem := range problems {
-		fmt.Fprintln(fleetCommand.streams.out, problem)
+		fmt.Fprintln(fleetCommand.streams.out, problem.text)
 	}
 	if len(problems) > 0 {
 		return errFleetDiffers
@@ -57,6 +80,49 @@
 	return nil
 }
 
+// shows reports whether the filters let a line through.
+func (fleetCommand *fleetCommand) shows(line fleetLine) bool {
+	return (fleetCommand.DataCentre == "" || string(line.status.DataCentre) == fleetCommand.DataCentre) &&
+		(fleetCommand.State == "" || line.status.State == fleetCommand.State) && (!fleetCommand.Problems || line.wrong)
+}
+
+// sortFleet puts first what is wrong, then what serves.
+func sortFleet(lines []fleetLine, problems []problem) {
+	for index := range lines {
+		lines[index].wrong = slices.ContainsFunc(problems, func(problem problem) bool { return problem.instance == lines[index].status.Instance })
+	}
+	order := func(line fleetLine) int {
+		switch {
+		case line.wrong:
+			return 0
+		case line.status.State == membership.Serving.String():
+			return 1
+		default:
+			return 2
+		}
+	}
+	slices.SortStableFunc(lines, func(left, right fleetLine) int {
+		return cmp.Or(order(left)-order(right), cmp.Compare(left.status.Instance, right.status.Instance))
+	})
+}
+
+// summary says how many instances there are of each state.
+func summary(lines []fleetLine) string {
+	counts := map[string]int{}
+	for _, line := range lines {
+		state := line.status.State
+		if line.err != nil {
+			state = "not answering"
+		}
+		counts[state]++
+	}
+	text := fmt.Sprintf("%d instances:", len(lines))
+	for _, state := range slices.Sorted(maps.Keys(counts)) {
+		text += fmt.Sprintf(" %d %s,", counts[state], state)
+	}
+	return strings.TrimSuffix(text, ",")
+}
+
 func askFleetStatus(address string) (fleet.Status, error) {
 	var status fleet.Status
 	text, err := ask(address, operator.StatusPath, nil)
@@ -66,6 +132,9 @@
 	return status, errors.Wrapf(json.Unmarshal(text, &status), "answer of instance %s", address)
 }
 
+// askedAtOnce is the number of instances that are asked at the same time.
+const askedAtOnce = 32
+
 // askPeers asks all instances that the first one knows, several at a time, and returns them by name.
 func askPeers(address string, first fleet.Status) ([]fleetLine, error) {
 	own, err := netip.ParseAddrPort(address)
@@ -75,13 +144,15 @@
 	lines := make([]fleetLine, len(first.Peers)+1)
 	lines[len(first.Peers)].status = first
 	var asking sync.WaitGroup
+	places := make(chan struct{}, askedAtOnce)
 	for index, peer := range first.Peers {
 		asking.Go(func() {
+			places <- struct{}{}
+			defer func() { <-places }()
 			lines[index] = askPeer(own.Port(), peer)
 		})
 	}
 	asking.Wait()
-	slices.SortFunc(lines, func(left, right fleetLine) int { return cmp.Compare(left.status.Instance, right.status.Instance) })
 	return lines, nil
 }
 
@@ -122,8 +193,8 @@
 
 // fleetProblems says what does not fit together. Revisions may differ for a second; configurations must not for longer than they
 // take to come into force.
-func fleetProblems(lines []fleetLine) []string {
-	var problems []string
+func fleetProblems(lines []fleetLine) []problem {
+	var problems []problem
 	var newest catalog.Version
 	answering := map[string]bool{}
 	for _, line := range lines {
@@ -135,15 +206,15 @@
 	for _, line := range lines {
 		name := line.status.Instance
 		if line.err != nil {
-			problems = append(problems, fmt.Sprintf("%s does not answer: %v", name, line.err))
+			problems = append(problems, problem{name, fmt.Sprintf("%s does not answer: %v", name, line.err)})
 			continue
 		}
 		if line.status.Version < newest {
-			problems = append(problems, fmt.Sprintf("%s has configuration %d in force, others %d", name, line.status.Version, newest))
+			problems = append(problems, problem{name, fmt.Sprintf("%s has configuration %d in force, others %d", name, line.status.Version, newest)})
 		}
 		for _, peer := range line.status.Peers {
 			if peer.State == "lost" && answering[string(peer.Name)] {
-				problems = append(problems, fmt.Sprintf("%s has lost sight of %s, which answers", name, peer.Name))
+				problems = append(problems, problem{name, fmt.Sprintf("%s has lost sight of %s, which answers", name, peer.Name)})
 			}
 		}
 	}
--- a/cmd/fleet_test.go
+++ b/cmd/fleet_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -88,3 +89,43 @@
 	require.Equal(t, ExitFailure, code)
 	require.Contains(t, err, "127.7.7.9:1")
 }
+
+// Guards against a listing of hundreds in which the one that is wrong can't be found.
+func TestFleetShowsFirstWhatIsWrong(t *testing.T) {
+	first := fleet.Status{Instance: "entry-1", DataCentre: "sofia-a", State: "standingBy", Version: 7}
+	states := map[string]fleet.Status{
+		"127.7.8.2": {Instance: "entry-2", DataCentre: "sofia-b", State: "serving", Version: 7},
+		"127.7.8.3": {Instance: "entry-3", DataCentre: "sofia-b", State: "standingBy", Version: 6},
+	}
+	for _, host := range []string{"127.7.8.2", "127.7.8.3"} {
+		first.Peers = append(first.Peers, fleet.PeerStatus{Name: states[host].Instance, Address: host + ":1"})
+	}
+	address := statusServer(t, "127.7.8.1:0", func() fleet.Status { return first })
+	for host, status := range states {
+		statusServer(t, fmt.Sprintf("%s:%d", host, netip.MustParseAddrPort(address).Port()), func() fleet.Status { return status })
+	}
+	cases := []struct {
+		name    string
+		options []string
+		shown   []string
+	}{
+		{"all", nil, []string{"entry-3", "entry-2", "entry-1"}},
+		{"one data centre", []string{"--data-centre", "sofia-b"}, []string{"entry-3", "entry-2"}},
+		{"one state", []string{"--state", "serving"}, []string{"entry-2"}},
+		{"what is wrong", []string{"--problems"}, []string{"entry-3"}},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			code, out, _ := runLine(append([]string{"fleet", "--operator", address}, testCase.options...)...)
+			require.Equal(t, ExitFailure, code)
+			lines := strings.Split(out, "\n")
+			var shown []string
+			for _, line := range lines[1 : len(testCase.shown)+1] {
+				shown = append(shown, strings.Fields(line)[0])
+			}
+			require.Equal(t, testCase.shown, shown)
+			require.Equal(t, "3 instances: 1 serving, 2 standingBy", lines[len(testCase.shown)+1])
+			require.Equal(t, "entry-3 has configuration 6 in force, others 7", lines[len(testCase.shown)+2])
+		})
+	}
+}
