Never answer a leaving instance that one leaves as well

Change: one that leaves does not reply to another that leaves.

Before: 100 instances of which 40 leave send 32,016 datagrams a second, where 1,224 are allowed (TestLeavingTogetherCostsLittle). After: the test passes.

--- a/internal/membership/hear.go
+++ b/internal/membership/hear.go
@@ -29,8 +29,8 @@
 	members.roster.move(member, address)
 	member.take(beat)
 	member.heard = now
-	// Whoever speaks to one that leaves may hold it for one that stays.
-	member.owed = member.owed || beat.Asks || members.state == Leaving
+	// Whoever speaks to one that leaves may hold it for one that stays, unless it leaves itself.
+	member.owed = member.owed || beat.Asks || members.state == Leaving && beat.State != Leaving
 	members.metAt = cmp.Or(members.metAt, now)
 	if changed {
 		members.roster.changed()
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -534,3 +534,20 @@
 	alone := New(fleet.instances[40].options)
 	require.Equal(t, []string{fleet.instances[40].options.Self.Caller}, alone.Present(), "one that knows of nobody")
 }
+
+// Guards against instances that leave together and answer each other's beats without end.
+func TestLeavingTogetherCostsLittle(t *testing.T) {
+	fleet := newFleet(100, 4, []int{0, 1, 2}, equalSize)
+	fleet.run(8 * clock.Second)
+	perSecond := func() float64 {
+		fleet.sent = 0
+		fleet.run(3 * clock.Second)
+		return float64(fleet.sent) / 3
+	}
+	before := perSecond()
+	for number := 20; number < 60; number++ {
+		fleet.instances[number].members.SetState(Leaving)
+	}
+	fleet.run(clock.Second)
+	require.Less(t, perSecond(), 1.5*before)
+}
