--- a/internal/membership/hear.go
+++ b/internal/membership/hear.go
@@ -29,8 +29,7 @@
 	members.roster.move(member, address)
 	member.take(beat)
 	member.heard = now
-	// Whoever speaks to one that leaves may hold it for one that stays, unless it leaves itself.
-	member.owed = member.owed || beat.Asks || members.state == Leaving && beat.State != Leaving
+	member.owed = member.owed || members.owes(beat)
 	members.metAt = cmp.Or(members.metAt, now)
 	if changed {
 		members.roster.changed()
@@ -46,6 +45,11 @@
 	return changed
 }
 
+// owes reports whether a beat calls for a reply. Whoever speaks to one that leaves may hold it for one that stays, unless it leaves itself.
+func (members *Members) owes(beat Beat) bool {
+	return beat.Asks || members.state == Leaving && beat.State != Leaving
+}
+
 // take notes what a beat says of its sender.
 func (member *Member) take(beat Beat) {
 	member.Identity = beat.Identity
