--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -59,9 +59,9 @@
 	// fleet starts for the first time. Seeds read at once, but there may be no configuration yet, and a view without one is of no
 	// use to others; callers come some seconds later.
 	startAlone = 3 * clock.Second
-	// restartAlone is how long an instance that was restarted waits for one that serves to tell a fresh view before it reads the store for want
-	// of it, if it is the next to serve, and restartAloneLast how long any other does. Callers that come to it meanwhile are served by what
-	// the store held some seconds ago.
+	// restartAlone is how long an instance that was restarted waits for a fresh view of one that serves before it reads the store
+	// for want of it, if it is the next to serve, and restartAloneLast how long any other does. Callers that come to it meanwhile
+	// are served by what the store held some seconds ago.
 	restartAlone     = clock.Second
 	restartAloneLast = 2500 * clock.Millisecond
 	// awaitTable is how long a request waits for an instance that has no routes yet, and staleReadEvery the least time between two readings of
--- a/internal/membership/hear.go
+++ b/internal/membership/hear.go
@@ -93,8 +93,8 @@
 	return false
 }
 
-// hearsayAfter is how long a member must be silent for another one's word to be taken that it is lost. If it were less than the time between two of
-// its beats, that word would go round after its return: each that takes it passes it on.
+// hearsayAfter is how long a member must be silent for another one's word to be taken that it is lost. If it were less than the
+// time between two of its beats, that word would go round after its return: each that takes it passes it on.
 func (members *Members) hearsayAfter(member *Member) clock.Milliseconds {
 	if member.State == Serving {
 		return directlyHeard
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -36,8 +36,8 @@
 	return newest
 }
 
-// Present returns the callers' addresses of those that should serve next and have just spoken to this instance, as far as they don't leave. Of
-// the others it would not hear that they leave. It names itself if it is one of them, or knows of none.
+// Present returns the callers' addresses of those that should serve next and have just spoken to this instance, as far as they
+// don't leave. Of the others it would not hear that they leave. It names itself if it is one of them, or knows of none.
 func (members *Members) Present() []string {
 	var present []string
 	now := members.options.Clock.Now()
