--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -40,6 +40,8 @@
 	Bounds GatewayBounds `json:"bounds,omitzero"`
 	// LogLevel is the least level of log lines.
 	LogLevel string `json:"logLevel,omitempty" jsonschema:"enum=debug,enum=info,enum=warn,enum=error,default=info"`
+	// Doubts say which figures were not understood, and what stands in for them.
+	Doubts []Problem `json:"-"`
 }
 
 // GatewayBounds are the limits agreed with the platform.
@@ -55,6 +57,16 @@
 	RetrySlack int `json:"retrySlack,omitempty" jsonschema:"minimum=0,default=40"`
 	// ProbesPerSecond is how often one target may be probed, over the whole fleet.
 	ProbesPerSecond float64 `json:"probesPerSecond,omitempty" jsonschema:"exclusiveMinimum=0,default=60"`
+	// QuotaWindow is the span in which a team's requests are counted against its rate limit.
+	QuotaWindow clock.Milliseconds `json:"quotaWindow,omitempty" jsonschema:"default=5s"`
+	// QuotaOver is the part of its limit by which a team may exceed it in such a span, QuotaSlack the number of requests by which it may
+	// do so besides, both over the whole fleet.
+	QuotaOver  float64 `json:"quotaOver,omitempty" jsonschema:"minimum=0,maximum=10,default=0.25"`
+	QuotaSlack float64 `json:"quotaSlack,omitempty" jsonschema:"minimum=0,default=20"`
+	// FailClosed says that requests that need an API key are refused, as not run, once nothing has been heard of the store for RevokeWithin:
+	// a key may have been revoked meanwhile. Otherwise the last configuration stays in force.
+	FailClosed   bool               `json:"failClosed,omitempty"`
+	RevokeWithin clock.Milliseconds `json:"revokeWithin,omitempty" jsonschema:"default=5s"`
 }
 
 // LoadGateway reads the file.
@@ -63,11 +75,13 @@
 	if err != nil {
 		return nil, err
 	}
+	// A figure that is given stays as it is, 0 as well.
 	gateway := &Gateway{}
+	gateway.ApplyDefaults()
+	document.text, gateway.Doubts = relaxGateway(document.name, document.text)
 	if _, err := decodePair(document, nil, gatewayDefinition, gateway); err != nil {
 		return nil, err
 	}
-	gateway.ApplyDefaults()
 	return gateway, invalid(gateway.check(document.name))
 }
 
@@ -80,6 +94,10 @@
 	setDefault(&gateway.Bounds.RetryShare, 0.2)
 	setDefault(&gateway.Bounds.RetrySlack, 40)
 	setDefault(&gateway.Bounds.ProbesPerSecond, 60)
+	setDefault(&gateway.Bounds.QuotaWindow, 5*clock.Second)
+	setDefault(&gateway.Bounds.QuotaOver, 0.25)
+	setDefault(&gateway.Bounds.QuotaSlack, 20)
+	setDefault(&gateway.Bounds.RevokeWithin, 5*clock.Second)
 	setDefault(&gateway.LogLevel, "info")
 }
 
--- /dev/null
+++ b/pkg/settings/relax_test.go
@@ -0,0 +1,93 @@
+package settings
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jaywheel/jaywheel/pkg/clock"
+)
+
+// loadFigures loads a file as the deployment template fills it in, with the figures given as text.
+func loadFigures(t *testing.T, cores string, bounds map[string]string) (*Gateway, error) {
+	lines := make([]string, 0, len(bounds))
+	for name, text := range bounds {
+		lines = append(lines, fmt.Sprintf("%q: %q", name, text))
+	}
+	path := filepath.Join(t.TempDir(), "gateway.json")
+	text := fmt.Sprintf(`{"instance": "front-1", "dataCentre": "sofia-a", "region": "", "callerAddress": "10.0.0.1:1", "readyAddress": "10.0.0.1:2",
+		"directoryAddress": "10.0.0.1:3", "operatorAddress": "10.0.0.1:4", "peerAddress": "10.0.0.1:5", "seeds": [], "storeAddress": "10.0.0.1:6",
+		"cores": %q, "bounds": {%s}}`, cores, strings.Join(lines, ", "))
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return LoadGateway(path)
+}
+
+// Guards against a fleet that does not start because a bound is a fraction, missing or out of range on a deployment.
+func TestFiguresOfAnyForm(t *testing.T) {
+	cases := []struct {
+		name, field, text string
+		found             func(*Gateway) any
+		expected          any
+		doubts            int
+	}{
+		{"a whole number", "retrySlack", "186", func(gateway *Gateway) any { return gateway.Bounds.RetrySlack }, 186, 0},
+		{"a fraction for a count", "retrySlack", "22.1428", func(gateway *Gateway) any { return gateway.Bounds.RetrySlack }, 22, 0},
+		{"a whole number with a point", "retrySlack", "186.0", func(gateway *Gateway) any { return gateway.Bounds.RetrySlack }, 186, 0},
+		{"an exponent", "retrySlack", "1.86e2", func(gateway *Gateway) any { return gateway.Bounds.RetrySlack }, 186, 0},
+		{"nothing", "retrySlack", "", func(gateway *Gateway) any { return gateway.Bounds.RetrySlack }, 40, 0},
+		{"a word", "retrySlack", "many", func(gateway *Gateway) any { return gateway.Bounds.RetrySlack }, 40, 1},
+		{"below zero", "retrySlack", "-3", func(gateway *Gateway) any { return gateway.Bounds.RetrySlack }, 0, 0},
+		{"no retries beyond the share", "retrySlack", "0", func(gateway *Gateway) any { return gateway.Bounds.RetrySlack }, 0, 0},
+		{"a word with a unit", "leaveMost", "manys", func(gateway *Gateway) any { return gateway.Bounds.LeaveMost }, 6 * clock.Second, 1},
+		{"far too large", "retrySlack", "1e300", func(gateway *Gateway) any { return gateway.Bounds.RetrySlack }, countMost, 0},
+		{"no number", "retryShare", "NaN", func(gateway *Gateway) any { return gateway.Bounds.RetryShare }, 0.2, 1},
+		{"a share above one", "retryShare", "7", func(gateway *Gateway) any { return gateway.Bounds.RetryShare }, 1.0, 0},
+		{"no probes at all", "probesPerSecond", "0", func(gateway *Gateway) any { return gateway.Bounds.ProbesPerSecond }, aboveZero, 0},
+		{"a unit without a figure", "leaveMost", "s", func(gateway *Gateway) any { return gateway.Bounds.LeaveMost }, 6 * clock.Second, 0},
+		{"an exponent with a unit", "leaveMost", "6e0s", func(gateway *Gateway) any { return gateway.Bounds.LeaveMost }, 6 * clock.Second, 0},
+		{"a fraction with a unit", "answerKeptMost", "2.5s", func(gateway *Gateway) any { return gateway.Bounds.AnswerKeptMost }, 2500 * clock.Millisecond, 0},
+		{"a length of another unit", "answerKeptMost", "250ms", func(gateway *Gateway) any { return gateway.Bounds.AnswerKeptMost }, 250 * clock.Millisecond, 0},
+		{"true", "failClosed", "true", func(gateway *Gateway) any { return gateway.Bounds.FailClosed }, true, 0},
+		{"neither true nor false", "failClosed", "perhaps", func(gateway *Gateway) any { return gateway.Bounds.FailClosed }, false, 1},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			gateway, err := loadFigures(t, "0.16", map[string]string{testCase.field: testCase.text})
+			require.NoError(t, err)
+			require.Equal(t, testCase.expected, testCase.found(gateway))
+			require.Len(t, gateway.Doubts, testCase.doubts)
+			require.InDelta(t, 0.16, gateway.Cores, 1e-9)
+		})
+	}
+}
+
+// Guards against any mixture of odd figures that keeps an instance from starting, or puts a bound out of its range.
+func TestDrawnFigures(t *testing.T) {
+	forms := []string{
+		"", "s", "0", "1", "186", "186.0", "22.1428", "1.86e2", "1e300", "-1", "-1e300", "NaN", "Inf", "many", "true", "0x10", " 5 ", "5s", "2.5s", "null", "[]",
+	}
+	random := rand.New(rand.NewPCG(7, 7))
+	draw := func() string { return forms[random.IntN(len(forms))] }
+	for range 2000 {
+		bounds := map[string]string{}
+		for _, figure := range gatewayFigures {
+			if figure.section == "bounds" && figure.kind != durationFigure {
+				bounds[figure.name] = draw()
+			} else if figure.section == "bounds" {
+				bounds[figure.name] = strings.TrimSuffix(draw(), "s") + "s"
+			}
+		}
+		gateway, err := loadFigures(t, draw(), bounds)
+		require.NoError(t, err, "%v", bounds)
+		require.Positive(t, gateway.Cores)
+		require.Positive(t, gateway.Bounds.ProbesPerSecond)
+		require.Positive(t, float64(gateway.Bounds.LeaveMost))
+		require.LessOrEqual(t, gateway.Bounds.RetryShare, 1.0)
+		require.GreaterOrEqual(t, gateway.Bounds.RetrySlack, 0)
+	}
+}
