--- a/internal/service/admission.go
+++ b/internal/service/admission.go
@@ -47,7 +47,7 @@
 	expected := scheduler.expect(demand.Class)
 	waiter := rankedWaiter{demand: demand, expected: expected, since: now, latest: demand.Aim.Add(-CallerDistance - expected.work)}
 	waiter.until = now.Add(lateWaitMost * demand.Deadline.Since(now))
-	waiter.rank = rankOf(demand.Priority, now > waiter.latest)
+	waiter.rank = rankOf(demand, now > waiter.latest)
 	return waiter
 }
 
@@ -55,7 +55,7 @@
 // there is room, and nothing that could still be served waits behind it.
 func (scheduler *Scheduler) enqueue(now clock.Moment, waiter *rankedWaiter) error {
 	if !waiter.late() && now.Add(scheduler.expectedWait(now, waiter.rank)) > waiter.latest {
-		waiter.rank = rankOf(waiter.demand.Priority, true)
+		waiter.rank = rankOf(waiter.demand, true)
 	}
 	if waiter.late() && scheduler.expectedWait(now, waiter.rank) > waiter.until.Since(now)*admittedShare {
 		return &RefusedError{Cause: ErrQueueFull, ComeBack: scheduler.comeBack(now)}
@@ -69,7 +69,7 @@
 func (scheduler *Scheduler) demote(now clock.Moment) {
 	for _, waiter := range scheduler.waiting.overdueAt(now) {
 		scheduler.waiting.remove(waiter)
-		waiter.rank = rankOf(waiter.demand.Priority, true)
+		waiter.rank = rankOf(waiter.demand, true)
 		if err := scheduler.enqueue(now, waiter); err != nil {
 			waiter.done <- scheduledGrant{err: err}
 		}
--- a/internal/service/dispatcher.go
+++ b/internal/service/dispatcher.go
@@ -63,6 +63,8 @@
 // Demand is what a request asks of a Dispatcher.
 type Demand struct {
 	Priority settings.Priority
+	// TeamPriority goes before Priority. Only a Scheduler looks at it.
+	TeamPriority settings.Priority
 	// Deadline is the moment at which the answer is worth nothing any more.
 	Deadline clock.Moment
 	// Tried is the target on which an earlier attempt of the request failed, or nil.
--- a/internal/service/placing.go
+++ b/internal/service/placing.go
@@ -15,7 +15,7 @@
 	if best == nil || best.Target == demand.Tried || finish > 2*expected.work {
 		return Place{}, false
 	}
-	return scheduler.bind(now, best, expected, rankOf(demand.Priority, false)), true
+	return scheduler.bind(now, best, expected, rankOf(demand, false)), true
 }
 
 // Slow reports whether the request at the place takes long: its target was slow when it started, or has slowed down since where
--- a/internal/service/rankedqueue.go
+++ b/internal/service/rankedqueue.go
@@ -12,13 +12,20 @@
 // An answer in time is worth ten late ones to the users, so a late one never takes its place.
 type rank int
 
-const ranks = rank(2 * (settings.LowestPriority + 1))
+const (
+	priorities = rank(settings.LowestPriority + 1)
+	// firstLate is the rank of the most urgent requests that will be late.
+	firstLate = priorities * priorities
+	ranks     = 2 * firstLate
+)
 
-func rankOf(priority settings.Priority, late bool) rank {
+// rankOf ranks a request by its team's priority and then by its own.
+func rankOf(demand Demand, late bool) rank {
+	urgency := rank(demand.TeamPriority)*priorities + rank(demand.Priority)
 	if late {
-		return rank(priority + settings.LowestPriority + 1)
+		return firstLate + urgency
 	}
-	return rank(priority)
+	return urgency
 }
 
 // rankedWaiter is a request that waits for a place. The place, or the refusal, arrives on done exactly once.
@@ -47,7 +54,7 @@
 
 // late reports whether the request is past the moment at which it should have started.
 func (waiter *rankedWaiter) late() bool {
-	return waiter.rank > rank(settings.LowestPriority)
+	return waiter.rank >= firstLate
 }
 
 // rankedList holds the waiting requests of one rank in the order in which they were added.
