--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -72,6 +72,9 @@
 	if err != nil {
 		return err
 	}
+	for _, doubt := range file.Doubts {
+		log.Warn().Str("field", doubt.Path).Str("problem", doubt.Reason).Msg("settings not understood in part")
+	}
 	log.Info().Str("callers", file.CallerAddress).Str("dataCentre", string(file.DataCentre)).Msg("started")
 	defer func() { log.Info().Int("linesDropped", missed).Msg("stopped") }()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -30,6 +30,7 @@
 	deadline clock.Moment
 	// aim is the moment until which an answer is worth most.
 	aim      clock.Moment
+	identity identity
 	body     body
 	tried    *service.Target
 	attempts []trace.Attempt
@@ -114,6 +115,9 @@
 		return refusal(http.StatusMethodNotAllowed, outcome.ReasonNoService, err)
 	}
 	call.route = route
+	if problem := call.identify(); problem != nil {
+		return problem
+	}
 	given, err := call.timeLeft(route.Class.Settings.Timeout)
 	if err != nil {
 		return refusal(http.StatusBadRequest, outcome.ReasonBadRequest, err)
@@ -123,7 +127,10 @@
 	if aim := route.Class.Settings.Aim; aim > 0 {
 		call.aim = min(route.Service.Aim(route.Class.Name, call.started, aim, given), call.deadline)
 	}
-	return call.boundByDrain()
+	if problem := call.boundByDrain(); problem != nil {
+		return problem
+	}
+	return call.takeQuota()
 }
 
 // refusal ends a request that was never sent anywhere.
@@ -166,6 +173,9 @@
 	if ending.outcome == "" {
 		ending.outcome = outcome.NotRun
 	}
+	if ending.outcome == outcome.NotRun {
+		call.returnQuota()
+	}
 	header := call.writer.Header()
 	// Unless the connection ends with it, the answer would be held back until the rest of the body has come.
 	call.mustClose = call.mustClose || call.bodyUnread()
@@ -227,6 +237,9 @@
 	if call.table != nil {
 		story.Tenant = call.table.Site.Tenant
 	}
+	if call.identity.team != nil {
+		story.Tenant = string(call.identity.team.Name)
+	}
 	if call.route.Class == nil {
 		call.handler.options.Registry.Events.Add("refused."+string(reason), 1)
 		call.tell(&story)
--- a/internal/caller/dialect.go
+++ b/internal/caller/dialect.go
@@ -22,6 +22,8 @@
 	AttemptHeader string
 	// TargetHeader names the target for which a request is meant; empty when targets don't look.
 	TargetHeader string
+	// TeamHeader names the team whose key a request bears, to backend servers alone; empty when requests bear none.
+	TeamHeader string
 	// Own reports whether only jaywheel sets the header, so that neither side can speak in its name.
 	Own func(name string) bool
 	// Explains says that answers tell how the request ended, and that requests tell through whom they came.
--- a/internal/caller/forward.go
+++ b/internal/caller/forward.go
@@ -75,6 +75,9 @@
 	if err == nil {
 		call.queued += place.Waited
 		call.place = place
+		if (place.Waited > 0 || len(call.attempts) > 0) && call.revoked() {
+			return call.endRevoked()
+		}
 		return nil
 	}
 	call.queued += call.now().Since(before)
@@ -109,7 +112,7 @@
 
 func (call *call) demand() service.Demand {
 	return service.Demand{
-		Priority: call.route.Class.Settings.Priority, Deadline: call.deadline, Tried: call.tried,
+		Priority: call.route.Class.Settings.Priority, TeamPriority: call.teamPriority(), Deadline: call.deadline, Tried: call.tried,
 		Class: call.route.Class.Name, Aim: call.aim,
 	}
 }
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -8,7 +8,9 @@
 
 	"github.com/jaywheel/jaywheel/internal/backendserver"
 	"github.com/jaywheel/jaywheel/internal/metrics"
+	"github.com/jaywheel/jaywheel/internal/quota"
 	"github.com/jaywheel/jaywheel/internal/routing"
+	"github.com/jaywheel/jaywheel/internal/team"
 	"github.com/jaywheel/jaywheel/internal/trace"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
@@ -23,6 +25,10 @@
 	Table func() *routing.Table
 	// AwaitTable waits a moment for a table when there is none yet. It may be nil.
 	AwaitTable func(context.Context) *routing.Table
+	// Quota holds teams to their rate limits; it may be nil.
+	Quota *quota.Ledger
+	// Keys tells what the API keys of the table in force are worth; nil means that they are current.
+	Keys func() team.KeyStanding
 	// Servers are the connections to backend servers.
 	Servers *backendserver.Servers
 	// Registry counts what belongs to no class.
--- a/internal/caller/headers.go
+++ b/internal/caller/headers.go
@@ -40,6 +40,7 @@
 	wantsTrailers := httpguts.HeaderValuesContainsToken(header["Te"], "trailers")
 	removeHopByHop(header)
 	removeOwn(header, dialect.Own)
+	call.setTeam(header)
 	if wantsTrailers {
 		header.Set("Te", "trailers")
 	}
--- a/internal/caller/hedge.go
+++ b/internal/caller/hedge.go
@@ -115,7 +115,7 @@
 		case <-timer.C:
 		}
 		now := call.now()
-		if ctx.Err() == nil && (now >= overdue || first.Slow()) {
+		if ctx.Err() == nil && call.mayRepeat() && !call.revoked() && (now >= overdue || first.Slow()) {
 			demand := call.demand()
 			demand.Tried = first.Target
 			if second, taken := call.takeSecond(demand); taken {
--- /dev/null
+++ b/internal/caller/identity_test.go
@@ -0,0 +1,29 @@
+package caller
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a key that is read out of a header in which a backend server, or another instance, would read another one.
+func FuzzReadKey(f *testing.F) {
+	for _, text := range []string{"Bearer k", "bearer k", "Bearer  k", "Bearer k,l", "Bearer k l", "Basic k", "Bearer", "Bearer ", "", "k", "Bearer \t"} {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		key, err := readKey(http.Header{headerKey: {text}})
+		if err != nil {
+			require.Empty(t, key)
+			return
+		}
+		require.NotEmpty(t, key)
+		require.LessOrEqual(t, len(key), keyMost)
+		require.False(t, strings.ContainsAny(key, " ,\t"))
+		require.True(t, strings.HasSuffix(strings.TrimRight(text, " "), key))
+		_, err = readKey(http.Header{headerKey: {text, text}})
+		require.ErrorIs(t, err, errManyKeys)
+	})
+}
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/jaywheel/jaywheel/internal/team"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
@@ -20,6 +21,9 @@
 	Version  Version
 	Routes   []Route
 	Services map[settings.ServiceName]ServiceLimits
+	// NeedsKeys says that requests need the API key of one of the teams, on all routes that are not public.
+	NeedsKeys bool
+	Teams     []team.Team
 	// Doubts say what in it was not understood, and what stands in for it. They are for the log of whoever read the source.
 	Doubts []string `cbor:"-"`
 }
@@ -41,6 +45,8 @@
 	// Attempts is the largest number of backend servers that one request may be sent to.
 	Attempts int
 	Priority settings.Priority
+	// Public says that requests need no API key.
+	Public bool
 	// Split is empty when it is not known where the requests belong. They are refused then, and go by no other route.
 	Split []Share
 }
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -15,9 +15,11 @@
 	"github.com/jaywheel/jaywheel/internal/catalog"
 	"github.com/jaywheel/jaywheel/internal/membership"
 	"github.com/jaywheel/jaywheel/internal/metrics"
+	"github.com/jaywheel/jaywheel/internal/quota"
 	"github.com/jaywheel/jaywheel/internal/routing"
 	"github.com/jaywheel/jaywheel/internal/sensing"
 	"github.com/jaywheel/jaywheel/internal/service"
+	"github.com/jaywheel/jaywheel/internal/team"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
@@ -110,6 +112,8 @@
 	Servers  *backendserver.Servers
 	Registry *metrics.Registry
 	Log      zerolog.Logger
+	// Quota holds teams to their rate limits; nil when nothing does.
+	Quota *quota.Ledger
 	// Send sends a datagram to a peer.
 	Send func(netip.AddrPort, []byte)
 	// SetJobs tells the prober what to probe.
@@ -164,8 +168,19 @@
 	known      map[settings.TargetName]catalog.Server
 	owners     map[settings.TargetName]settings.InstanceName
 	// serving are the instances that owners and addresses were last worked out for.
-	serving    []membership.Identity
-	nextShare  clock.Moment
+	serving                []membership.Identity
+	nextShare              clock.Moment
+	nextReport, reportedAt clock.Moment
+	// nextQuotaShare is when it is looked at next who counts requests of teams together.
+	nextQuotaShare clock.Moment
+	// reporters are the instances that reported requests of teams, and when they last did.
+	reporters map[membership.Incarnation]clock.Moment
+	// directory finds the teams of the configuration directoryOf.
+	directory   *team.Directory
+	directoryOf *catalog.Configuration
+	// freshAt is when this instance or one that it hears last had a fresh view, keys what the API keys are worth since.
+	freshAt    clock.Moment
+	keys       atomic.Int32
 	nextClean  clock.Moment
 	behindFrom clock.Moment
 	awakeSkew  clock.Milliseconds
@@ -203,6 +218,7 @@
 			Self: options.Self, Incarnation: options.Incarnation, Seeds: options.Seeds, Clock: options.Clock,
 		}),
 		history:   catalog.NewHistory(),
+		reporters: map[membership.Incarnation]clock.Moment{},
 		services:  map[settings.ServiceName]*serviceState{},
 		targets:   map[TargetKey]targetRef{},
 		known:     map[settings.TargetName]catalog.Server{},
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/jaywheel/jaywheel/internal/membership"
+	"github.com/jaywheel/jaywheel/internal/quota"
 	"github.com/jaywheel/jaywheel/internal/service"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
@@ -94,11 +95,12 @@
 	}
 }
 
-// Message is the one datagram between instances: a beat or readings.
+// Message is the one datagram between instances: a beat, readings, or requests of teams that were let in.
 type Message struct {
 	_        struct{} `cbor:",toarray"`
 	Beat     *membership.Beat
 	Readings []SharedReading
+	Quota    *quota.Report
 }
 
 // decoding is strict: what doesn't fit the message exactly was not written by an instance of this release.
@@ -125,8 +127,8 @@
 	if err := decoding.Unmarshal(text, &message); err != nil {
 		return nil, errors.Wrapf(ErrMessage, "%v", err)
 	}
-	if message.Beat == nil && len(message.Readings) == 0 {
-		return nil, errors.Wrap(ErrMessage, "neither a beat nor readings")
+	if message.Beat == nil && len(message.Readings) == 0 && message.Quota == nil {
+		return nil, errors.Wrap(ErrMessage, "neither a beat nor readings nor a report")
 	}
 	return &message, nil
 }
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -41,6 +41,9 @@
 	if message.Beat != nil && controller.members.Hear(*message.Beat) {
 		controller.heardNews = true
 	}
+	if message.Quota != nil {
+		controller.hearQuota(now, message.Quota)
+	}
 	for index := range message.Readings {
 		shared := &message.Readings[index]
 		ref, known := controller.targets[shared.Target]
--- /dev/null
+++ b/internal/fleet/teams.go
@@ -0,0 +1,157 @@
+package fleet
+
+import (
+	"net/netip"
+
+	"github.com/jaywheel/jaywheel/internal/membership"
+	"github.com/jaywheel/jaywheel/internal/quota"
+	"github.com/jaywheel/jaywheel/internal/team"
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
+const (
+	// reportEvery is how often instances report the requests of teams that they have let in: in that time the fleet can exceed a limit by
+	// what callers send to the others.
+	reportEvery = 50 * clock.Millisecond
+	// reportersFor is how long an instance that reports is told of others' requests, whatever its state: callers with old address
+	// answers still come to it.
+	reportersFor = clock.Second
+	// countsWith is how long a serving peer may be silent to count as one that hears this instance's reports.
+	countsWith = 200 * clock.Millisecond
+	// wordEvery is how often an instance that has nothing to report says that it hears the others, while any of them reports.
+	wordEvery = 100 * clock.Millisecond
+	// countsWithStandby is that time at an instance that does not serve, which hears each of the others once a second.
+	countsWithStandby = 1500 * clock.Millisecond
+	// shareQuotaEvery is the time between two looks at who counts together.
+	shareQuotaEvery = 50 * clock.Millisecond
+	// sightSettles is how long an instance serves before it has heard from all that live.
+	sightSettles = 3 * clock.Second
+	// servesAtLeast is the number of instances that are taken to serve while that is not known.
+	servesAtLeast = 4
+	// currentFor is how long ago a fresh view must have been heard of for a key that is not in it to be in no configuration.
+	currentFor = 1500 * clock.Millisecond
+)
+
+// setTeams has the teams' limits hold.
+func (controller *Controller) setTeams() {
+	ledger := controller.options.Quota
+	if ledger == nil {
+		return
+	}
+	ledger.SetBounds(quotaBounds(controller.options.Bounds))
+	for _, change := range ledger.SetTeams(controller.view.Configuration.Teams) {
+		controller.options.Log.Info().Str("team", string(change.Team)).Float64("rateBefore", change.Before).Float64("rate", change.Rate).
+			Float64("burst", change.Burst).Msg("rate limit changed")
+	}
+}
+
+func quotaBounds(bounds settings.GatewayBounds) quota.Bounds {
+	return quota.Bounds{Window: bounds.QuotaWindow, Over: bounds.QuotaOver, Slack: bounds.QuotaSlack}
+}
+
+// teamDirectory returns the directory of the teams of the configuration in force, nil when requests need no key.
+func (controller *Controller) teamDirectory() *team.Directory {
+	configuration := controller.view.Configuration
+	if controller.directoryOf != configuration {
+		controller.directoryOf, controller.directory = configuration, nil
+		if configuration.NeedsKeys {
+			controller.directory = team.NewDirectory(configuration.Teams)
+		}
+	}
+	return controller.directory
+}
+
+// hearQuota takes what another instance has let in.
+func (controller *Controller) hearQuota(now clock.Moment, report *quota.Report) {
+	controller.reporters[membership.Incarnation(report.Sender)] = now
+	controller.members.SetSpoke(membership.Incarnation(report.Sender))
+	if controller.options.Quota != nil {
+		controller.options.Quota.Hear(*report)
+	}
+}
+
+// reportQuota tells the others what this instance has let in: those that serve or leave, and those that report themselves.
+func (controller *Controller) reportQuota(now clock.Moment) {
+	ledger := controller.options.Quota
+	if ledger == nil || now < controller.nextReport {
+		return
+	}
+	controller.nextReport = now.Add(reportEvery)
+	reports := ledger.Reports(quota.Sender(controller.options.Incarnation))
+	for incarnation, at := range controller.reporters {
+		if now.Since(at) > reportersFor {
+			delete(controller.reporters, incarnation)
+		}
+	}
+	if len(reports) == 0 {
+		if len(controller.reporters) == 0 || controller.members.State() != membership.Serving || now.Since(controller.reportedAt) < wordEvery {
+			return
+		}
+		reports = []quota.Report{ledger.EmptyReport(quota.Sender(controller.options.Incarnation))}
+	}
+	controller.reportedAt = now
+	for _, address := range controller.countsQuota() {
+		for index := range reports {
+			controller.send(address, &Message{Quota: &reports[index]})
+		}
+	}
+}
+
+// countsQuota are the addresses of instances that let requests in.
+func (controller *Controller) countsQuota() []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, member := range controller.members.Living() {
+		_, reports := controller.reporters[member.Incarnation]
+		if reports || member.State == membership.Serving || member.State == membership.Leaving {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	return addresses
+}
+
+// shareQuota notes which part of the fleet this instance counts together with.
+func (controller *Controller) shareQuota(now clock.Moment) {
+	if controller.options.Quota == nil || now < controller.nextQuotaShare {
+		return
+	}
+	controller.nextQuotaShare = now.Add(shareQuotaEvery)
+	controller.options.Quota.SetShare(controller.countsTogether(now))
+}
+
+// countsTogether is the part of the fleet that reports to this instance and hears it. One that serves hears from all that live. Any other, or
+// one that has just begun to serve, hears only those that serve, and few of them when a whole fleet was restarted.
+func (controller *Controller) countsTogether(now clock.Moment) float64 {
+	if controller.members.State() != membership.Serving {
+		heard, serving := controller.members.ServingHeard(countsWithStandby)
+		return float64(heard) / float64(max(serving, servesAtLeast))
+	}
+	heard, serving := controller.members.ServingHeard(countsWith)
+	if now.Since(controller.servesFrom) < sightSettles {
+		return float64(heard) / float64(max(serving, servesAtLeast))
+	}
+	return min(float64(heard)/float64(serving), controller.members.Sight())
+}
+
+// Keys tells what the API keys of the table in force are worth.
+func (controller *Controller) Keys() team.KeyStanding {
+	return team.KeyStanding(controller.keys.Load())
+}
+
+// judgeKeys works out whether a newer configuration may be in force elsewhere, and whether this one is too old to be used.
+func (controller *Controller) judgeKeys(now clock.Moment) {
+	if controller.members.CatalogFresh() {
+		controller.freshAt = now
+	} else if fresh := controller.members.Leaders().Fresh; fresh > 0 {
+		controller.freshAt = max(controller.freshAt, fresh)
+	}
+	standing := team.KeysCurrent
+	silent := now.Since(controller.freshAt)
+	switch bounds := controller.options.Bounds; {
+	case bounds.FailClosed && silent > bounds.RevokeWithin:
+		standing = team.KeysStale
+	case silent > currentFor || controller.view == nil || controller.versionBehind():
+		standing = team.KeysUnsure
+	}
+	controller.keys.Store(int32(standing))
+}
--- a/internal/fleet/tick.go
+++ b/internal/fleet/tick.go
@@ -42,6 +42,9 @@
 		}
 		controller.shareReadings(now)
 	}
+	controller.judgeKeys(now)
+	controller.shareQuota(now)
+	controller.reportQuota(now)
 	if now >= controller.nextClean {
 		controller.nextClean = now.Add(clock.Second)
 		controller.options.Servers.CloseIdle()
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -77,6 +77,7 @@
 	if controller.view == nil || controller.view.Configuration == nil || controller.viewAt == 0 {
 		return
 	}
+	controller.setTeams()
 	controller.setServices()
 	controller.setOwners()
 	controller.setTargets()
@@ -242,6 +243,7 @@
 	}
 	return routing.NewTable(routing.Options{
 		Site:    &settings.Site{Revision: settings.Revision(configuration.Version)},
+		Teams:   controller.teamDirectory(),
 		Leaving: controller.members.State() == membership.Leaving, Services: list, Entries: entries, Registry: controller.options.Registry,
 	})
 }
@@ -251,7 +253,7 @@
 	if len(route.Split) > 0 {
 		key.Service = route.Split[0].Service
 	}
-	entry := &routing.Entry{Host: route.Host, Prefix: route.Prefix, Class: &routing.Class{
+	entry := &routing.Entry{Host: route.Host, Prefix: route.Prefix, Public: route.Public, Class: &routing.Class{
 		Name: route.Name,
 		Settings: settings.Class{
 			Idempotent: route.Idempotent, Priority: route.Priority, Timeout: route.Timeout, Aim: route.Aim, Attempts: route.Attempts,
--- a/internal/gateway/decisionlog.go
+++ b/internal/gateway/decisionlog.go
@@ -47,7 +47,7 @@
 	if !line.Enabled() {
 		return
 	}
-	line.Str("id", string(story.ID)).Str("service", string(story.Service)).Str("class", string(story.Class)).
+	line.Str("id", string(story.ID)).Str("service", string(story.Service)).Str("class", string(story.Class)).Str("team", story.Tenant).
 		Uint64("version", uint64(story.Revision)).Str("outcome", string(story.Outcome)).Str("reason", string(story.Reason)).
 		Int("status", story.Status).Float64("wholeMs", float64(story.Whole)).Float64("timeoutMs", float64(story.Timeout))
 	attempts := zerolog.Arr()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/jaywheel/jaywheel/internal/membership"
 	"github.com/jaywheel/jaywheel/internal/metrics"
 	"github.com/jaywheel/jaywheel/internal/operator"
+	"github.com/jaywheel/jaywheel/internal/quota"
 	"github.com/jaywheel/jaywheel/internal/sensing"
 	"github.com/jaywheel/jaywheel/internal/supervisor"
 	"github.com/jaywheel/jaywheel/internal/trace"
@@ -84,6 +85,7 @@
 	prober     *sensing.Prober
 	datagrams  *instance.Datagrams
 	traces     *trace.Ring
+	quota      *quota.Ledger
 	updates    updateCache
 	callers    *httppart.Part
 	handler    *caller.Handler
@@ -110,6 +112,7 @@
 	gateway.bounds.Store(&options.Settings.Bounds)
 	gateway.storeAddress.Store(&options.Settings.StoreAddress)
 	gateway.servers = backendserver.NewServers(gateway.clock)
+	gateway.quota = quota.NewLedger(quota.Options{Clock: gateway.clock, Rand: rand.New(rand.NewPCG(options.Seed, 1))})
 	gateway.makeControl()
 	if err := gateway.makeParts(); err != nil {
 		gateway.closeParts()
@@ -137,7 +140,7 @@
 		Incarnation: membership.Incarnation(rand.Uint64()),
 		Seeds:       file.SeedAddresses(), Bounds: file.Bounds, FleetStarts: file.FleetStarts, Clock: gateway.clock, Awake: clock.NewAwake(),
 		Rand:    rand.New(rand.NewPCG(gateway.options.Seed, 0)),
-		Servers: gateway.servers, Registry: gateway.registry, Log: gateway.options.Log,
+		Servers: gateway.servers, Registry: gateway.registry, Log: gateway.options.Log, Quota: gateway.quota,
 		Send: gateway.datagrams.Send, SetJobs: gateway.prober.Set,
 	})
 	peers := &peerReader{http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
@@ -163,6 +166,7 @@
 	}
 	gateway.handler = caller.NewHandler(caller.Options{
 		Table: gateway.controller.Table, AwaitTable: gateway.controller.AwaitTable, Servers: gateway.servers, Registry: gateway.registry, Traces: gateway.traces,
+		Quota: gateway.quota, Keys: gateway.controller.Keys,
 		Clock: gateway.clock, Instance: file.Instance, StallMost: stallMost, Dialect: gateway.options.Platform.Dialect,
 		Decided: newDecisionLog(gateway.options.Log, gateway.clock, &gateway.registry.Events).write,
 	})
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -142,6 +142,8 @@
 	// heard is when it last spoke itself, known when it was first heard of.
 	heard, known clock.Moment
 	next         clock.Moment
+	// spoke is when it last sent something else than a beat.
+	spoke clock.Moment
 	// sent is when it was last sent a beat, owed whether it is to get one although nothing else calls for that, replied whether the last one
 	// was sent for that alone.
 	sent          clock.Moment
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -84,3 +84,29 @@
 	}
 	return leaders
 }
+
+// SetSpoke notes that an instance that serves has sent something else than a beat.
+func (members *Members) SetSpoke(incarnation Incarnation) {
+	for _, peer := range members.Peers() {
+		if peer.Incarnation == incarnation {
+			peer.spoke = members.options.Clock.Now()
+		}
+	}
+}
+
+// ServingHeard returns how many of the instances that serve were heard within the given time, and how many serve, this one included in both.
+func (members *Members) ServingHeard(within clock.Milliseconds) (int, int) {
+	now := members.options.Clock.Now()
+	heard := 1
+	for _, peer := range members.Peers() {
+		if now.Since(max(peer.heard, peer.spoke)) <= within {
+			heard++
+		}
+	}
+	return heard, len(members.Peers()) + 1
+}
+
+// CatalogFresh reports whether this instance itself reads the catalog and is answered.
+func (members *Members) CatalogFresh() bool {
+	return members.fresh
+}
--- /dev/null
+++ b/internal/quota/ledger.go
@@ -0,0 +1,314 @@
+// Package quota holds teams to their rate limits over a whole fleet without shared state. Each instance keeps a token bucket for every
+// team, which stands for the bucket of the whole fleet: it takes its own requests out, and those that other instances report to it.
+//
+// Instances that do not hear each other can't count together. Each then uses the part of a limit that answers to the part of the fleet
+// that it sees, so that all parts together stay below what may be exceeded. A bucket starts with little in it: hundreds of instances that
+// are restarted at once would else let in a burst each.
+//
+// # Usage
+//
+//	ledger := quota.NewLedger(quota.Options{Clock: clock, Rand: random})
+//	ledger.SetTeams(configuration.Teams)
+//	ledger.SetShare(sight)
+//	if wait, taken := ledger.Take(name); !taken { ... }   // the caller may return after the wait
+//	ledger.Return(name)                                   // the request has not run
+//	reports := ledger.Reports(sender)                     // for the other instances
+//	ledger.Hear(report)                                   // what another one reported
+package quota
+
+import (
+	"hash/fnv"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/jaywheel/jaywheel/internal/team"
+	"github.com/jaywheel/jaywheel/pkg/clock"
+)
+
+const (
+	// startsMost is the number of instances among which the requests are divided that may exceed a limit: as many may serve without
+	// hearing of each other.
+	startsMost = 32
+	// overApart is the part of the excess allowed that parts of a fleet use which do not hear each other.
+	overApart = 0.0
+	// overUsed and slackUsed are the parts of the excess allowed that every bucket has: a team of one request a second whose requests come
+	// by chance would be refused by a bucket that holds one. The rest is for the time in which instances have not heard of each other.
+	overUsed  = 0.2
+	slackUsed = 0.4
+	// atOnce is the part of a burst that may come at once.
+	atOnce = 0.5
+	// startsWith is the part of its burst with which a bucket starts: the rest may have been used before a whole fleet was restarted.
+	startsWith = 0.1
+	// leastWait and mostWait bound when a refused caller may return, waitSpread spreads returns as a part of that time.
+	leastWait  = 50 * clock.Millisecond
+	mostWait   = 2 * clock.Second
+	waitSpread = 1.0
+	// debtMost bounds how long a team is refused for what others reported.
+	debtMost = clock.Second
+)
+
+// Bounds are agreed with whoever sets the limits.
+type Bounds struct {
+	// Window is the span in which requests are counted.
+	Window clock.Milliseconds
+	// Over is the part of a limit by which it may be exceeded, Slack the number of requests besides.
+	Over, Slack float64
+}
+
+// Options are what a Ledger is made from.
+type Options struct {
+	Clock *clock.Clock
+	Rand  *rand.Rand
+}
+
+// Ledger counts the requests of teams against their limits. It is safe for concurrent use.
+type Ledger struct {
+	clock *clock.Clock
+
+	mutex  sync.Mutex
+	random *rand.Rand
+	bounds Bounds
+	// share is the part of each limit that this instance may use.
+	share   float64
+	buckets map[team.Name]*bucket
+	byKey   map[TeamKey]*bucket
+	// reporting are the buckets whose count is to be reported.
+	reporting []*bucket
+	// sequence numbers reports.
+	sequence uint64
+	// heard are the counts that other instances reported last.
+	heard map[Sender]*heardCounts
+	// nextForget is when senders that fell silent are looked for.
+	nextForget clock.Moment
+}
+
+// bucket is one team's.
+type bucket struct {
+	name        team.Name
+	key         TeamKey
+	made        clock.Moment
+	limit       team.Team
+	rate, burst float64
+	// level is the number of requests that may be let in now, at the time filled. It is below 0 when too many were.
+	level  float64
+	filled clock.Moment
+	// total is the number of requests let in here, returned ones taken off.
+	total uint32
+	// heard is when another instance last reported requests.
+	heard clock.Moment
+	// reportUntil is until when the count is reported.
+	reportUntil clock.Moment
+	reported    bool
+	usage       Usage
+}
+
+// Usage is what operators are told of a team.
+type Usage struct {
+	Team     team.Name `json:"team"`
+	Rate     float64   `json:"rate"`
+	Level    float64   `json:"level"`
+	LetIn    uint64    `json:"letIn"`
+	Refused  uint64    `json:"refused"`
+	Returned uint64    `json:"returned"`
+	// Elsewhere is the number of requests that other instances reported.
+	Elsewhere uint64 `json:"elsewhere"`
+}
+
+// NewLedger returns a ledger without teams.
+func NewLedger(options Options) *Ledger {
+	return &Ledger{
+		clock: options.Clock, random: options.Rand, bounds: Bounds{Window: 5 * clock.Second},
+		buckets: map[team.Name]*bucket{}, byKey: map[TeamKey]*bucket{}, heard: map[Sender]*heardCounts{},
+	}
+}
+
+// SetBounds changes by how much limits may be exceeded.
+func (ledger *Ledger) SetBounds(bounds Bounds) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	ledger.bounds = bounds
+}
+
+// SetShare notes which part of the fleet this instance counts together with, from 0 to 1.
+func (ledger *Ledger) SetShare(seen float64) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	share := min(seen*(1+overApart*ledger.bounds.Over), 1)
+	if share == ledger.share {
+		return
+	}
+	now := ledger.clock.Now()
+	for _, bucket := range ledger.buckets {
+		ledger.fill(now, bucket)
+	}
+	ledger.share = share
+}
+
+// Change is a limit that has changed, in requests a second and at once.
+type Change struct {
+	Team                team.Name
+	Before, Rate, Burst float64
+}
+
+// SetTeams replaces the limits, and returns those that differ from before. What a team has used stays; a lower limit holds at once.
+func (ledger *Ledger) SetTeams(teams []team.Team) []Change {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	now := ledger.clock.Now()
+	kept := make(map[team.Name]bool, len(teams))
+	var changes []Change
+	for index := range teams {
+		named := &teams[index]
+		if !named.Limited() {
+			continue
+		}
+		kept[named.Name] = true
+		known, found := ledger.buckets[named.Name]
+		if !found {
+			known = &bucket{name: named.Name, key: keyOf(named.Name), made: now, filled: now}
+			ledger.setLimit(known, named)
+			known.limit = *named
+			ledger.setLimit(known, named)
+			known.level = max(startsWith*known.burst, 1)
+			ledger.buckets[named.Name] = known
+			ledger.byKey[known.key] = known
+		}
+		if known.limit.Rate != named.Rate || known.limit.Burst != named.Burst {
+			changes = append(changes, Change{Team: named.Name, Before: known.limit.Rate, Rate: named.Rate, Burst: named.Burst})
+		}
+		ledger.fill(now, known)
+		ledger.setLimit(known, named)
+		known.limit = *named
+		known.level = min(known.level, ledger.room(known))
+	}
+	for name, bucket := range ledger.buckets {
+		if !kept[name] {
+			delete(ledger.buckets, name)
+			delete(ledger.byKey, bucket.key)
+			bucket.reportUntil = 0
+		}
+	}
+	return changes
+}
+
+// setLimit has a bucket let in what the team may send within a window, and a part of what it may send beyond that. Only a part of a burst
+// comes at once. The rest comes over the window, so that a team at its limit goes on to get what it may send in each.
+func (ledger *Ledger) setLimit(bucket *bucket, limit *team.Team) {
+	window := float64(ledger.bounds.Window / clock.Second)
+	burst := atOnce * limit.Burst
+	bucket.rate = (ledger.within(limit) - burst) / window * (1 + overUsed*ledger.bounds.Over)
+	bucket.burst = burst + slackUsed*ledger.bounds.Slack
+}
+
+// within is the number of requests that a limit allows in a window.
+func (ledger *Ledger) within(limit *team.Team) float64 {
+	return limit.Rate*float64(ledger.bounds.Window/clock.Second) + limit.Burst
+}
+
+// Take lets a request of the team in, or returns when its caller may come back. A team without a limit is always let in.
+func (ledger *Ledger) Take(name team.Name) (clock.Milliseconds, bool) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	bucket, limited := ledger.buckets[name]
+	if !limited {
+		return 0, true
+	}
+	now := ledger.clock.Now()
+	ledger.fill(now, bucket)
+	if bucket.level < 1 {
+		bucket.usage.Refused++
+		return ledger.wait(bucket), false
+	}
+	ledger.report(now, bucket)
+	bucket.level--
+	bucket.total++
+	bucket.usage.LetIn++
+	return 0, true
+}
+
+// Return gives back what a request took that has not run and never will.
+func (ledger *Ledger) Return(name team.Name) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	bucket, limited := ledger.buckets[name]
+	if !limited {
+		return
+	}
+	now := ledger.clock.Now()
+	ledger.fill(now, bucket)
+	ledger.report(now, bucket)
+	bucket.level = min(bucket.level+1, ledger.room(bucket))
+	bucket.total--
+	bucket.usage.Returned++
+}
+
+// Exhausted reports whether the team has nothing left for a second copy of a request.
+func (ledger *Ledger) Exhausted(name team.Name) bool {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	bucket, limited := ledger.buckets[name]
+	if !limited {
+		return false
+	}
+	ledger.fill(ledger.clock.Now(), bucket)
+	return bucket.level < 1
+}
+
+// Usage returns what is known of each limited team, in no particular order.
+func (ledger *Ledger) Usage() []Usage {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	now := ledger.clock.Now()
+	usages := make([]Usage, 0, len(ledger.buckets))
+	for _, bucket := range ledger.buckets {
+		ledger.fill(now, bucket)
+		usage := bucket.usage
+		usage.Team, usage.Rate, usage.Level = bucket.name, bucket.rate, bucket.level
+		usages = append(usages, usage)
+	}
+	return usages
+}
+
+// spare is the part of the excess allowed that one instance may use which counts with nobody.
+func (ledger *Ledger) spare(bucket *bucket) float64 {
+	return max((ledger.bounds.Over*ledger.within(&bucket.limit)+ledger.bounds.Slack)/startsMost, 1)
+}
+
+// room is how much a bucket holds at most.
+func (ledger *Ledger) room(bucket *bucket) float64 {
+	return max(ledger.share*bucket.burst, min(ledger.spare(bucket), bucket.burst), 1)
+}
+
+// pace is how many requests a second come back into a bucket.
+func (ledger *Ledger) pace(bucket *bucket) float64 {
+	alone := ledger.spare(bucket) / float64(ledger.bounds.Window/clock.Second)
+	return max(ledger.share*bucket.rate, min(alone, bucket.rate))
+}
+
+// fill brings a bucket up to date.
+func (ledger *Ledger) fill(now clock.Moment, bucket *bucket) {
+	passed := max(now.Since(bucket.filled), 0)
+	bucket.filled = now
+	room := ledger.room(bucket)
+	if bucket.level >= room {
+		bucket.level = room
+		return
+	}
+	bucket.level = min(bucket.level+ledger.pace(bucket)*float64(passed/clock.Second), room)
+}
+
+// wait is when room is expected for a caller that is refused now, spread by chance so that those refused together don't return together.
+func (ledger *Ledger) wait(bucket *bucket) clock.Milliseconds {
+	wait := clock.Milliseconds(max(1-bucket.level, 0)/ledger.pace(bucket)) * clock.Second
+	return min(max(wait, leastWait), mostWait) * clock.Milliseconds(1+waitSpread*ledger.random.Float64())
+}
+
+// TeamKey stands for a team's name in datagrams.
+type TeamKey uint32
+
+func keyOf(name team.Name) TeamKey {
+	hash := fnv.New32a()
+	// Writing to a hash never fails.
+	_, _ = hash.Write([]byte(name))
+	return TeamKey(hash.Sum32())
+}
--- a/internal/routing/entry.go
+++ b/internal/routing/entry.go
@@ -13,6 +13,8 @@
 	// Prefix begins and ends with a slash; the longest one that begins a path wins.
 	Prefix string
 	Class  *Class
+	// Public says that requests need no API key.
+	Public bool
 	// Parts is empty when it is not known where the requests belong.
 	Parts []Part
 
@@ -71,7 +73,7 @@
 			if len(entry.Parts) == 0 {
 				return Route{}, ErrNotUnderstood
 			}
-			return Route{Service: entry.next(), Class: entry.Class}, nil
+			return Route{Service: entry.next(), Class: entry.Class, Public: entry.Public}, nil
 		}
 	}
 	return Route{}, ErrNoService
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -11,6 +11,7 @@
 
 	"github.com/jaywheel/jaywheel/internal/metrics"
 	"github.com/jaywheel/jaywheel/internal/service"
+	"github.com/jaywheel/jaywheel/internal/team"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
@@ -88,13 +89,17 @@
 type Route struct {
 	Service *Service
 	Class   *Class
+	// Public says that the request needs no API key.
+	Public bool
 }
 
 // Table is an immutable view of everything that traffic needs.
 type Table struct {
 	Site *settings.Site
 	// Leaving says that this instance is on its way out.
-	Leaving  bool
+	Leaving bool
+	// Teams finds teams by API key; nil when requests need none.
+	Teams    *team.Directory
 	services map[settings.ServiceName]*Service
 	hosts    map[string][]*Service
 	entries  map[string][]*Entry
@@ -102,8 +107,10 @@
 
 // Options are what a Table is made from.
 type Options struct {
-	Site     *settings.Site
-	Leaving  bool
+	Site    *settings.Site
+	Leaving bool
+	// Teams is nil when requests need no API key.
+	Teams    *team.Directory
 	Services []*Service
 	// Entries are routes by host and path alone. Where there are any, they go before what services claim.
 	Entries  []*Entry
@@ -115,6 +122,7 @@
 	table := &Table{
 		Site:     options.Site,
 		Leaving:  options.Leaving,
+		Teams:    options.Teams,
 		services: map[settings.ServiceName]*Service{},
 		hosts:    map[string][]*Service{},
 		entries:  entriesByHost(options.Entries),
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -54,6 +54,8 @@
 	ReasonNoSettings       Reason = "noSettings"
 	ReasonLeaving          Reason = "leaving"
 	ReasonAmbiguousFraming Reason = "ambiguousFraming"
+	ReasonUnauthorized     Reason = "unauthorized"
+	ReasonTeamLimit        Reason = "teamLimit"
 )
 
 // Headers between callers, instances and backend servers.
