--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -29,11 +29,15 @@
 	// startsMost is the number of instances among which the requests are divided that may exceed a limit: as many may serve without
 	// hearing of each other.
 	startsMost = 32
-	// overApart is the part of the excess allowed that parts of a fleet use which do not hear each other.
-	overApart = 0.0
+	// overApart is the part of the excess allowed that two parts of a fleet use together which do not hear each other.
+	overApart = 0.3
+	// largePart is the part of a fleet from which on almost the whole limit may be used, largeShare what is used then. The smaller the
+	// other part is, the fewer callers it has.
+	largePart  = 0.65
+	largeShare = 0.95
 	// overUsed and slackUsed are the parts of the excess allowed that every bucket has: a team of one request a second whose requests come
 	// by chance would be refused by a bucket that holds one. The rest is for the time in which instances have not heard of each other.
-	overUsed  = 0.2
+	overUsed  = 0.1
 	slackUsed = 0.4
 	// atOnce is the part of a burst that may come at once.
 	atOnce = 0.5
@@ -133,7 +137,7 @@
 func (ledger *Ledger) SetShare(seen float64) {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
-	share := min(seen*(1+overApart*ledger.bounds.Over), 1)
+	share := ledger.shareOf(seen)
 	if share == ledger.share {
 		return
 	}
@@ -150,6 +154,21 @@
 	Before, Rate, Burst float64
 }
 
+// shareOf is the part of each limit that a part of the fleet may use. Two parts that make up the whole use no more together than the limit
+// and the part of the excess that is meant for that.
+func (ledger *Ledger) shareOf(seen float64) float64 {
+	together := 1 + overApart*ledger.bounds.Over
+	switch {
+	case seen >= largePart:
+		return largeShare + (1-largeShare)*(min(seen, 1)-largePart)/(1-largePart)
+	case seen >= 1-largePart:
+		small := together - largeShare
+		return small + (largeShare-small)*(seen-(1-largePart))/(2*largePart-1)
+	default:
+		return (together - largeShare) * max(seen, 0) / (1 - largePart)
+	}
+}
+
 // SetTeams replaces the limits, and returns those that differ from before. What a team has used stays; a lower limit holds at once.
 func (ledger *Ledger) SetTeams(teams []team.Team) []Change {
 	ledger.mutex.Lock()
--- a/internal/quota/ledger_test.go
+++ b/internal/quota/ledger_test.go
@@ -32,6 +32,24 @@
 	}
 }
 
+// Guards against parts of a fleet that use more together than a limit allows while they do not hear each other.
+func TestSharesOfTwoPartsAddUp(t *testing.T) {
+	for _, over := range []float64{0, 0.25, 1} {
+		ledger := newTestLedger(clock.NewManual())
+		ledger.SetBounds(Bounds{Window: 5 * clock.Second, Over: over})
+		before := 0.0
+		for percent := range 101 {
+			seen := float64(percent) / 100
+			share := ledger.shareOf(seen)
+			require.GreaterOrEqual(t, share, before)
+			require.LessOrEqual(t, share, 1.0)
+			require.LessOrEqual(t, share+ledger.shareOf(1-seen), max(1, 1+overApart*over)+1e-9)
+			before = share
+		}
+		require.InDelta(t, 1, before, 1e-9)
+	}
+}
+
 // Guards against small teams whose shares round to nothing.
 func TestSmallTeamIsServed(t *testing.T) {
 	manual := clock.NewManual()
