--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -149,8 +149,9 @@
 			reader.followOnce(ctx)
 			continue
 		}
-		if refresh && reader.failures > 0 {
-			// What others have seen removed while this instance alone was not answered has not lapsed.
+		if refresh && (reader.failures > 0 || reader.behind()) {
+			// What others have seen removed while this instance alone was not answered has not lapsed. And the call that was given up
+			// for this may have been one that the source never answers, as the next one would be: whoever knows more is asked first.
 			reader.readPeer(ctx, false)
 		}
 		if err := reader.step(ctx); err != nil && ctx.Err() == nil {
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -79,6 +79,9 @@
 	frozenFor = 300 * clock.Millisecond
 	// behindFor is how long a peer may know a newer revision before this instance reads anew: its watch has gone silent.
 	behindFor = 700 * clock.Millisecond
+	// versionBehindFor is that time for a newer configuration, in which keys may have been revoked. It is longer than the pause that a
+	// reader makes after changes.
+	versionBehindFor = 380 * clock.Millisecond
 )
 
 // coldShareMost is how many times the part of the fleet that is seen an instance may give cold servers of what they bear. When a fleet
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -111,19 +111,23 @@
 
 // checkBehind reads everything anew when a serving peer has known a newer revision for a while.
 func (controller *Controller) checkBehind(now clock.Moment) {
-	newer := false
+	newer, behindMost := false, behindFor
 	if controller.role != catalog.RoleFollow && controller.view != nil {
 		newer = controller.members.Leaders().Newest > controller.view.Revision
+		if controller.versionBehind() {
+			behindMost = versionBehindFor
+		}
 	}
 	switch {
 	case !newer:
 		controller.behindFrom = 0
 	case controller.behindFrom == 0:
 		controller.behindFrom = now
-	case now.Since(controller.behindFrom) > behindFor:
+	case now.Since(controller.behindFrom) > behindMost:
 		controller.behindFrom = 0
 		controller.options.Registry.Events.Add(EventBehind, 1)
 		controller.options.Log.Warn().Uint64("revision", uint64(controller.view.Revision)).Msg("a peer knows a newer revision; reading everything anew")
+		controller.feed.Follow(controller.members.Leaders().Newest)
 		controller.feed.Refresh()
 	}
 }
--- /dev/null
+++ b/internal/fleet/virtual_revoke_test.go
@@ -0,0 +1,110 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jaywheel/jaywheel/internal/team"
+	"github.com/jaywheel/jaywheel/pkg/clock"
+)
+
+const (
+	// revokeAt is when keys go in a fleet that has settled, revokedWithin the bound from the store's change to the last refusal.
+	revokeAt      = 8 * clock.Second
+	revokedWithin = 500 * clock.Millisecond
+	// revokeCut is how long machines are cut off from the store.
+	revokeCut = 10 * clock.Second
+)
+
+var (
+	keptKey    = team.DigestOf("kept")
+	revokedKey = team.DigestOf("revoked")
+)
+
+// setTeamKeys writes a configuration with one team that holds the keys.
+func (store *virtualStore) setTeamKeys(keys ...team.KeyDigest) {
+	configuration := *store.configuration
+	configuration.NeedsKeys = true
+	configuration.Teams = []team.Team{{Name: "strings", Keys: keys, Priority: team.NoPriority}}
+	store.configuration = &configuration
+	store.configure()
+}
+
+// revocations plays a revocation and returns how long each instance went on to serve the key, in order.
+func revocations(t *testing.T, instances int, cut func(number int) bool) []clock.Milliseconds {
+	var lasted []clock.Milliseconds
+	synctest.Test(t, func(*testing.T) {
+		options := virtualOptions{seed: 5, instances: instances, dataCentres: 3, servers: 6}
+		var schedule []change
+		for number := range instances {
+			if cut(number) {
+				schedule = append(schedule, change{At: clock.Moment(revokeAt - clock.Second), For: revokeCut, Kind: storeCut, One: number})
+			}
+		}
+		fleet := newVirtualFleet(options, schedule)
+		defer fleet.stop()
+		fleet.store.setTeamKeys(keptKey, revokedKey)
+		var revoked clock.Moment
+		ended := make([]clock.Moment, instances)
+		for fleet.clock.Now() < clock.Moment(revokeAt+revokeCut/2) {
+			time.Sleep(virtualStep.Duration())
+			synctest.Wait()
+			now := fleet.clock.Now()
+			if revoked == 0 && now >= clock.Moment(revokeAt) {
+				fleet.mutex.Lock()
+				fleet.store.setTeamKeys(keptKey)
+				fleet.mutex.Unlock()
+				revoked = now
+			}
+			fleet.step()
+			for number, machine := range fleet.machines {
+				if revoked > 0 && ended[number] == 0 && !machine.process.serves(revokedKey) {
+					ended[number] = now
+				}
+			}
+		}
+		for number, machine := range fleet.machines {
+			require.NotZero(t, ended[number], "instance %d still serves the key", number)
+			require.True(t, machine.process.serves(keptKey))
+			lasted = append(lasted, ended[number].Since(revoked))
+		}
+	})
+	slices.Sort(lasted)
+	return lasted
+}
+
+// serves reports whether a request with the key would be let in.
+func (process *process) serves(digest team.KeyDigest) bool {
+	table := process.controller.Table()
+	if table == nil || table.Teams == nil {
+		return false
+	}
+	_, known := table.Teams.Find(digest)
+	return known
+}
+
+// Guards against a revoked key that goes on to work at instances that have a path to one which knows.
+func TestRevocationReachesAll(t *testing.T) {
+	cases := []struct {
+		name string
+		cut  func(number int) bool
+	}{
+		{"the store reaches all", func(int) bool { return false }},
+		{"a third is cut off from the store", func(number int) bool { return number%3 == 0 }},
+		{"nine in ten are cut off from the store", func(number int) bool { return number%10 != 3 }},
+	}
+	for _, instances := range []int{17, 117, 312} {
+		for _, testCase := range cases {
+			t.Run(fmt.Sprintf("%d instances, %s", instances, testCase.name), func(t *testing.T) {
+				lasted := revocations(t, instances, testCase.cut)
+				t.Logf("half after %s, 99 in 100 after %s, all after %s", lasted[len(lasted)/2], lasted[len(lasted)*99/100], lasted[len(lasted)-1])
+				require.LessOrEqual(t, float64(lasted[len(lasted)-1]), float64(revokedWithin))
+			})
+		}
+	}
+}
