--- a/cmd/fleet.go
+++ b/cmd/fleet.go
@@ -28,13 +28,15 @@
 
   jaywheel fleet --operator 10.1.0.34:8544
   jaywheel fleet --operator 10.1.0.34:8544 --state serving
-  jaywheel fleet --operator 10.1.0.34:8544 --data-centre sofia-a --problems`
+  jaywheel fleet --operator 10.1.0.34:8544 --data-centre sofia-a --problems
+  jaywheel fleet --operator 10.1.0.34:8544 --teams`
 
 type fleetCommand struct {
 	Operator   string `long:"operator" value-name:"IP:PORT" required:"yes" description:"Operator address of any instance"`
 	DataCentre string `long:"data-centre" value-name:"NAME" description:"Show the instances of this data centre only"`
 	State      string `long:"state" choice:"joining" choice:"standingBy" choice:"serving" choice:"leaving" choice:"lost" description:"Show the instances of this state only"`
 	Problems   bool   `long:"problems" description:"Show the instances only with which something is wrong"`
+	Teams      bool   `long:"teams" description:"Show teams with a rate limit in place of instances: asked, let in, refused, and by whom"`
 	streams    streams
 }
 
@@ -67,7 +69,11 @@
 	problems := fleetProblems(lines)
 	sortFleet(lines, problems)
 	shown := slices.DeleteFunc(slices.Clone(lines), func(line fleetLine) bool { return !fleetCommand.shows(line) })
-	if err := printFleet(fleetCommand.streams.out, shown); err != nil {
+	printLines := printFleet
+	if fleetCommand.Teams {
+		printLines = printTeams
+	}
+	if err := printLines(fleetCommand.streams.out, shown); err != nil {
 		return err
 	}
 	fmt.Fprintln(fleetCommand.streams.out, summary(lines))
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -9,6 +10,7 @@
 
 	"github.com/jaywheel/jaywheel/internal/catalog"
 	"github.com/jaywheel/jaywheel/internal/membership"
+	"github.com/jaywheel/jaywheel/internal/quota"
 	"github.com/jaywheel/jaywheel/internal/service"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
@@ -25,6 +27,8 @@
 	Version    catalog.Version         `json:"version"`
 	Peers      []PeerStatus            `json:"peers"`
 	Services   []ServiceStatus         `json:"services"`
+	// Teams are those with a rate limit that asked here, the most refused first.
+	Teams []quota.Usage `json:"teams,omitempty"`
 }
 
 // PeerStatus is one other instance.
@@ -83,6 +87,9 @@
 			Revision: member.Revision, Version: member.Version,
 		})
 	}
+	if controller.options.Quota != nil {
+		status.Teams = mostAsking(controller.options.Quota.Usage())
+	}
 	for _, name := range slices.Sorted(maps.Keys(controller.services)) {
 		targets, waiting := controller.services[name].scheduler.State()
 		status.Services = append(status.Services, ServiceStatus{Name: name, Waiting: waiting, Targets: targets})
@@ -90,6 +97,18 @@
 	return status
 }
 
+// teamsTold bounds the teams that a status tells of.
+const teamsTold = 100
+
+// mostAsking returns the teams that asked here, those with the most refused requests first.
+func mostAsking(usages []quota.Usage) []quota.Usage {
+	usages = slices.DeleteFunc(usages, func(usage quota.Usage) bool { return usage.LetIn == 0 && usage.Refused == 0 })
+	slices.SortFunc(usages, func(left, right quota.Usage) int {
+		return cmp.Or(cmp.Compare(right.Refused, left.Refused), cmp.Compare(right.LetIn, left.LetIn), cmp.Compare(left.Team, right.Team))
+	})
+	return usages[:min(len(usages), teamsTold)]
+}
+
 // Ready reports whether this instance serves callers.
 func (controller *Controller) Ready() bool {
 	return controller.ready.Load()
