--- a/internal/catalog/encoding_test.go
+++ b/internal/catalog/encoding_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/jaywheel/jaywheel/internal/team"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
@@ -66,6 +67,26 @@
 	}
 }
 
+// Guards against keys of teams that make up most of what those that stand by are told.
+func TestViewWithTeamsIsSmall(t *testing.T) {
+	lengths := map[int]int{}
+	for _, count := range []int{0, 100, 10_000} {
+		update := largeUpdate(540, 20)
+		update.Configuration.NeedsKeys = count > 0
+		for number := range count {
+			name := fmt.Sprintf("team%d", number)
+			update.Configuration.Teams = append(update.Configuration.Teams, team.Team{
+				Name: team.Name(name), Keys: []team.KeyDigest{team.DigestOf(name + "a"), team.DigestOf(name + "b")}, Rate: 50, Burst: 50,
+			})
+		}
+		encoded, err := update.Encode()
+		require.NoError(t, err)
+		lengths[count] = len(encoded)
+	}
+	t.Logf("540 servers with 0, 100, 10,000 teams of two keys: %d, %d, %d bytes", lengths[0], lengths[100], lengths[10_000])
+	require.LessOrEqual(t, float64(lengths[100]), 1.5*float64(lengths[0]))
+}
+
 func FuzzDecodeUpdate(f *testing.F) {
 	for _, update := range []Update{{Revision: 7}, largeUpdate(2, 1), largeUpdate(60, 2)} {
 		encoded, err := update.Encode()
