--- a/internal/caller/forward.go
+++ b/internal/caller/forward.go
@@ -43,6 +43,9 @@
 			attempt.discard()
 		}
 		call.route.Class.Metrics.CountRetry()
+		if !attempt.notRun {
+			call.repeatQuota()
+		}
 	}
 }
 
--- a/internal/caller/hedge.go
+++ b/internal/caller/hedge.go
@@ -43,6 +43,7 @@
 		Waited: first.Waited, Slowdown: first.Reading.Slowdown, Result: trace.ResultCut, Error: "a second copy was sent",
 	})
 	call.route.Class.Metrics.CountRetry()
+	call.repeatQuota()
 	cancelSecond := call.sendCopy(ctx, second, results)
 	one := <-results
 	if one.answered() && !call.worthRetry(&one) {
--- a/internal/caller/identity.go
+++ b/internal/caller/identity.go
@@ -113,6 +113,13 @@
 	return nil
 }
 
+// repeatQuota counts another attempt against the team's rate limit.
+func (call *call) repeatQuota() {
+	if call.identity.taken {
+		call.handler.options.Quota.Repeat(call.identity.team.Name)
+	}
+}
+
 // returnQuota gives back what a request has taken that has not run and never will.
 func (call *call) returnQuota() {
 	if call.identity.taken {
--- a/internal/fleet/teams.go
+++ b/internal/fleet/teams.go
@@ -19,6 +19,8 @@
 	reportersFor = clock.Second
 	// countsWith is how long a serving peer may be silent to count as one that hears this instance's reports.
 	countsWith = 200 * clock.Millisecond
+	// countsWithIdle is that time while nobody reports: beats come every 250 ms.
+	countsWithIdle = 600 * clock.Millisecond
 	// wordEvery is how often an instance that has nothing to report says that it hears the others, while any of them reports.
 	wordEvery = 100 * clock.Millisecond
 	// countsWithStandby is that time at an instance that does not serve, which hears each of the others once a second.
@@ -126,7 +128,11 @@
 		heard, serving := controller.members.ServingHeard(countsWithStandby)
 		return float64(heard) / float64(max(serving, servesAtLeast))
 	}
-	heard, serving := controller.members.ServingHeard(countsWith)
+	within := countsWith
+	if len(controller.reporters) == 0 {
+		within = countsWithIdle
+	}
+	heard, serving := controller.members.ServingHeard(within)
 	if now.Since(controller.servesFrom) < sightSettles {
 		return float64(heard) / float64(max(serving, servesAtLeast))
 	}
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -114,6 +114,7 @@
 	LetIn    uint64    `json:"letIn"`
 	Refused  uint64    `json:"refused"`
 	Returned uint64    `json:"returned"`
+	Repeated uint64    `json:"repeated"`
 	// Elsewhere is the number of requests that other instances reported.
 	Elsewhere uint64 `json:"elsewhere"`
 }
@@ -245,6 +246,22 @@
 	return 0, true
 }
 
+// Repeat counts another attempt of a request that was let in and may have run. It is not refused, but what comes after it may be.
+func (ledger *Ledger) Repeat(name team.Name) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	bucket, limited := ledger.buckets[name]
+	if !limited {
+		return
+	}
+	now := ledger.clock.Now()
+	ledger.fill(now, bucket)
+	ledger.report(now, bucket)
+	bucket.level--
+	bucket.total++
+	bucket.usage.Repeated++
+}
+
 // Return gives back what a request took that has not run and never will.
 func (ledger *Ledger) Return(name team.Name) {
 	ledger.mutex.Lock()
--- a/internal/quota/ledger_test.go
+++ b/internal/quota/ledger_test.go
@@ -81,6 +81,26 @@
 	require.True(t, letIn)
 }
 
+// Guards against second copies and retries that run beyond a limit uncounted.
+func TestRepeatsCount(t *testing.T) {
+	manual := clock.NewManual()
+	limit := team.Team{Name: "brass", Rate: 10, Burst: 10}
+	here, there := newTestLedger(manual, limit), newTestLedger(manual, limit)
+	there.Take("brass")
+	for _, report := range there.Reports(1) {
+		here.Hear(report)
+	}
+	before := here.Usage()[0].Level
+	for range 40 {
+		there.Repeat("brass")
+	}
+	require.True(t, there.Exhausted("brass"))
+	for _, report := range there.Reports(1) {
+		here.Hear(report)
+	}
+	require.Less(t, here.Usage()[0].Level, before-10)
+}
+
 // Guards against requests that count against their limit although they never ran.
 func TestReturnedRequestCountsNowhere(t *testing.T) {
 	manual := clock.NewManual()
@@ -179,14 +199,20 @@
 // benchmarkTeams are the numbers of teams at which the way of a request is measured.
 var benchmarkTeams = []int{100, 10_000}
 
+// largeTeams returns teams with a limit that no benchmark reaches.
+func largeTeams(count int) []team.Team {
+	teams := make([]team.Team, count)
+	for index := range teams {
+		teams[index] = team.Team{Name: team.Name(fmt.Sprint("team-", index)), Rate: 1e6, Burst: 1e6}
+	}
+	return teams
+}
+
 func BenchmarkTake(b *testing.B) {
 	for _, count := range benchmarkTeams {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
 			manual := clock.NewManual()
-			teams := make([]team.Team, count)
-			for index := range teams {
-				teams[index] = team.Team{Name: team.Name(fmt.Sprint("team-", index)), Rate: 1e6, Burst: 1e6}
-			}
+			teams := largeTeams(count)
 			ledger := newTestLedger(manual, teams...)
 			b.ReportAllocs()
 			for b.Loop() {
@@ -201,10 +227,7 @@
 	for _, count := range benchmarkTeams {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
 			manual := clock.NewManual()
-			teams := make([]team.Team, count)
-			for index := range teams {
-				teams[index] = team.Team{Name: team.Name(fmt.Sprint("team-", index)), Rate: 1e6, Burst: 1e6}
-			}
+			teams := largeTeams(count)
 			ledger := newTestLedger(manual, teams...)
 			for index := range teams {
 				ledger.Take(teams[index].Name)
