--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -19,7 +19,6 @@
 	"github.com/jaywheel/jaywheel/internal/routing"
 	"github.com/jaywheel/jaywheel/internal/sensing"
 	"github.com/jaywheel/jaywheel/internal/service"
-	"github.com/jaywheel/jaywheel/internal/team"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
@@ -171,19 +170,9 @@
 	known      map[settings.TargetName]catalog.Server
 	owners     map[settings.TargetName]settings.InstanceName
 	// serving are the instances that owners and addresses were last worked out for.
-	serving                []membership.Identity
-	nextShare              clock.Moment
-	nextReport, reportedAt clock.Moment
-	// nextQuotaShare is when it is looked at next who counts requests of teams together.
-	nextQuotaShare clock.Moment
-	// reporters are the instances that reported requests of teams, and when they last did.
-	reporters map[membership.Incarnation]clock.Moment
-	// directory finds the teams of the configuration directoryOf.
-	directory   *team.Directory
-	directoryOf *catalog.Configuration
-	// freshAt is when this instance or one that it hears last had a fresh view, keys what the API keys are worth since.
-	freshAt    clock.Moment
-	keys       atomic.Int32
+	serving    []membership.Identity
+	nextShare  clock.Moment
+	teams      teams
 	nextClean  clock.Moment
 	behindFrom clock.Moment
 	awakeSkew  clock.Milliseconds
@@ -192,12 +181,6 @@
 	nextTick  clock.Moment
 }
 
-// ownReading is what a probe has just told.
-type ownReading struct {
-	reading service.Reading
-	down    bool
-}
-
 type targetRef struct {
 	service settings.ServiceName
 	name    settings.TargetName
@@ -221,7 +204,7 @@
 			Self: options.Self, Incarnation: options.Incarnation, Seeds: options.Seeds, Clock: options.Clock,
 		}),
 		history:   catalog.NewHistory(),
-		reporters: map[membership.Incarnation]clock.Moment{},
+		teams:     teams{reporters: map[membership.Incarnation]clock.Moment{}},
 		services:  map[settings.ServiceName]*serviceState{},
 		targets:   map[TargetKey]targetRef{},
 		known:     map[settings.TargetName]catalog.Server{},
--- a/internal/fleet/share.go
+++ b/internal/fleet/share.go
@@ -1,10 +1,17 @@
 package fleet
 
 import (
+	"github.com/jaywheel/jaywheel/internal/service"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
 
+// ownReading is what a probe has just told.
+type ownReading struct {
+	reading service.Reading
+	down    bool
+}
+
 // shareReadings tells the other serving instances what own probes have read.
 func (controller *Controller) shareReadings(now clock.Moment) {
 	if now < controller.nextShare {
--- a/internal/fleet/teams.go
+++ b/internal/fleet/teams.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/netip"
+	"sync/atomic"
 
+	"github.com/jaywheel/jaywheel/internal/catalog"
 	"github.com/jaywheel/jaywheel/internal/membership"
 	"github.com/jaywheel/jaywheel/internal/quota"
 	"github.com/jaywheel/jaywheel/internal/team"
@@ -21,7 +23,7 @@
 	countsWith = 200 * clock.Millisecond
 	// countsWithIdle is that time while nobody reports: beats come every 250 ms.
 	countsWithIdle = 600 * clock.Millisecond
-	// wordEvery is how often an instance that has nothing to report says that it hears the others, while any of them reports.
+	// wordEvery is how often an instance that has nothing to report tells the others that it hears them, while any of them reports.
 	wordEvery = 100 * clock.Millisecond
 	// countsWithStandby is that time at an instance that does not serve, which hears each of the others once a second.
 	countsWithStandby = 1500 * clock.Millisecond
@@ -35,6 +37,22 @@
 	currentFor = 1500 * clock.Millisecond
 )
 
+// teams is what control keeps of teams.
+type teams struct {
+	// directory finds the teams of the configuration directoryOf.
+	directory   *team.Directory
+	directoryOf *catalog.Configuration
+	// reporters are the instances that reported requests of teams, and when they last did.
+	reporters map[membership.Incarnation]clock.Moment
+	// nextReport is when requests are reported next, reportedAt when that was last done.
+	nextReport, reportedAt clock.Moment
+	// nextShare is when it is looked at next who counts together.
+	nextShare clock.Moment
+	// freshAt is when this instance or one that it hears last had a fresh view, keys what the API keys are worth since.
+	freshAt clock.Moment
+	keys    atomic.Int32
+}
+
 // setTeams has the teams' limits hold.
 func (controller *Controller) setTeams() {
 	ledger := controller.options.Quota
@@ -55,18 +73,18 @@
 // teamDirectory returns the directory of the teams of the configuration in force, nil when requests need no key.
 func (controller *Controller) teamDirectory() *team.Directory {
 	configuration := controller.view.Configuration
-	if controller.directoryOf != configuration {
-		controller.directoryOf, controller.directory = configuration, nil
+	if controller.teams.directoryOf != configuration {
+		controller.teams.directoryOf, controller.teams.directory = configuration, nil
 		if configuration.NeedsKeys {
-			controller.directory = team.NewDirectory(configuration.Teams)
+			controller.teams.directory = team.NewDirectory(configuration.Teams)
 		}
 	}
-	return controller.directory
+	return controller.teams.directory
 }
 
 // hearQuota takes what another instance has let in.
 func (controller *Controller) hearQuota(now clock.Moment, report *quota.Report) {
-	controller.reporters[membership.Incarnation(report.Sender)] = now
+	controller.teams.reporters[membership.Incarnation(report.Sender)] = now
 	controller.members.SetSpoke(membership.Incarnation(report.Sender))
 	if controller.options.Quota != nil {
 		controller.options.Quota.Hear(*report)
@@ -76,23 +94,23 @@
 // reportQuota tells the others what this instance has let in: those that serve or leave, and those that report themselves.
 func (controller *Controller) reportQuota(now clock.Moment) {
 	ledger := controller.options.Quota
-	if ledger == nil || now < controller.nextReport {
+	if ledger == nil || now < controller.teams.nextReport {
 		return
 	}
-	controller.nextReport = now.Add(reportEvery)
+	controller.teams.nextReport = now.Add(reportEvery)
 	reports := ledger.Reports(quota.Sender(controller.options.Incarnation))
-	for incarnation, at := range controller.reporters {
+	for incarnation, at := range controller.teams.reporters {
 		if now.Since(at) > reportersFor {
-			delete(controller.reporters, incarnation)
+			delete(controller.teams.reporters, incarnation)
 		}
 	}
 	if len(reports) == 0 {
-		if len(controller.reporters) == 0 || controller.members.State() != membership.Serving || now.Since(controller.reportedAt) < wordEvery {
+		if len(controller.teams.reporters) == 0 || controller.members.State() != membership.Serving || now.Since(controller.teams.reportedAt) < wordEvery {
 			return
 		}
 		reports = []quota.Report{ledger.EmptyReport(quota.Sender(controller.options.Incarnation))}
 	}
-	controller.reportedAt = now
+	controller.teams.reportedAt = now
 	for _, address := range controller.countsQuota() {
 		for index := range reports {
 			controller.send(address, &Message{Quota: &reports[index]})
@@ -104,7 +122,7 @@
 func (controller *Controller) countsQuota() []netip.AddrPort {
 	var addresses []netip.AddrPort
 	for _, member := range controller.members.Living() {
-		_, reports := controller.reporters[member.Incarnation]
+		_, reports := controller.teams.reporters[member.Incarnation]
 		if reports || member.State == membership.Serving || member.State == membership.Leaving {
 			addresses = append(addresses, member.Address)
 		}
@@ -114,10 +132,10 @@
 
 // shareQuota notes which part of the fleet this instance counts together with.
 func (controller *Controller) shareQuota(now clock.Moment) {
-	if controller.options.Quota == nil || now < controller.nextQuotaShare {
+	if controller.options.Quota == nil || now < controller.teams.nextShare {
 		return
 	}
-	controller.nextQuotaShare = now.Add(shareQuotaEvery)
+	controller.teams.nextShare = now.Add(shareQuotaEvery)
 	controller.options.Quota.SetShare(controller.countsTogether(now))
 }
 
@@ -129,7 +147,7 @@
 		return float64(heard) / float64(max(serving, servesAtLeast))
 	}
 	within := countsWith
-	if len(controller.reporters) == 0 {
+	if len(controller.teams.reporters) == 0 {
 		within = countsWithIdle
 	}
 	heard, serving := controller.members.ServingHeard(within)
@@ -141,23 +159,23 @@
 
 // Keys tells what the API keys of the table in force are worth.
 func (controller *Controller) Keys() team.KeyStanding {
-	return team.KeyStanding(controller.keys.Load())
+	return team.KeyStanding(controller.teams.keys.Load())
 }
 
 // judgeKeys works out whether a newer configuration may be in force elsewhere, and whether this one is too old to be used.
 func (controller *Controller) judgeKeys(now clock.Moment) {
 	if controller.members.CatalogFresh() {
-		controller.freshAt = now
+		controller.teams.freshAt = now
 	} else if fresh := controller.members.Leaders().Fresh; fresh > 0 {
-		controller.freshAt = max(controller.freshAt, fresh)
+		controller.teams.freshAt = max(controller.teams.freshAt, fresh)
 	}
 	standing := team.KeysCurrent
-	silent := now.Since(controller.freshAt)
+	silent := now.Since(controller.teams.freshAt)
 	switch bounds := controller.options.Bounds; {
 	case bounds.FailClosed && silent > bounds.RevokeWithin:
 		standing = team.KeysStale
 	case silent > currentFor || controller.view == nil || controller.versionBehind():
 		standing = team.KeysUnsure
 	}
-	controller.keys.Store(int32(standing))
+	controller.teams.keys.Store(int32(standing))
 }
--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -99,14 +99,14 @@
 	report Report
 }
 
-func newModel(seed uint64, policy policy, mutant mutant, calm bool) *model {
+func newModel(seed uint64, policy policy, mutant mutant, undisturbed bool) *model {
 	model := &model{clock: clock.NewManual(), random: rand.New(rand.NewPCG(seed, 3)), policy: policy, mutant: mutant}
 	model.clock.Advance(clock.Minute)
 	for number := range 4 {
 		rate := []float64{1, 3, 12, 93}[number] * (0.8 + 0.4*model.random.Float64())
 		named := &modelTeam{Team: team.Team{Name: team.Name(fmt.Sprint("team-", number)), Rate: rate, Burst: rate}}
 		named.asks = named.Rate / 1.6
-		if !calm && model.random.IntN(2) == 0 {
+		if !undisturbed && model.random.IntN(2) == 0 {
 			named.asks *= 2 + 9*model.random.Float64()
 			named.one = model.random.IntN(3) == 0
 		}
@@ -309,12 +309,12 @@
 }
 
 // play plays a schedule and returns the worst use of what is allowed, and the part of what was asked that was refused below the limit.
-func (model *model) play(calm bool) (float64, float64) {
+func (model *model) play(undisturbed bool) (float64, float64) {
 	end := model.clock.Now().Add(modelLength)
 	next := model.clock.Now().Add(2 * clock.Second)
 	for model.clock.Now() < end {
 		model.step(true)
-		if now := model.clock.Now(); !calm && now >= next {
+		if now := model.clock.Now(); !undisturbed && now >= next {
 			model.disturb(now)
 			next = now.Add(clock.Second + 3*clock.Second*clock.Milliseconds(model.random.Float64()))
 		}
@@ -388,15 +388,15 @@
 		{"equal shares", equalShares},
 	}
 	for _, testCase := range cases {
-		for _, calm := range []bool{true, false} {
+		for _, undisturbed := range []bool{true, false} {
 			worst, lost := 0.0, 0.0
 			const seeds = 30
 			for seed := range uint64(seeds) {
-				exceeded, refused := newModel(seed, testCase.policy, noMutant, calm).play(calm)
+				exceeded, refused := newModel(seed, testCase.policy, noMutant, undisturbed).play(undisturbed)
 				worst = max(worst, exceeded)
 				lost += refused / seeds
 			}
-			t.Logf("%-16s calm %-5v worst use %.2f of what is allowed, refused below the limit %.4f", testCase.name, calm, worst, lost)
+			t.Logf("%-16s undisturbed %-5v worst use %.2f of what is allowed, refused below the limit %.4f", testCase.name, undisturbed, worst, lost)
 		}
 	}
 }
