--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -95,6 +95,8 @@
 	staleWanted, readingStale bool
 	contact                   clock.Moment
 	failing                   bool
+	// watching says that the call under way waits for changes.
+	watching bool
 	// peerFailing says that peers did not tell their view when they were last asked.
 	peerFailing bool
 	cancelIO    context.CancelFunc
@@ -179,7 +181,9 @@
 	ctx, cancel := reader.bounded(ctx, wait+watchSlack)
 	defer cancel()
 	reader.options.Events.Add(EventWatch, 1)
+	reader.setWatching(true)
 	changes, err := reader.options.Source.Watch(ctx, reader.revision, wait)
+	reader.setWatching(false)
 	if errors.Is(err, ErrGone) {
 		reader.whole = false
 		reader.options.Log.Info().Uint64("revision", uint64(reader.revision)).Msg("history is gone, reading everything")
@@ -194,6 +198,12 @@
 	return reader.applyChanges(ctx, changes)
 }
 
+func (reader *Reader) setWatching(watching bool) {
+	reader.mutex.Lock()
+	defer reader.mutex.Unlock()
+	reader.watching = watching
+}
+
 // nextWait is how long the next watch may wait: no longer than until an entry that may only have lapsed is to be dropped. A watch that
 // brings nothing ends much later, and its server would get requests all the while. After a failure it does not wait: it tells whether the source is
 // back.
--- a/internal/catalog/role.go
+++ b/internal/catalog/role.go
@@ -1,6 +1,8 @@
 package catalog
 
 import (
+	"context"
+
 	"github.com/jaywheel/jaywheel/pkg/clock"
 )
 
@@ -53,6 +55,23 @@
 	reader.nudge()
 }
 
+// CatchUp says that a peer has known the given newer revision for a while. A watch that has not told of it is given up, a peer is asked, and
+// everything is read anew. A call that reads goes on: on a slow link it would else be given up each time before it ends.
+func (reader *Reader) CatchUp(newest Revision) {
+	reader.mutex.Lock()
+	reader.follows = newest
+	var cancel context.CancelFunc
+	if reader.watching {
+		reader.refresh = true
+		cancel = reader.cancelIO
+	}
+	reader.mutex.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+	reader.nudge()
+}
+
 // ReadStale has everything read once as it was some seconds ago, for an instance that knows nothing yet.
 func (reader *Reader) ReadStale() {
 	reader.mutex.Lock()
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -127,6 +127,8 @@
 	SetRole func(catalog.Role)
 	Follow  func(catalog.Revision)
 	Refresh func()
+	// CatchUp says that a serving peer has known the revision for a while.
+	CatchUp func(catalog.Revision)
 	// ReadStale reads what the store held some seconds ago.
 	ReadStale func()
 	Contact   func() clock.Moment
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -127,7 +127,6 @@
 		controller.behindFrom = 0
 		controller.options.Registry.Events.Add(EventBehind, 1)
 		controller.options.Log.Warn().Uint64("revision", uint64(controller.view.Revision)).Msg("a peer knows a newer revision; reading everything anew")
-		controller.feed.Follow(controller.members.Leaders().Newest)
-		controller.feed.Refresh()
+		controller.feed.CatchUp(controller.members.Leaders().Newest)
 	}
 }
--- a/internal/fleet/ownership_test.go
+++ b/internal/fleet/ownership_test.go
@@ -82,7 +82,7 @@
 		SetJobs: func(jobs []sensing.Job) { node.jobs = jobs },
 	})
 	node.controller.SetFeed(Feed{
-		SetRole: func(catalog.Role) {}, Follow: func(catalog.Revision) {}, Refresh: func() {}, ReadStale: func() {},
+		SetRole: func(catalog.Role) {}, Follow: func(catalog.Revision) {}, Refresh: func() {}, CatchUp: func(catalog.Revision) {}, ReadStale: func() {},
 		Contact: fleet.clock.Now, Failing: func() bool { return false }, PeerFailing: func() bool { return false },
 	})
 	node.controller.applyView(coldView(ownedTargets, fixtureDataCentres))
