--- a/internal/fleet/teams_test.go
+++ b/internal/fleet/teams_test.go
@@ -54,6 +54,42 @@
 	}
 }
 
+// Guards against a datagram of anybody's that empties a team's bucket for much longer than a second, or fills it beyond its burst.
+func FuzzReport(f *testing.F) {
+	manual := clock.NewManual()
+	known := quota.NewLedger(quota.Options{Clock: &manual.Clock, Rand: rand.New(rand.NewPCG(1, 1))})
+	known.SetTeams(manyTeams(1))
+	known.Take("team-0")
+	key := known.Reports(1)[0].Counts[0].Team
+	for _, report := range []quota.Report{
+		{Sender: 1, Sequence: 2, Counts: []quota.Count{{Team: key, Total: 4, Level: 5}}}, {Sender: 1, Sequence: 1 << 63}, {},
+		{Sender: 1, Sequence: 2, Counts: []quota.Count{{Team: key, Total: 1 << 31, Level: -32767}}},
+		{Sender: 1, Sequence: 2, Counts: []quota.Count{{Team: key, Total: 4}, {Team: key, Total: 1 << 19}}},
+	} {
+		text, err := Encode(&Message{Quota: &report})
+		require.NoError(f, err)
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		message, err := Decode(text)
+		if err != nil || message.Quota == nil {
+			return
+		}
+		manual := clock.NewManual()
+		ledger := quota.NewLedger(quota.Options{Clock: &manual.Clock, Rand: rand.New(rand.NewPCG(1, 1))})
+		ledger.SetBounds(quota.Bounds{Window: 5 * clock.Second, Over: 0.25, Slack: 20})
+		ledger.SetShare(1)
+		ledger.SetTeams(manyTeams(1))
+		manual.Advance(clock.Minute)
+		full := ledger.Usage()[0].Level
+		ledger.Hear(*message.Quota)
+		require.LessOrEqual(t, ledger.Usage()[0].Level, full)
+		manual.Advance(1200 * clock.Millisecond)
+		_, letIn := ledger.Take("team-0")
+		require.True(t, letIn)
+	})
+}
+
 // Guards against an unknown key that is refused for good by an instance that has not heard of the newest configuration.
 func TestKeysAreUnsureUntilTheViewIsFresh(t *testing.T) {
 	fixture := newStandby(t, 20, 12)
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -102,6 +102,11 @@
 	bucket.level = min(bucket.level+ledger.pace(bucket)*float64(passed/clock.Second), room)
 }
 
+// leastLevel is the lowest level to which reports of others bring a bucket.
+func (bucket *bucket) leastLevel() float64 {
+	return -bucket.rate * float64(debtMost/clock.Second)
+}
+
 // wait is when room is expected for a caller that is refused now, spread by chance so that those refused together don't return together.
 func (ledger *Ledger) wait(bucket *bucket) clock.Milliseconds {
 	wait := clock.Milliseconds(max(1-bucket.level, 0)/ledger.pace(bucket)) * clock.Second
--- a/internal/quota/report.go
+++ b/internal/quota/report.go
@@ -127,7 +127,7 @@
 		}
 		if now.Since(bucket.heard) > lapsedAfter && count.Level != unknownLevel {
 			ledger.fill(now, bucket)
-			bucket.level = min(bucket.level, float64(count.Level))
+			bucket.level = min(bucket.level, max(float64(count.Level), bucket.leastLevel()))
 		}
 		bucket.heard = now
 		before, heardBefore := known.totals[count.Team]
@@ -152,8 +152,7 @@
 		return
 	}
 	ledger.fill(now, bucket)
-	least := -bucket.rate * float64(debtMost/clock.Second)
-	level := max(bucket.level-float64(step), min(least, bucket.level))
+	level := max(bucket.level-float64(step), min(bucket.leastLevel(), bucket.level))
 	bucket.level = min(level, ledger.room(bucket))
 	if step > 0 {
 		bucket.usage.Elsewhere += uint64(step)
