--- a/internal/fleet/teams_test.go
+++ b/internal/fleet/teams_test.go
@@ -62,7 +62,9 @@
 	known.Take("team-0")
 	key := known.Reports(1)[0].Counts[0].Team
 	for _, report := range []quota.Report{
-		{Sender: 1, Sequence: 2, Counts: []quota.Count{{Team: key, Total: 4, Level: 5}}}, {Sender: 1, Sequence: 1 << 63}, {},
+		{Sender: 1, Sequence: 2, Counts: []quota.Count{{Team: key, Total: 4, Level: 5}}},
+		{Sender: 1, Sequence: 1 << 63},
+		{},
 		{Sender: 1, Sequence: 2, Counts: []quota.Count{{Team: key, Total: 1 << 31, Level: -32767}}},
 		{Sender: 1, Sequence: 2, Counts: []quota.Count{{Team: key, Total: 4}, {Team: key, Total: 1 << 19}}},
 	} {
