--- a/internal/fleet/teams.go
+++ b/internal/fleet/teams.go
@@ -33,6 +33,9 @@
 	sightSettles = 3 * clock.Second
 	// servesAtLeast is the number of instances that are taken to serve while that is not known.
 	servesAtLeast = 4
+	// startsAsPart is the part of the fleet with which an instance counts at least that started less than sightSettles ago: after a restart
+	// of all nobody has heard of the others yet, and callers come at once.
+	startsAsPart = 0.45
 	// currentFor is how long ago a fresh view must have been heard of for a key that is not in it to be in no configuration.
 	currentFor = 1500 * clock.Millisecond
 )
@@ -142,6 +145,10 @@
 // countsTogether is the part of the fleet that reports to this instance and hears it. One that serves hears from all that live. Any other, or
 // one that has just begun to serve, hears only those that serve, and few of them when a whole fleet was restarted.
 func (controller *Controller) countsTogether(now clock.Moment) float64 {
+	if now.Since(controller.started) < sightSettles {
+		heard, serving := controller.members.ServingHeard(countsWithStandby)
+		return max(float64(heard)/float64(max(serving, servesAtLeast)), startsAsPart)
+	}
 	if controller.members.State() != membership.Serving {
 		heard, serving := controller.members.ServingHeard(countsWithStandby)
 		return float64(heard) / float64(max(serving, servesAtLeast))
