Show in logs and traces whether a response named a limit

Evidence missing in the incident of a named rate: the logs tell which instance sent what to which server, but not whether the answers named a limit, so that "not read" and "read, but counted alone" look alike. Each attempt now shows it (serverLimit). No decision reads it yet.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -119,6 +119,9 @@
 		attempt.discard()
 		return
 	}
+	if statement := dialect.ParseStatement(response); statement.Limit.Named {
+		attempt.trace.ServerLimit = &statement.Limit.Rate
+	}
 	if dialect.MaxBufferedResponseBytes > 0 {
 		if attempt.err = attempt.bufferBody(dialect.MaxBufferedResponseBytes); attempt.err != nil {
 			attempt.discard()
--- a/internal/caller/dialect.go
+++ b/internal/caller/dialect.go
@@ -39,6 +39,8 @@
 	CheckResponse func(trace.RequestID, *http.Response) error
 	// ParseLoad parses the load that a backend server reports in its response header; false if it reports none.
 	ParseLoad func(http.Header) (service.LoadReading, bool)
+	// ParseStatement parses what a backend server says of itself in a response.
+	ParseStatement func(*http.Response) service.Statement
 	// MaxBufferedResponseBytes is the length up to which a response is read completely before any of it is forwarded, so
 	// that the request can be retried if the response is truncated. With 0, every response is forwarded as it arrives.
 	MaxBufferedResponseBytes int64
@@ -64,6 +66,7 @@
 		},
 		CheckResponse:  func(trace.RequestID, *http.Response) error { return nil },
 		ParseLoad:      func(http.Header) (service.LoadReading, bool) { return service.LoadReading{}, false },
+		ParseStatement: func(*http.Response) service.Statement { return service.Statement{} },
 		IsReservedPath: func(path string) bool { return path == AddressesPath },
 	}
 }
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -74,6 +74,9 @@
 		Int("considered", attemptFields.Considered).Int("taken", attemptFields.InFlight).Float64("slowdown", attemptFields.Slowdown).
 		Float64("readingAgeMs", float64(attemptFields.LoadReadingAge)).Float64("waitedMs", float64(attemptFields.QueueWait)).
 		Float64("tookMs", float64(attemptFields.Duration))
+	if attemptFields.ServerLimit != nil {
+		event.Float64("serverLimit", *attemptFields.ServerLimit)
+	}
 	if attemptFields.Error != "" {
 		event.Str("problem", attemptFields.Error)
 	}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -53,6 +53,9 @@
 	Duration clock.Milliseconds `json:"took"`
 	Status   int                `json:"status,omitempty"`
 	Result   AttemptResult      `json:"result"`
+	// ServerLimit is the number of requests per second to which the server limits the whole fleet by its response, nil if it
+	// names none.
+	ServerLimit *float64 `json:"serverLimit,omitempty"`
 	// Error is the error message, empty if there was no error.
 	Error string `json:"error,omitempty"`
 }
