Hold servers to the limits that they name, over the whole fleet

Callers' view: none, until the server in need fails under requests that it said it cannot take.

Change: every instance keeps a token bucket for each limited server, deducts its own requests where a permit is bound (first attempts, retries, hedged requests, requests that waited, requests to cold servers) and those that the others report every 10 ms. Readers: answers and refusals to requests, responses to probes, reports of peers. A limit belongs to one process of a server, outlasts an entry that lapsed, ends with an answer that names none (of probes only if they named it), and is unchanged by a value that is not understood. Zero leaves one request in 5 s, since only an answer ends it. Limited servers are probed at half their limit, at least 0.8 a second. A request that no server takes in time is refused at once.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -119,9 +119,14 @@
 		attempt.discard()
 		return
 	}
-	if statement := dialect.ParseStatement(response); statement.Limit.Named {
+	statement := dialect.ParseStatement(response)
+	statement.At = call.now()
+	if statement.Limit.Named {
 		attempt.trace.ServerLimit = &statement.Limit.Rate
 	}
+	if change := attempt.permit.ObserveStatement(statement); change.Changed() && call.handler.options.OnStatement != nil {
+		call.handler.options.OnStatement(change)
+	}
 	if dialect.MaxBufferedResponseBytes > 0 {
 		if attempt.err = attempt.bufferBody(dialect.MaxBufferedResponseBytes); attempt.err != nil {
 			attempt.discard()
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -10,6 +10,7 @@
 	"github.com/jaywheel/jaywheel/internal/metrics"
 	"github.com/jaywheel/jaywheel/internal/quota"
 	"github.com/jaywheel/jaywheel/internal/routing"
+	"github.com/jaywheel/jaywheel/internal/service"
 	"github.com/jaywheel/jaywheel/internal/team"
 	"github.com/jaywheel/jaywheel/internal/trace"
 	"github.com/jaywheel/jaywheel/pkg/clock"
@@ -45,6 +46,8 @@
 	Dialect *Dialect
 	// OnRequestDone is called with the trace of each completed request. It must not block. It may be nil.
 	OnRequestDone func(*trace.Request)
+	// OnStatement is called when a backend server's response has changed what is known of it. It must not block. It may be nil.
+	OnStatement func(service.StatementChange)
 }
 
 // Handler handles callers' requests.
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -88,12 +88,16 @@
 	versionBehindTimeout = 380 * clock.Millisecond
 )
 
-// maxColdShareFactor is the factor that, multiplied by the visible fraction of the fleet, gives the share of a cold server's
+// maxRateShareFactor is the factor that, multiplied by the visible fraction of the fleet, gives the share of a cold server's
 // limit that this instance may use. After a network partition each part of the fleet has an owner for every server, and the
 // parts cannot reach each other, but their visible fractions add up to at most the whole fleet. Together they stay below 1.5
 // times 0.8 of the limit plus one request for each part. Up to a third of the fleet may be gone before servers warm up more
 // slowly because of it.
-const maxColdShareFactor = 1.5
+const maxRateShareFactor = 1.5
+
+// standbyRateShare is the share of a server's limit that an instance may use which does not serve: only callers with old address
+// answers send it requests.
+const standbyRateShare = 0.25
 
 // inboxLength is how many events may wait for the control goroutine.
 const inboxLength = 256
@@ -180,10 +184,12 @@
 	// serving are the instances for which owners and addresses were last computed.
 	serving          []membership.Identity
 	nextReadingShare clock.Moment
-	teams            teamState
-	nextIdleClose    clock.Moment
-	behindSince      clock.Moment
-	bootClockSkew    clock.Milliseconds
+	// limitReporters are the instances that have reported requests to limited servers, with the time of the last report.
+	limitReporters map[membership.Incarnation]clock.Moment
+	teams          teamState
+	nextIdleClose  clock.Moment
+	behindSince    clock.Moment
+	bootClockSkew  clock.Milliseconds
 	// membershipDirty reports that heartbeats since the last tick brought changes that have to be passed on to other
 	// instances.
 	membershipDirty bool
@@ -212,7 +218,7 @@
 		members: membership.New(membership.Options{
 			Self: options.Self, Incarnation: options.Incarnation, Seeds: options.Seeds, Clock: options.Clock,
 		}),
-		history:       catalog.NewHistory(),
+		history: catalog.NewHistory(), limitReporters: map[membership.Incarnation]clock.Moment{},
 		teams:         teamState{reporters: map[membership.Incarnation]clock.Moment{}},
 		services:      map[settings.ServiceName]*serviceState{},
 		targets:       map[TargetKey]targetRef{},
@@ -280,6 +286,9 @@
 	}
 	if result.Err == nil {
 		entry.Scheduler.Observe(result.Target, result.Health.LoadReading)
+		if change := entry.Scheduler.ObserveStatement(result.Target, result.Started, result.Health.Statement); change.Changed() {
+			controller.RecordStatement(change)
+		}
 	}
 	entry.Scheduler.SetDown(result.Target, result.Down)
 	controller.latestMutex.Lock()
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -103,8 +103,20 @@
 	Heartbeat *membership.Heartbeat
 	Readings  []SharedReading
 	Quota     *quota.Report
+	// Limits is sent alone, in a datagram of its own form: instances of releases that do not know it ignore just these datagrams.
+	Limits *LimitsMessage `cbor:"-"`
 }
 
+// LimitsMessage contains the limits that backend servers have named, and how many requests its sender has sent to them.
+type LimitsMessage struct {
+	_       struct{} `cbor:",toarray"`
+	Sender  membership.Incarnation
+	Reports []SharedLimit
+}
+
+// limitsMessageStart is the first byte of a LimitsMessage, an array of two elements in CBOR.
+const limitsMessageStart = 0x82
+
 // decoding is strict: a datagram that does not fit the message exactly was not written by an instance of this release.
 var decoding = func() cbor.DecMode {
 	mode, err := cbor.DecOptions{
@@ -119,13 +131,25 @@
 
 // Encode returns the CBOR encoding of a message.
 func Encode(message *Message) ([]byte, error) {
-	text, err := cbor.Marshal(message)
+	var content any = message
+	if message.Limits != nil {
+		content = message.Limits
+	}
+	text, err := cbor.Marshal(content)
 	return text, errors.Wrap(err, "encode message to a peer")
 }
 
 // Decode parses a message. The error is ErrInvalidMessage.
 func Decode(text []byte) (*Message, error) {
 	var message Message
+	if len(text) > 0 && text[0] == limitsMessageStart {
+		message.Limits = &LimitsMessage{}
+		err := decoding.Unmarshal(text, message.Limits)
+		if err != nil || len(message.Limits.Reports) == 0 {
+			return nil, errors.Wrapf(ErrInvalidMessage, "limits: %v", err)
+		}
+		return &message, nil
+	}
 	if err := decoding.Unmarshal(text, &message); err != nil {
 		return nil, errors.Wrapf(ErrInvalidMessage, "%v", err)
 	}
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -44,6 +44,9 @@
 	if message.Quota != nil {
 		controller.receiveQuotaReport(now, message.Quota)
 	}
+	if message.Limits != nil {
+		controller.receiveLimits(now, message.Limits)
+	}
 	for index := range message.Readings {
 		sharedReading := &message.Readings[index]
 		ref, known := controller.targets[sharedReading.Target]
--- a/internal/fleet/tick.go
+++ b/internal/fleet/tick.go
@@ -35,14 +35,19 @@
 		// Without a leader, each heartbeat may change which instances are present.
 		controller.publishAddresses()
 	}
-	if controller.members.State() == membership.Serving || controller.members.State() == membership.Leaving {
-		share := min(maxColdShareFactor*controller.members.VisibleFraction(), 1)
-		for _, state := range controller.services {
-			state.scheduler.SetColdShare(share)
-			state.scheduler.Sweep()
-		}
+	share := standbyRateShare
+	serving := controller.members.State() == membership.Serving || controller.members.State() == membership.Leaving
+	if serving {
+		share = min(maxRateShareFactor*controller.members.VisibleFraction(), 1)
+	}
+	for _, state := range controller.services {
+		state.scheduler.SetRateShare(share)
+		state.scheduler.Sweep()
+	}
+	if serving {
 		controller.shareReadings(now)
 	}
+	controller.reportLimits(now)
 	controller.updateKeyStatus(now)
 	controller.updateFleetFraction(now)
 	controller.reportQuota(now)
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -216,18 +216,19 @@
 	minPause := 2 * clock.Second / clock.Milliseconds(controller.options.Bounds.ProbesPerSecond)
 	probeAllFrom := controller.servingSince.Add(unrequestedProbeDelay)
 	return sensing.Job{
-		Service: server.Service, Target: server.Name, Address: server.Address, Path: state.limits.ProbePath,
+		Service: server.Service, Target: server.Name, Started: server.Started, Address: server.Address, Path: state.limits.ProbePath,
 		Due: func() bool {
 			return controller.options.Clock.Now() >= probeAllFrom || scheduler.Busy(serviceBusyWindow)
 		},
 		Pause: func() clock.Milliseconds {
+			interval := scheduler.MinProbeInterval(name)
 			switch {
 			case !usable:
-				return unusedProbePause
+				return max(unusedProbePause, interval)
 			case scheduler.Busy(serviceBusyWindow):
-				return scheduler.NextProbe(name, learningProbePause, max(busyProbePause, minPause))
+				return max(scheduler.NextProbe(name, learningProbePause, max(busyProbePause, minPause)), interval)
 			default:
-				return max(scheduler.NextProbe(name, learningProbePause, idleProbePause), learningProbePause)
+				return max(scheduler.NextProbe(name, learningProbePause, idleProbePause), learningProbePause, interval)
 			}
 		},
 	}
--- a/internal/fleet/virtual_checks_test.go
+++ b/internal/fleet/virtual_checks_test.go
@@ -48,6 +48,7 @@
 	faultedAt clock.Moment
 	versions  []acknowledged
 	worstCase worstCase
+	limits    *limitChecks
 }
 
 type acknowledged struct {
@@ -78,7 +79,7 @@
 func newChecks(fleet *virtualFleet) *checks {
 	checks := &checks{
 		fleet: fleet, sent: map[settings.TargetName][]clock.Moment{}, unservedSince: map[settings.DataCentreName]clock.Moment{},
-		misdirectedSince: map[*machine]clock.Moment{},
+		misdirectedSince: map[*machine]clock.Moment{}, limits: newLimitChecks(),
 	}
 	checks.list = []namedCheck{
 		{"configuration never older", checks.neverOlder},
@@ -92,6 +93,7 @@
 		{"answers contain a running instance", checks.answersNameRunningInstance},
 		{"few instances serve", checks.fewServe},
 		{"settled", checks.settled},
+		{"limits of servers", func(clock.Moment) string { return checks.limits.exceeded }},
 	}
 	return checks
 }
--- a/internal/fleet/virtual_fleet_test.go
+++ b/internal/fleet/virtual_fleet_test.go
@@ -49,6 +49,8 @@
 	dataCentres int
 	servers     int
 	length      clock.Milliseconds
+	// limits makes the servers warm, and some of them name a limit.
+	limits bool
 }
 
 // machine runs one instance at a time.
@@ -171,7 +173,11 @@
 		return
 	}
 	if serves := process.controller.members.State(); serves == membership.Serving || serves == membership.Leaving || now >= process.nextProbe {
-		fleet.checks.recordSent(process, process.sendRequests(process.time(now)), now)
+		if fleet.options.limits {
+			fleet.checks.limits.send(machine, process.time(now), now)
+		} else {
+			fleet.checks.recordSent(process, process.sendRequests(process.time(now)), now)
+		}
 	}
 	for _, packet := range machine.received {
 		if message, err := Decode(packet.text); err == nil {
--- a/internal/fleet/virtual_process_test.go
+++ b/internal/fleet/virtual_process_test.go
@@ -45,13 +45,15 @@
 	// version and revision are the newest that the process has had in force.
 	version  catalog.Version
 	revision catalog.Revision
+	// toldLimit is when a server first named its limit to the process.
+	toldLimit map[serverProcess]clock.Moment
 }
 
 // halfCallTime is half the duration of a call of a reader.
 const halfCallTime = 2 * clock.Millisecond
 
 func newProcess(fleet *virtualFleet, machine *machine, first bool) *process {
-	process := &process{fleet: fleet, machine: machine, started: fleet.clock.Now(), leavesAt: never, done: make(chan struct{})}
+	process := &process{fleet: fleet, machine: machine, started: fleet.clock.Now(), leavesAt: never, done: make(chan struct{}), toldLimit: map[serverProcess]clock.Moment{}}
 	random := rand.New(rand.NewPCG(fleet.random.Uint64(), 1))
 	own := &clock.Clock{Now: func() clock.Moment { return process.time(fleet.clock.Now()) }}
 	registry := metrics.NewRegistry()
@@ -191,6 +193,10 @@
 	}
 	if now >= process.nextProbe {
 		process.nextProbe = now.Add(ownedInterval)
-		process.probe(process.time(now))
+		if process.fleet.options.limits {
+			process.fleet.checks.limits.probe(process, process.time(now))
+		} else {
+			process.probe(process.time(now))
+		}
 	}
 }
--- a/internal/fleet/virtual_test.go
+++ b/internal/fleet/virtual_test.go
@@ -38,6 +38,8 @@
 	worstCase worstCase
 	steps     int
 	datagrams int
+	// mostLimited is the largest number of requests to a limited server in a window, totalLimited the number of all.
+	mostLimited, totalLimited int
 }
 
 func playVirtual(t *testing.T, options virtualOptions, schedule []change) runResult {
@@ -46,6 +48,7 @@
 		fleet := newVirtualFleet(options, schedule)
 		result.violation = fleet.play()
 		result.worstCase, result.steps, result.datagrams = fleet.checks.worstCase, fleet.steps, fleet.datagrams
+		result.mostLimited, result.totalLimited = fleet.checks.limits.most, fleet.checks.limits.total
 	})
 	return result
 }
--- a/internal/sensing/sensing.go
+++ b/internal/sensing/sensing.go
@@ -57,12 +57,15 @@
 	// NotRun is whether the target rejected the probe because it is full.
 	NotRun      bool
 	LoadReading service.LoadReading
+	Statement   service.Statement
 }
 
 // Job is a target to probe.
 type Job struct {
 	Service settings.ServiceName
 	Target  settings.TargetName
+	// Started is the start time of the target's process.
+	Started int64
 	Address string
 	Path    string
 	// Due reports whether the target should be probed at present; nil means always.
@@ -71,10 +74,16 @@
 	Pause func() clock.Milliseconds
 }
 
+// sameTarget reports whether two jobs probe the same process in the same way.
+func (job *Job) sameTarget(other *Job) bool {
+	return job.Path == other.Path && job.Address == other.Address && job.Service == other.Service && job.Started == other.Started
+}
+
 // Result is the outcome of a probe.
 type Result struct {
 	Service settings.ServiceName
 	Target  settings.TargetName
+	Started int64
 	Health  Health
 	// Down is whether at least downAfter consecutive probes failed.
 	Down bool
@@ -139,7 +148,7 @@
 	}
 	for name, entry := range prober.running {
 		job, kept := wanted[name]
-		if kept && job.Path == entry.job.Path && job.Address == entry.job.Address && job.Service == entry.job.Service {
+		if kept && job.sameTarget(&entry.job) {
 			delete(wanted, name)
 			continue
 		}
@@ -195,7 +204,7 @@
 		if down {
 			pause = max(pause, downPause)
 		}
-		prober.options.Deliver(Result{Service: job.Service, Target: job.Target, Health: health, Down: down, Err: err})
+		prober.options.Deliver(Result{Service: job.Service, Target: job.Target, Started: job.Started, Health: health, Down: down, Err: err})
 		timer.Reset(pause.Duration())
 	}
 }
@@ -214,6 +223,7 @@
 	defer exchange.Close()
 	health := prober.options.Read(exchange.Response)
 	health.LoadReading.At = prober.options.Clock.Now()
+	health.Statement.At = health.LoadReading.At
 	if err := drain(exchange); err != nil {
 		return health, err
 	}
--- a/internal/service/acquire.go
+++ b/internal/service/acquire.go
@@ -58,6 +58,7 @@
 	if cold {
 		chosen.tokens--
 	}
+	scheduler.countSent(now, chosen)
 	scheduler.ownInFlight++
 	scheduler.rankShares.recordGrant(rank)
 	inFlight := chosen.ownInFlight + 1 + chosen.othersInFlight(now)
@@ -68,7 +69,7 @@
 	}
 	activeRequest := scheduler.newActiveRequest()
 	chosen.startRequest(activeRequest, inFlight)
-	if cold {
+	if cold || chosen.limited() {
 		scheduler.reindex(now, chosen)
 	} else {
 		scheduler.reindexInFlight(now, chosen)
@@ -76,7 +77,7 @@
 	return Permit{
 		activeRequest: activeRequest, exploredClass: explored,
 		Target: chosen.Target, scheduler: scheduler, candidate: chosen, classStats: classStats,
-		InFlight: inFlight, Considered: scheduler.usableCount, acquiredAt: now,
+		InFlight: inFlight, Considered: scheduler.usableCount, acquiredAt: now, started: chosen.config.Started,
 		startedFast: !cold && chosen.expectedSlowdown(now, scheduler.meanSlowdown) < slowThreshold,
 		LoadReading: chosen.reading,
 	}
--- a/internal/service/admission.go
+++ b/internal/service/admission.go
@@ -104,14 +104,16 @@
 
 // expectedWait returns the expected queue time of a request of the given rank: the number of requests ahead of it, divided by
 // the rate at which permits are released for its rank. By Little's law that rate is the number of permits in use divided by the
-// mean time that a permit is in use. The expected wait is 0 while a fast target is available.
+// mean time that a permit is in use. If all targets limit their rate, it is at least the time until they accept as many requests.
+// The expected wait is 0 while a fast target is available.
 func (scheduler *Scheduler) expectedWait(now clock.Moment, rank rank) clock.Milliseconds {
 	if scheduler.anyFastAvailable(now) {
 		return 0
 	}
-	ahead := clock.Milliseconds(scheduler.waiting.ahead(rank))
+	ahead := scheduler.waiting.ahead(rank)
 	availablePermits := float64(max(scheduler.ownInFlight, 1)) * scheduler.rankShares.remaining(rank)
-	return (ahead + 1) * scheduler.meanPermitDuration / clock.Milliseconds(availablePermits) * waitBias
+	untilPermit := clock.Milliseconds(ahead+1) * scheduler.meanPermitDuration / clock.Milliseconds(availablePermits) * waitBias
+	return max(untilPermit, scheduler.limitedWait(now, ahead+1))
 }
 
 // waitBias is the factor by which expected waits exceed the estimate by Little's law. Some of the permits belong to slow targets,
--- a/internal/service/candidate.go
+++ b/internal/service/candidate.go
@@ -81,9 +81,9 @@
 	activeRequests []*activeRequest
 	// ownAtReading is the value of ownInFlight when the reading arrived.
 	ownAtReading int
-	// coldShare and concurrencyModel belong to the scheduler, slotClass is the part of the model for targets with the same
+	// rateShare and concurrencyModel belong to the scheduler, slotClass is the part of the model for targets with the same
 	// number of slots.
-	coldShare        *float64
+	rateShare        *float64
 	concurrencyModel *concurrencyModel
 	slotClass        *slotClass
 	// reading is the newest load reading, hasReading is false if there is none.
@@ -100,6 +100,8 @@
 	// tokens is the number of requests that a cold target may get now, last refilled at tokensAt.
 	tokens   float64
 	tokensAt clock.Moment
+	// rateLimit is the limit that the target named, nil if it never did.
+	rateLimit *rateLimit
 	// backoffUntil, consecutiveFailures and failureRate are derived from failed requests.
 	backoffUntil        clock.Moment
 	consecutiveFailures int
@@ -216,7 +218,7 @@
 
 // coldRate returns the number of requests per second that this instance may send to the target while it is cold.
 func (candidate *candidate) coldRate() float64 {
-	return candidate.config.ColdRate * coldRateShare * *candidate.coldShare
+	return candidate.config.ColdRate * coldRateShare * *candidate.rateShare
 }
 
 // nextColdStartAt returns when a cold target may next get a request, or the value never if it may get one now.
@@ -268,7 +270,7 @@
 	if candidate.ownInFlight+candidate.othersInFlight(now) >= candidate.limitShare(limit) {
 		return false
 	}
-	if !despiteFailures && now < candidate.backoffUntil {
+	if !despiteFailures && now < candidate.backoffUntil || !candidate.limitAllows(now) {
 		return false
 	}
 	return !candidate.cold(now) || candidate.coldStartAllowed(now)
--- a/internal/service/candidateindex.go
+++ b/internal/service/candidateindex.go
@@ -250,6 +250,7 @@
 	if candidate.config.Owned && now >= candidate.ownedFrom && candidate.cold(now) {
 		next = min(next, candidate.nextColdStartAt(now))
 	}
+	next = min(next, candidate.limitAllowsAt(now))
 	if !candidate.hasReading || candidate.stale(now) {
 		return next
 	}
--- a/internal/service/concurrency_test.go
+++ b/internal/service/concurrency_test.go
@@ -66,7 +66,7 @@
 func TestRetrospectiveForecast(t *testing.T) {
 	const start = clock.Moment(30000)
 	share := 1.0
-	candidate := &candidate{Target: &Target{Name: "one"}, config: TargetConfig{Slots: 4}, coldShare: &share, concurrencyModel: &concurrencyModel{}}
+	candidate := &candidate{Target: &Target{Name: "one"}, config: TargetConfig{Slots: 4}, rateShare: &share, concurrencyModel: &concurrencyModel{}}
 	for number, slowdown := range []float64{1, 5, 1, 1, 0, 1} {
 		if slowdown == 0 {
 			continue
--- a/internal/service/dispatcher.go
+++ b/internal/service/dispatcher.go
@@ -99,6 +99,8 @@
 	candidate   *candidate
 	classStats  *classStats
 	startedFast bool
+	// started is the start time of the target's process to which the permit applies.
+	started int64
 	// activeRequest records how many requests run on the target while this one is in flight.
 	activeRequest *activeRequest
 	// exploredClass is the slotClass of the target if the request exceeds its concurrency limit, to learn the effect of one
--- /dev/null
+++ b/internal/service/limitmodel_test.go
@@ -0,0 +1,333 @@
+package service
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
+var limitSeeds = flag.Int("limit.seeds", 3, "number of seeds for each scenario of a server's limit")
+
+// limitPolicy is a way to share the limit of a target among the instances that serve.
+type limitPolicy string
+
+const (
+	// countTogether deducts what other instances report from each instance's bucket.
+	countTogether limitPolicy = "counted together"
+	// equalShares gives each instance the same share of a limit, and reports no requests.
+	equalShares limitPolicy = "equal shares"
+	// ownerOnly lets only the owner of a target send to it while it names a limit.
+	ownerOnly limitPolicy = "owner only"
+	// countAlone gives each instance the whole limit: a mutant that the model must detect.
+	countAlone limitPolicy = "each counts alone"
+)
+
+// What the users allow a limited target, from limitModelContact after it first named its limit.
+const (
+	limitModelStep    = 10 * clock.Millisecond
+	limitModelContact = 3 * clock.Second
+	limitModelWindow  = 4 * clock.Second
+	limitModelKnown   = 500 * clock.Millisecond
+	limitModelLength  = 30 * clock.Second
+	// limitModelNamedAt is when targets begin to name their limit.
+	limitModelNamedAt = 5 * clock.Second
+	limitModelDelay   = 2
+	limitModelWork    = 160 * clock.Millisecond
+)
+
+// limitScenario is a load on a fleet some of whose targets name a limit.
+type limitScenario struct {
+	name                        string
+	instances, targets, limited int
+	rate, arrivalRate           float64
+	// oneSided sends all requests to one instance, which changes every 7 s.
+	oneSided bool
+	// faults restarts instances and loses a third of the reports.
+	faults bool
+}
+
+var limitScenarios = []limitScenario{
+	{name: "few limited", instances: 3, targets: 15, limited: 5, rate: 1, arrivalRate: 30},
+	{name: "few limited, one instance has the callers", instances: 3, targets: 15, limited: 5, rate: 1, arrivalRate: 30, oneSided: true},
+	{name: "few limited, eight instances", instances: 8, targets: 15, limited: 5, rate: 1, arrivalRate: 30},
+	{name: "few limited, faults", instances: 3, targets: 15, limited: 5, rate: 2, arrivalRate: 30, faults: true},
+	{name: "all limited, load of 0.7", instances: 3, targets: 10, limited: 10, rate: 4, arrivalRate: 28},
+	{name: "all limited, load of 0.7, one instance has the callers", instances: 3, targets: 10, limited: 10, rate: 4, arrivalRate: 28, oneSided: true},
+	{name: "all limited, overload of 1.3", instances: 3, targets: 10, limited: 10, rate: 2, arrivalRate: 26},
+}
+
+// limitInstance is one instance of the model.
+type limitInstance struct {
+	scheduler *Scheduler
+	key       PeerKey
+	// toldAt is when a target first named its limit to this instance.
+	toldAt   map[settings.TargetName]clock.Moment
+	permits  []limitPermit
+	pending  []*PendingPermit
+	incoming map[int][]limitDelivery
+}
+
+type limitPermit struct {
+	permit Permit
+	until  clock.Moment
+}
+
+type limitDelivery struct {
+	from   PeerKey
+	report LimitReport
+}
+
+// limitResult is what a run of the model shows.
+type limitResult struct {
+	// worstUse is the largest share of the allowed requests that a target got in a window, over 1 if it got too many.
+	worstUse float64
+	// used is the share of their limits that targets got.
+	used          float64
+	sent, refused int
+}
+
+// limitModel is a fleet of schedulers in virtual time.
+type limitModel struct {
+	limitScenario
+
+	policy    limitPolicy
+	clock     *clock.Manual
+	random    *rand.Rand
+	instances []*limitInstance
+	step      int
+	nextKey   PeerKey
+	arrivals  map[settings.TargetName][]clock.Moment
+	result    limitResult
+}
+
+func newLimitModel(scenario limitScenario, policy limitPolicy, seed uint64) *limitModel {
+	manual := clock.NewManual()
+	manual.Advance(clock.Minute)
+	model := &limitModel{
+		limitScenario: scenario, policy: policy, clock: manual, random: rand.New(rand.NewPCG(seed, 1)), arrivals: map[settings.TargetName][]clock.Moment{},
+	}
+	for range scenario.instances {
+		model.instances = append(model.instances, &limitInstance{})
+		model.restart(len(model.instances) - 1)
+	}
+	return model
+}
+
+func (model *limitModel) restart(number int) {
+	model.nextKey++
+	instance := &limitInstance{
+		scheduler: NewScheduler(SchedulerOptions{Clock: &model.clock.Clock, Rand: rand.New(rand.NewPCG(uint64(model.nextKey), 2))}),
+		key:       model.nextKey, toldAt: map[settings.TargetName]clock.Moment{}, incoming: map[int][]limitDelivery{},
+	}
+	var configs []TargetConfig
+	for target := range model.targets {
+		configs = append(configs, TargetConfig{
+			Name: settings.TargetName(fmt.Sprintf("t-%02d", target)), Slots: 2, Local: target%3 == number%3, Owned: target%model.limitScenario.instances == number, Usable: true,
+			ColdRate: 100,
+		})
+	}
+	instance.scheduler.SetTargets(configs)
+	switch model.policy {
+	case equalShares:
+		instance.scheduler.SetRateShare(1 / float64(model.limitScenario.instances))
+	case ownerOnly:
+		for _, candidate := range instance.scheduler.ordered {
+			if !candidate.config.Owned {
+				candidate.rateShare = new(float64)
+			}
+		}
+	default:
+	}
+	model.instances[number] = instance
+}
+
+func (model *limitModel) limitedTarget(name settings.TargetName) bool {
+	var number int
+	_, _ = fmt.Sscanf(string(name), "t-%d", &number)
+	return number < model.limited
+}
+
+func (model *limitModel) play() limitResult {
+	start := model.clock.Now()
+	for ; model.clock.Now().Since(start) < limitModelLength; model.step++ {
+		now := model.clock.Now()
+		for number, instance := range model.instances {
+			if model.faults && model.random.Float64() < 0.0005 {
+				model.restart(number)
+				instance = model.instances[number]
+			}
+			model.run(instance, now, now.Since(start) >= limitModelNamedAt)
+		}
+		model.arrive(now, now.Since(start))
+		model.clock.Advance(limitModelStep)
+	}
+	used, allowed := 0.0, 0.0
+	for target := range model.limited {
+		name := settings.TargetName(fmt.Sprintf("t-%02d", target))
+		model.checkWindows(model.arrivals[name])
+		used += float64(len(model.arrivals[name]))
+		allowed += model.rate * float64((limitModelLength-limitModelNamedAt-limitModelContact)/clock.Second)
+	}
+	model.result.used = used / allowed
+	return model.result
+}
+
+// checkWindows compares the requests that a target got with what it allows in each window.
+func (model *limitModel) checkWindows(arrivals []clock.Moment) {
+	first := 0
+	for index, at := range arrivals {
+		for at.Since(arrivals[first]) >= limitModelWindow {
+			first++
+		}
+		allowed := 1.5*model.rate*float64(limitModelWindow/clock.Second) + 5
+		model.result.worstUse = max(model.result.worstUse, float64(index-first+1)/allowed)
+	}
+}
+
+// run ends requests, exchanges reports and grants permits to waiting requests.
+func (model *limitModel) run(instance *limitInstance, now clock.Moment, naming bool) {
+	for _, delivery := range instance.incoming[model.step] {
+		instance.scheduler.ReceiveLimitReport(delivery.from, delivery.report)
+	}
+	delete(instance.incoming, model.step)
+	instance.permits = slices.DeleteFunc(instance.permits, func(held limitPermit) bool {
+		if now < held.until {
+			return false
+		}
+		model.answer(instance, held.permit, now, naming)
+		return true
+	})
+	if model.step%5 == 0 {
+		for _, candidate := range slices.Clone(instance.scheduler.ordered) {
+			instance.scheduler.Observe(candidate.Name, LoadReading{At: now, Slots: 2, Running: candidate.ownInFlight, Slowdown: 1, ColdKnown: true})
+		}
+	}
+	instance.scheduler.Sweep()
+	instance.pending = slices.DeleteFunc(instance.pending, func(pending *PendingPermit) bool {
+		permit, ended, err := pending.Poll()
+		if !ended && now >= pending.WaitDeadline() {
+			permit, err = pending.Cancel()
+			ended = true
+		}
+		if ended {
+			model.granted(instance, permit, err, now)
+		}
+		return ended
+	})
+	for _, report := range instance.scheduler.LimitReports(now) {
+		model.report(instance, report)
+	}
+}
+
+// report sends a report to the other instances.
+func (model *limitModel) report(from *limitInstance, report LimitReport) {
+	if model.policy != countTogether {
+		report.Sent = 0
+	}
+	for _, to := range model.instances {
+		if to == from || model.faults && model.random.Float64() < 0.3 {
+			continue
+		}
+		at := model.step + limitModelDelay
+		to.incoming[at] = append(to.incoming[at], limitDelivery{from: from.key, report: report})
+	}
+}
+
+func (model *limitModel) answer(instance *limitInstance, permit Permit, now clock.Moment, naming bool) {
+	name := permit.Target.Name
+	statement := Statement{At: now, Limit: RateLimitStatement{Absent: true}}
+	if naming && model.limitedTarget(name) {
+		statement.Limit = RateLimitStatement{Named: true, Rate: model.rate}
+		if _, told := instance.toldAt[name]; !told {
+			instance.toldAt[name] = now
+		}
+	}
+	permit.ObserveStatement(statement)
+	permit.Release(Succeeded)
+}
+
+// arrive sends the requests of callers to instances.
+func (model *limitModel) arrive(now clock.Moment, elapsed clock.Milliseconds) {
+	for model.random.Float64() < model.arrivalRate*float64(limitModelStep/clock.Second)/(1+model.arrivalRate*float64(limitModelStep/clock.Second)) {
+		number := model.random.IntN(len(model.instances))
+		if model.oneSided {
+			number = int(elapsed/(7*clock.Second)) % len(model.instances)
+		}
+		instance := model.instances[number]
+		permit, pending, err := instance.scheduler.AcquireOrEnqueue(PermitRequest{
+			Class: "look", SoftDeadline: now.Add(400 * clock.Millisecond), Deadline: now.Add(1200 * clock.Millisecond),
+		})
+		if pending != nil {
+			instance.pending = append(instance.pending, pending)
+			continue
+		}
+		model.granted(instance, permit, err, now)
+	}
+}
+
+func (model *limitModel) granted(instance *limitInstance, permit Permit, err error, now clock.Moment) {
+	model.result.sent++
+	if err != nil {
+		model.result.refused++
+		return
+	}
+	instance.permits = append(instance.permits, limitPermit{permit: permit, until: now.Add(limitModelWork * clock.Milliseconds(0.7+0.6*model.random.Float64()))})
+	name := permit.Target.Name
+	if told, known := instance.toldAt[name]; known && now.Since(told) >= limitModelKnown && now.Since(clock.Moment(clock.Minute)) >= limitModelNamedAt+limitModelContact {
+		model.arrivals[name] = append(model.arrivals[name], now)
+	}
+}
+
+// playLimits plays a scenario with several seeds and returns the worst use, and the means of the other figures.
+func playLimits(scenario limitScenario, policy limitPolicy, seeds int) (worstUse, used, refused float64) {
+	for seed := range seeds {
+		result := newLimitModel(scenario, policy, uint64(seed+1)).play()
+		worstUse = max(worstUse, result.worstUse)
+		used += result.used / float64(seeds)
+		refused += float64(result.refused) / float64(result.sent) / float64(seeds)
+	}
+	return worstUse, used, refused
+}
+
+// Guards against a server that gets more requests than its limit allows, under faults and uneven load.
+func TestServerLimitHoldsInModel(t *testing.T) {
+	for _, scenario := range limitScenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			t.Parallel()
+			worstUse, used, refused := playLimits(scenario, countTogether, *limitSeeds)
+			require.LessOrEqual(t, worstUse, 1.0)
+			unlimited := scenario
+			unlimited.rate = 1000
+			_, wanted, _ := playLimits(unlimited, countTogether, *limitSeeds)
+			require.GreaterOrEqual(t, used, 0.5*min(wanted*unlimited.rate/scenario.rate, 1), "the limit is used")
+			if scenario.limited < scenario.targets {
+				require.Zero(t, refused, "others can serve")
+			}
+		})
+	}
+}
+
+// Guards against a model that cannot fail.
+func TestLimitModelDetectsInstancesThatCountAlone(t *testing.T) {
+	worstUse, _, _ := playLimits(limitScenarios[2], countAlone, 2)
+	require.Greater(t, worstUse, 1.0)
+}
+
+// TestLimitPolicies compares ways to share a limit on the same seeds, and guards against a policy that another one surpasses.
+func TestLimitPolicies(t *testing.T) {
+	for _, scenario := range limitScenarios {
+		_, ownUsed, _ := playLimits(scenario, countTogether, *limitSeeds)
+		for _, policy := range []limitPolicy{countTogether, equalShares, ownerOnly} {
+			worstUse, used, refused := playLimits(scenario, policy, *limitSeeds)
+			t.Logf("%-60s %-18s most used of the allowance %.2f, used of the limit %.2f, refused %.4f", scenario.name, policy, worstUse, used, refused)
+			require.True(t, worstUse > 1 || ownUsed >= used-0.05, "%s uses more of the limit", policy)
+		}
+	}
+}
--- a/internal/service/randomworkload_test.go
+++ b/internal/service/randomworkload_test.go
@@ -109,7 +109,7 @@
 	case kind < 955:
 		scheduler.SetDown(randomWorkload.configs[random.IntN(len(randomWorkload.configs))].Name, randomWorkload.chance(0.3))
 	case kind < 980:
-		scheduler.SetColdShare(float64(random.IntN(5)) / 4)
+		scheduler.SetRateShare(float64(random.IntN(5)) / 4)
 	case kind < 990:
 		number := random.IntN(len(randomWorkload.configs))
 		randomWorkload.configs[number] = randomWorkload.randomConfig(number)
--- a/internal/service/scheduler.go
+++ b/internal/service/scheduler.go
@@ -64,8 +64,11 @@
 	// ownInFlight is the number of permits in use, meanPermitDuration the moving average of the time for which one is in use.
 	ownInFlight        int
 	meanPermitDuration clock.Milliseconds
-	// coldShare is the share of the request rate of cold targets that this instance may use.
-	coldShare float64
+	// rateShare is the share of the request rate of cold and of limited targets that this instance may use.
+	rateShare float64
+	// rateLimits are the limits that targets have named, limitedTargets the usable targets with one in force.
+	rateLimits     map[settings.TargetName]*rateLimit
+	limitedTargets []*candidate
 	// lastAcquire is when a permit was last requested.
 	lastAcquire clock.Moment
 	rankShares  rankShares
@@ -93,7 +96,8 @@
 	return &Scheduler{
 		lastSlowAt: options.Clock.Now(),
 		clock:      options.Clock, random: options.Rand, candidates: map[settings.TargetName]*candidate{},
-		classStats: map[settings.ClassName]*classStats{}, meanSlowdown: initialSlowdown, meanSpeed: 1 / initialSlowdown, meanPermitDuration: initialServiceTime, coldShare: 1,
+		classStats: map[settings.ClassName]*classStats{}, meanSlowdown: initialSlowdown, meanSpeed: 1 / initialSlowdown, meanPermitDuration: initialServiceTime, rateShare: 1,
+		rateLimits: map[settings.TargetName]*rateLimit{},
 	}
 }
 
@@ -128,6 +132,8 @@
 	}
 	clear(scheduler.ordered[len(remaining):])
 	scheduler.ordered = remaining
+	scheduler.dropOldLimits(now)
+	scheduler.countLimited()
 	scheduler.reindexAll(now)
 	if scheduler.usableCount == 0 {
 		scheduler.refuseAll(ErrNoTarget)
@@ -140,7 +146,7 @@
 	if !found {
 		existing = &candidate{
 			Target: &Target{Name: config.Name, Address: config.Address, DataCentre: config.DataCentre}, tokensAt: now, learningSince: now,
-			coldShare: &scheduler.coldShare, concurrencyModel: &scheduler.concurrencyModel,
+			rateShare: &scheduler.rateShare, concurrencyModel: &scheduler.concurrencyModel,
 		}
 		existing.indexEntry.bucketEntry = bucketEntry[candidate]{item: existing, bucket: notIndexed}
 		existing.indexEntry.reindexTimer.item = existing
@@ -156,6 +162,7 @@
 	}
 	existing.refill(now)
 	existing.config = config
+	scheduler.attachLimit(existing)
 	existing.slotClass = existing.concurrencyModel.slotClassOf(config.Slots)
 	if existing.Address != config.Address || existing.DataCentre != config.DataCentre {
 		existing.Target = &Target{Name: config.Name, Address: config.Address, DataCentre: config.DataCentre}
@@ -197,18 +204,19 @@
 	scheduler.reindex(scheduler.clock.Now(), candidate)
 }
 
-// SetColdShare sets the share of the request rate of cold targets that this instance may use, from 0 to 1.
-func (scheduler *Scheduler) SetColdShare(share float64) {
+// SetRateShare sets the share of the request rate of cold and of limited targets that this instance may use, from 0 to 1.
+func (scheduler *Scheduler) SetRateShare(share float64) {
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
-	if share == scheduler.coldShare {
+	if share == scheduler.rateShare {
 		return
 	}
 	now := scheduler.clock.Now()
 	for _, candidate := range scheduler.ordered {
 		candidate.refill(now)
+		candidate.limitAllows(now)
 	}
-	scheduler.coldShare = share
+	scheduler.rateShare = share
 	scheduler.reindexAll(now)
 }
 
--- a/internal/service/statement.go
+++ b/internal/service/statement.go
@@ -1,7 +1,14 @@
 package service
 
+import (
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
 // Statement is what a target says of itself in a response, besides its load.
 type Statement struct {
+	// At is when the response arrived, on the clock of this process.
+	At    clock.Moment
 	Limit RateLimitStatement
 }
 
@@ -11,4 +18,55 @@
 	Named, Invalid bool
 	// Rate is the limit in requests per second over all instances together.
 	Rate float64
+	// Absent reports that the response would name a limit if the target had one. That of an error may not come from the target's
+	// usual handling.
+	Absent bool
+}
+
+// Source is the kind of response that contains a statement.
+type Source string
+
+// Sources of statements.
+const (
+	FromAnswer Source = "answer"
+	FromProbe  Source = "probe"
+	FromPeer   Source = "peer"
+)
+
+// StatementChange is a change of what is known of a target from its statements. Its zero value is no change.
+type StatementChange struct {
+	Target settings.TargetName
+	Source Source
+	// Limited reports that the target names a limit from now on, Rate is the limit; Unlimited reports that it withdrew it.
+	Limited, Unlimited bool
+	Rate               float64
+}
+
+// Changed reports whether anything has changed.
+func (change *StatementChange) Changed() bool {
+	return change.Limited || change.Unlimited
+}
+
+// ObserveStatement adds what a target said of itself in the response to a probe. started is the start time of the target that was
+// probed: a statement of an earlier process of the same name is ignored.
+func (scheduler *Scheduler) ObserveStatement(name settings.TargetName, started int64, statement Statement) StatementChange {
+	return scheduler.observeStatement(name, started, statement, FromProbe)
+}
+
+// ObserveStatement adds what the target said of itself in its response to the request of the permit.
+func (permit Permit) ObserveStatement(statement Statement) StatementChange {
+	if permit.scheduler == nil {
+		return StatementChange{}
+	}
+	return permit.scheduler.observeStatement(permit.Target.Name, permit.started, statement, FromAnswer)
+}
+
+func (scheduler *Scheduler) observeStatement(name settings.TargetName, started int64, statement Statement, source Source) StatementChange {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	candidate, found := scheduler.candidates[name]
+	if !found || candidate.config.Started != started {
+		return StatementChange{}
+	}
+	return scheduler.observeLimit(candidate, statement, source)
 }
--- a/internal/service/waitforfast_test.go
+++ b/internal/service/waitforfast_test.go
@@ -104,7 +104,7 @@
 	manual := clock.NewManual()
 	manual.Advance(clock.Minute)
 	share := 1.0
-	target := &candidate{Target: &Target{Name: "one"}, config: TargetConfig{Slots: 4, Owned: true, Usable: true}, coldShare: &share}
+	target := &candidate{Target: &Target{Name: "one"}, config: TargetConfig{Slots: 4, Owned: true, Usable: true}, rateShare: &share}
 	target.observe(LoadReading{At: manual.Now(), Slowdown: 1, SteadyFor: 20, Period: 150, ColdKnown: true})
 	require.False(t, target.slow(manual.Now()))
 	require.True(t, target.slow(manual.Now().Add(25)))
