Probe limited servers just before a request, and emulate limits

A server that names 1 request a second was probed 0.8 times a second at any moment, so that most requests went there without a recent reading and a third of them to a server that was slow. Probes now come at most at half the limit and 0.75 a second, preferably within 120 ms before the limit admits a request. Requests and probes together stay within what a limit allows, although the users' pages count requests with an id only.

--- a/internal/emulate/experiment.go
+++ b/internal/emulate/experiment.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"os"
 
 	"github.com/cockroachdb/errors"
@@ -19,6 +20,8 @@
 	Bursts []Burst `json:"bursts,omitempty"`
 	// Outages make a part of the targets unavailable for a time.
 	Outages []Outage `json:"outages,omitempty"`
+	// RateLimits are limits that a part of the targets names for a time.
+	RateLimits []RateLimit `json:"limits,omitempty"`
 	// Duration is the time during which requests arrive. Requests that start before MeasureFrom are not counted.
 	Duration    clock.Milliseconds `json:"length"`
 	MeasureFrom clock.Milliseconds `json:"settle"`
@@ -81,6 +84,17 @@
 	TargetShare float64            `json:"share"`
 }
 
+// RateLimit is a time during which a fraction of the targets names a limit in its responses, and responses to probes name it if
+// ProbesName is set.
+type RateLimit struct {
+	Start       clock.Milliseconds `json:"at"`
+	Duration    clock.Milliseconds `json:"for"`
+	TargetShare float64            `json:"share"`
+	// Rate is the limit in requests per second from all instances together.
+	Rate       float64 `json:"perSecond"`
+	ProbesName bool    `json:"inProbes,omitempty"`
+}
+
 // Variant is one configuration of the site's instances.
 type Variant struct {
 	Name string `json:"name"`
@@ -140,6 +154,12 @@
 			valid bool
 		}{"classes." + string(class.Name), class.valid()})
 	}
+	for index := range experiment.RateLimits {
+		checks = append(checks, struct {
+			field string
+			valid bool
+		}{fmt.Sprintf("limits.%d", index), experiment.RateLimits[index].valid()})
+	}
 	for _, variant := range experiment.Variants {
 		checks = append(checks, struct {
 			field string
@@ -154,6 +174,10 @@
 	return nil
 }
 
+func (rateLimit *RateLimit) valid() bool {
+	return rateLimit.Rate >= 0 && rateLimit.TargetShare >= 0 && rateLimit.TargetShare <= 1 && rateLimit.Start >= 0 && rateLimit.Duration > 0
+}
+
 func (class *Class) valid() bool {
 	return class.Name != "" && class.Rate > 0 && class.MeanServiceTime > 0 && class.Deviation >= 0 &&
 		class.SoftTimeout > 0 && class.Timeout >= class.SoftTimeout && class.MaxRetries >= 0 &&
--- a/internal/emulate/run.go
+++ b/internal/emulate/run.go
@@ -25,6 +25,8 @@
 	// probeIntervalUnknown the time if the target has no known cycle.
 	probeIntervalLearning = 30 * clock.Millisecond
 	probeIntervalUnknown  = 45 * clock.Millisecond
+	// probeNotDuePause is the time after which a probe that was not due is considered again.
+	probeNotDuePause = 100 * clock.Millisecond
 	// continuousProbeInterval is the time between probes of a variant with ContinuousProbes.
 	continuousProbeInterval = 5 * clock.Millisecond
 	// timeoutSpread is the range of callers' timeouts within a class: from (1 - timeoutSpread) * Timeout to Timeout.
@@ -81,6 +83,9 @@
 	for _, outage := range experiment.Outages {
 		simulation.scheduleOutage(outage)
 	}
+	for index := range experiment.RateLimits {
+		simulation.scheduleRateLimit(&experiment.RateLimits[index])
+	}
 	longest := clock.Milliseconds(0)
 	for index := range experiment.Classes {
 		class := &experiment.Classes[index]
@@ -134,6 +139,34 @@
 	simulation.engine.at(clock.Moment(outage.Start+outage.Duration), setUnavailable(false))
 }
 
+// scheduleRateLimit schedules the start and the end of a rate limit.
+func (simulation *simulation) scheduleRateLimit(rateLimit *RateLimit) {
+	set := func(limit *RateLimit) func() {
+		return func() {
+			for number, target := range simulation.targets {
+				if float64(number) < rateLimit.TargetShare*float64(len(simulation.targets)) {
+					target.rateLimit = limit
+				}
+			}
+		}
+	}
+	simulation.engine.at(clock.Moment(rateLimit.Start), set(rateLimit))
+	simulation.engine.at(clock.Moment(rateLimit.Start+rateLimit.Duration), set(nil))
+}
+
+// reportLimits sends what has changed of the limits of targets to the other instances.
+func (instance *instance) reportLimits() {
+	for _, report := range instance.scheduler.LimitReports(instance.simulation.engine.now()) {
+		for _, other := range instance.simulation.instances {
+			if other != instance {
+				instance.simulation.engine.after(instance.simulation.variant.ReadingDelay, func() {
+					other.scheduler.ReceiveLimitReport(service.PeerKey(instance.number), report)
+				})
+			}
+		}
+	}
+}
+
 // startPeriodicTasks starts the probes of all targets, unless the variant has none, and the sweeps of all schedulers.
 func (simulation *simulation) startPeriodicTasks() {
 	for index, target := range simulation.targets {
@@ -147,6 +180,7 @@
 		for _, instance := range simulation.instances {
 			instance.scheduler.Sweep()
 			instance.deliverDecisions()
+			instance.reportLimits()
 		}
 		simulation.engine.after(sweepInterval, sweep)
 	}
@@ -155,16 +189,21 @@
 
 // probe takes a load reading of a target. The owner receives it at once, the other instances after ReadingDelay.
 func (simulation *simulation) probe(target *target) {
+	owner := simulation.instances[target.owner]
+	if !owner.scheduler.ProbeDue(target.name) {
+		simulation.engine.after(probeNotDuePause, func() { simulation.probe(target) })
+		return
+	}
 	target.update()
 	loadReading := target.loadReading()
-	owner := simulation.instances[target.owner]
 	owner.observe(target.name, loadReading)
+	owner.scheduler.ObserveStatement(target.name, 0, target.statement(true))
 	for _, other := range simulation.instances {
 		if other != owner {
 			simulation.engine.after(simulation.variant.ReadingDelay, func() { other.observe(target.name, loadReading) })
 		}
 	}
-	interval := owner.scheduler.NextProbe(target.name, probeIntervalLearning, probeIntervalUnknown)
+	interval := max(owner.scheduler.NextProbe(target.name, probeIntervalLearning, probeIntervalUnknown), owner.scheduler.MinProbeInterval(target.name))
 	if simulation.variant.ContinuousProbes {
 		interval = continuousProbeInterval
 	}
@@ -302,7 +341,7 @@
 	target := simulation.targetsByName[permit.Target.Name]
 	simulation.engine.after(targetDelay, func() {
 		target.submit(&job{remaining: call.serviceTime, deadline: call.deadline, done: func(finished bool) {
-			loadReading := target.loadReading()
+			loadReading, statement := target.loadReading(), target.statement(false)
 			simulation.engine.after(targetDelay, func() {
 				if !finished {
 					permit.Release(service.Failed)
@@ -311,6 +350,7 @@
 					return
 				}
 				permit.Observe(loadReading)
+				permit.ObserveStatement(statement)
 				permit.Release(service.Succeeded)
 				instance.deliverDecisions()
 				call.handleResponse()
--- a/internal/emulate/target.go
+++ b/internal/emulate/target.go
@@ -20,6 +20,8 @@
 	seed        uint64
 	owner       int
 	unavailable bool
+	// rateLimit is the limit that the target names, nil if it names none.
+	rateLimit *RateLimit
 
 	running   []*job
 	waiting   []*job
@@ -66,6 +68,17 @@
 	}
 }
 
+// statement returns what the target says of itself in a response.
+func (target *target) statement(toProbe bool) service.Statement {
+	statement := service.Statement{At: target.engine.now()}
+	if target.rateLimit == nil || toProbe && !target.rateLimit.ProbesName {
+		statement.Limit.Absent = true
+	} else {
+		statement.Limit = service.RateLimitStatement{Named: true, Rate: target.rateLimit.Rate}
+	}
+	return statement
+}
+
 // submit runs or queues a request. If the queue is full, the request gets no response, as on the users' platform.
 func (target *target) submit(job *job) {
 	target.update()
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -218,7 +218,8 @@
 	return sensing.Job{
 		Service: server.Service, Target: server.Name, Started: server.Started, Address: server.Address, Path: state.limits.ProbePath,
 		Due: func() bool {
-			return controller.options.Clock.Now() >= probeAllFrom || scheduler.Busy(serviceBusyWindow)
+			requested := controller.options.Clock.Now() >= probeAllFrom || scheduler.Busy(serviceBusyWindow)
+			return requested && scheduler.ProbeDue(name)
 		},
 		Pause: func() clock.Milliseconds {
 			interval := scheduler.MinProbeInterval(name)
--- a/internal/service/ratelimit.go
+++ b/internal/service/ratelimit.go
@@ -32,11 +32,14 @@
 	limitRetention = 5 * clock.Minute
 )
 
-// Probes of a limited target count against its resources as well. They are sent at limitedProbeRate times the limit, and at least
-// at minLimitedProbeRate per second, so that a reading is not stale when the next probe is due.
+// Probes of a limited target count against its resources as well. There are at most limitedProbeRate times the limit and
+// minLimitedProbeRate more a second, preferably within limitedProbeLead before the limit admits a request, which then is sent by a
+// recent reading. Without such a moment, a target is probed before its reading is stale.
 const (
 	limitedProbeRate    = 0.5
-	minLimitedProbeRate = 0.8
+	minLimitedProbeRate = 0.75
+	limitedProbeLead    = 120 * clock.Millisecond
+	limitedProbeMaxAge  = maxReadingAge - 250*clock.Millisecond
 )
 
 // PeerKey identifies the process of another instance.
@@ -244,7 +247,20 @@
 	if !found || !candidate.limited() {
 		return 0
 	}
-	return clock.Second / clock.Milliseconds(max(limitedProbeRate*candidate.rateLimit.rate, minLimitedProbeRate))
+	return clock.Second / clock.Milliseconds(limitedProbeRate*candidate.rateLimit.rate+minLimitedProbeRate)
+}
+
+// ProbeDue reports whether the target should be probed now, provided that MinProbeInterval has passed since the last probe.
+func (scheduler *Scheduler) ProbeDue(name settings.TargetName) bool {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	candidate, found := scheduler.candidates[name]
+	if !found || !candidate.limited() {
+		return true
+	}
+	now := scheduler.clock.Now()
+	next := candidate.limitAllowsAt(now)
+	return next == never || next.Since(now) <= limitedProbeLead || !candidate.hasReading || now.Since(candidate.reading.At) >= limitedProbeMaxAge
 }
 
 // LimitReport tells other instances of a target's limit and of the requests sent to it.
--- a/internal/service/ratelimit_test.go
+++ b/internal/service/ratelimit_test.go
@@ -254,9 +254,9 @@
 		rate     float64
 		interval clock.Milliseconds
 	}{
-		{0, 1250 * clock.Millisecond},
-		{1, 1250 * clock.Millisecond},
-		{10, 200 * clock.Millisecond},
+		{0, clock.Second / 0.75},
+		{1, clock.Second / 1.25},
+		{10, clock.Second / 5.75},
 	}
 	for _, testCase := range cases {
 		fixture := newLimitFixture(t, limitedName)
