Show in logs and traces that a server asked for rest or is about to stop

Evidence missing in the incident of a server's rest: the logs show four refusals of one server within 3 s, but not whether they asked for rest. Each attempt now shows it (serverRestMs), and whether the response says that the server leaves (serverLeaving). No decision reads either yet.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -124,6 +124,7 @@
 	if statement.Limit.Named {
 		attempt.trace.ServerLimit = &statement.Limit.Rate
 	}
+	attempt.trace.ServerRest, attempt.trace.ServerLeaving = statement.Rest, statement.Leaving
 	if change := attempt.permit.ObserveStatement(statement); change.Changed() && call.handler.options.OnStatement != nil {
 		call.handler.options.OnStatement(change)
 	}
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -77,6 +77,12 @@
 	if attemptFields.ServerLimit != nil {
 		event.Float64("serverLimit", *attemptFields.ServerLimit)
 	}
+	if attemptFields.ServerRest > 0 {
+		event.Float64("serverRestMs", float64(attemptFields.ServerRest))
+	}
+	if attemptFields.ServerLeaving {
+		event.Bool("serverLeaving", true)
+	}
 	if attemptFields.Error != "" {
 		event.Str("problem", attemptFields.Error)
 	}
--- a/internal/service/statement.go
+++ b/internal/service/statement.go
@@ -10,6 +10,10 @@
 	// At is when the response arrived, on the clock of this process.
 	At    clock.Moment
 	Limit RateLimitStatement
+	// Rest is the time for which the target wants no request from this instance, 0 if it asks for none.
+	Rest clock.Milliseconds
+	// Leaving reports that the target is about to stop.
+	Leaving bool
 }
 
 // RateLimitStatement is what a response says of the number of requests that its target accepts.
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -56,6 +56,10 @@
 	// ServerLimit is the number of requests per second to which the server limits the whole fleet by its response, nil if it
 	// names none.
 	ServerLimit *float64 `json:"serverLimit,omitempty"`
+	// ServerRest is the time for which the server wants no other request from this instance, 0 if it asks for none; ServerLeaving
+	// reports that the server says that it is about to stop.
+	ServerRest    clock.Milliseconds `json:"serverRest,omitempty"`
+	ServerLeaving bool               `json:"serverLeaving,omitempty"`
 	// Error is the error message, empty if there was no error.
 	Error string `json:"error,omitempty"`
 }
