Keep what a server says of itself in one record

The token bucket, its retention and its reports stood in one type, and the rest and the leaving of a server need the same retention. The tests of service, fleet and emulate pass unchanged but for the names.

--- a/internal/emulate/run.go
+++ b/internal/emulate/run.go
@@ -154,13 +154,13 @@
 	simulation.engine.at(clock.Moment(rateLimit.Start+rateLimit.Duration), set(nil))
 }
 
-// reportLimits sends what has changed of the limits of targets to the other instances.
-func (instance *instance) reportLimits() {
-	for _, report := range instance.scheduler.LimitReports(instance.simulation.engine.now()) {
+// reportDeclarations sends what has changed of the limits of targets to the other instances.
+func (instance *instance) reportDeclarations() {
+	for _, report := range instance.scheduler.DeclarationReports(instance.simulation.engine.now()) {
 		for _, other := range instance.simulation.instances {
 			if other != instance {
 				instance.simulation.engine.after(instance.simulation.variant.ReadingDelay, func() {
-					other.scheduler.ReceiveLimitReport(service.PeerKey(instance.number), report)
+					other.scheduler.ReceiveDeclaration(service.PeerKey(instance.number), report)
 				})
 			}
 		}
@@ -180,7 +180,7 @@
 		for _, instance := range simulation.instances {
 			instance.scheduler.Sweep()
 			instance.deliverDecisions()
-			instance.reportLimits()
+			instance.reportDeclarations()
 		}
 		simulation.engine.after(sweepInterval, sweep)
 	}
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -184,12 +184,12 @@
 	// serving are the instances for which owners and addresses were last computed.
 	serving          []membership.Identity
 	nextReadingShare clock.Moment
-	// limitReporters are the instances that have reported requests to limited servers, with the time of the last report.
-	limitReporters map[membership.Incarnation]clock.Moment
-	teams          teamState
-	nextIdleClose  clock.Moment
-	behindSince    clock.Moment
-	bootClockSkew  clock.Milliseconds
+	// declarationReporters are the instances that have reported requests to limited servers, with the time of the last report.
+	declarationReporters map[membership.Incarnation]clock.Moment
+	teams                teamState
+	nextIdleClose        clock.Moment
+	behindSince          clock.Moment
+	bootClockSkew        clock.Milliseconds
 	// membershipDirty reports that heartbeats since the last tick brought changes that have to be passed on to other
 	// instances.
 	membershipDirty bool
@@ -218,7 +218,7 @@
 		members: membership.New(membership.Options{
 			Self: options.Self, Incarnation: options.Incarnation, Seeds: options.Seeds, Clock: options.Clock,
 		}),
-		history: catalog.NewHistory(), limitReporters: map[membership.Incarnation]clock.Moment{},
+		history: catalog.NewHistory(), declarationReporters: map[membership.Incarnation]clock.Moment{},
 		teams:         teamState{reporters: map[membership.Incarnation]clock.Moment{}},
 		services:      map[settings.ServiceName]*serviceState{},
 		targets:       map[TargetKey]targetRef{},
--- /dev/null
+++ b/internal/fleet/declarations.go
@@ -0,0 +1,122 @@
+package fleet
+
+import (
+	"math"
+	"net/netip"
+
+	"github.com/jaywheel/jaywheel/internal/membership"
+	"github.com/jaywheel/jaywheel/internal/service"
+	"github.com/jaywheel/jaywheel/pkg/clock"
+)
+
+const (
+	// maxDeclarationsPerDatagram is the maximum number of declarations in a datagram: at about 30 bytes each they fit into one packet.
+	maxDeclarationsPerDatagram = 40
+	// declarationReporterTimeout is how long an instance is sent the reports of others after its own last report, whatever its state:
+	// callers with old address answers still send requests to it.
+	declarationReporterTimeout = 5 * clock.Second
+	// maxStatementAge is the maximum age of a statement, in milliseconds, in a report.
+	maxStatementAge = math.MaxUint32
+)
+
+// Event names of what backend servers say of themselves.
+const (
+	EventLimitNamed     = "server.limitNamed"
+	EventLimitWithdrawn = "server.limitWithdrawn"
+)
+
+// SharedDeclaration is what a backend server has said of itself, as an instance sends it to others.
+type SharedDeclaration struct {
+	_      struct{} `cbor:",toarray"`
+	Target TargetKey
+	// Started is the start time of the server's process.
+	Started int64
+	// Observed reports that the sender received the statement of the limit itself, AgeMs milliseconds ago; Limited is whether the
+	// limit is in force and Rate the limit in requests per second.
+	Observed bool
+	Limited  bool
+	Rate     float64
+	AgeMs    uint32
+	// Sent is the number of requests that the sender has sent to the server.
+	Sent uint32
+}
+
+// RecordStatement logs and counts a change of what is known of a backend server from its statements.
+func (controller *Controller) RecordStatement(change service.StatementChange) {
+	events := &controller.options.Registry.Events
+	line := controller.options.Log.Info().Str("target", string(change.Target)).Str("source", string(change.Source))
+	switch {
+	case change.Limited:
+		events.Add(EventLimitNamed, 1)
+		line.Float64("perSecond", change.Rate).Msg("backend server limits the requests that it accepts")
+	case change.Unlimited:
+		events.Add(EventLimitWithdrawn, 1)
+		line.Msg("backend server no longer limits the requests that it accepts")
+	}
+}
+
+// reportDeclarations sends what backend servers have said of themselves, and the requests sent to limited ones, to the instances that send requests.
+func (controller *Controller) reportDeclarations(now clock.Moment) {
+	var declarations []SharedDeclaration
+	for _, state := range controller.services {
+		for _, report := range state.scheduler.DeclarationReports(now) {
+			declarations = append(declarations, newSharedDeclaration(&report, now))
+		}
+	}
+	if len(declarations) == 0 {
+		return
+	}
+	recipients := controller.declarationRecipients(now)
+	for start := 0; start < len(declarations); start += maxDeclarationsPerDatagram {
+		message := &Message{Declarations: &DeclarationsMessage{
+			Sender: controller.options.Incarnation, Reports: declarations[start:min(start+maxDeclarationsPerDatagram, len(declarations))],
+		}}
+		for _, address := range recipients {
+			controller.send(address, message)
+		}
+	}
+}
+
+// declarationRecipients returns the addresses of the instances that send requests to backend servers.
+func (controller *Controller) declarationRecipients(now clock.Moment) []netip.AddrPort {
+	for incarnation, at := range controller.declarationReporters {
+		if now.Since(at) > declarationReporterTimeout {
+			delete(controller.declarationReporters, incarnation)
+		}
+	}
+	var addresses []netip.AddrPort
+	for _, member := range controller.members.Alive() {
+		_, reports := controller.declarationReporters[member.Incarnation]
+		if reports || member.State == membership.Serving || member.State == membership.Leaving {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	return addresses
+}
+
+func newSharedDeclaration(report *service.DeclarationReport, now clock.Moment) SharedDeclaration {
+	return SharedDeclaration{
+		Target: keyOf(report.Target), Started: report.Started, Observed: report.Observed, Limited: report.Limited, Rate: report.Rate,
+		AgeMs: uint32(min(max(now.Since(report.StatedAt), 0), maxStatementAge)), Sent: report.Sent,
+	}
+}
+
+// receiveDeclarations applies the declarations that another instance has sent.
+func (controller *Controller) receiveDeclarations(now clock.Moment, message *DeclarationsMessage) {
+	controller.declarationReporters[message.Sender] = now
+	for index := range message.Reports {
+		shared := &message.Reports[index]
+		ref, known := controller.targets[shared.Target]
+		// NaN fails the comparison. Any process may send a datagram.
+		if valid := shared.Rate >= 0 && shared.Rate <= math.MaxFloat64; !known || !valid {
+			continue
+		}
+		change := controller.services[ref.service].scheduler.ReceiveDeclaration(service.PeerKey(message.Sender), service.DeclarationReport{
+			Target: ref.name, Started: shared.Started, Observed: shared.Observed, Limited: shared.Limited, Rate: shared.Rate,
+			StatedAt: now.Add(-clock.Milliseconds(shared.AgeMs)), Sent: shared.Sent,
+		})
+		if change.Changed() {
+			controller.RecordStatement(change)
+		}
+	}
+}
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -103,19 +103,19 @@
 	Heartbeat *membership.Heartbeat
 	Readings  []SharedReading
 	Quota     *quota.Report
-	// Limits is sent alone, in a datagram of its own form: instances of releases that do not know it ignore just these datagrams.
-	Limits *LimitsMessage `cbor:"-"`
+	// Declarations is sent alone, in a datagram of its own form: instances of releases that do not know it ignore just these datagrams.
+	Declarations *DeclarationsMessage `cbor:"-"`
 }
 
-// LimitsMessage contains the limits that backend servers have named, and how many requests its sender has sent to them.
-type LimitsMessage struct {
+// DeclarationsMessage contains what backend servers have said of themselves, and how many requests its sender has sent to them.
+type DeclarationsMessage struct {
 	_       struct{} `cbor:",toarray"`
 	Sender  membership.Incarnation
-	Reports []SharedLimit
+	Reports []SharedDeclaration
 }
 
-// limitsMessageStart is the first byte of a LimitsMessage, an array of two elements in CBOR.
-const limitsMessageStart = 0x82
+// declarationsMessageStart is the first byte of a DeclarationsMessage, an array of two elements in CBOR.
+const declarationsMessageStart = 0x82
 
 // decoding is strict: a datagram that does not fit the message exactly was not written by an instance of this release.
 var decoding = func() cbor.DecMode {
@@ -132,8 +132,8 @@
 // Encode returns the CBOR encoding of a message.
 func Encode(message *Message) ([]byte, error) {
 	var content any = message
-	if message.Limits != nil {
-		content = message.Limits
+	if message.Declarations != nil {
+		content = message.Declarations
 	}
 	text, err := cbor.Marshal(content)
 	return text, errors.Wrap(err, "encode message to a peer")
@@ -142,11 +142,11 @@
 // Decode parses a message. The error is ErrInvalidMessage.
 func Decode(text []byte) (*Message, error) {
 	var message Message
-	if len(text) > 0 && text[0] == limitsMessageStart {
-		message.Limits = &LimitsMessage{}
-		err := decoding.Unmarshal(text, message.Limits)
-		if err != nil || len(message.Limits.Reports) == 0 {
-			return nil, errors.Wrapf(ErrInvalidMessage, "limits: %v", err)
+	if len(text) > 0 && text[0] == declarationsMessageStart {
+		message.Declarations = &DeclarationsMessage{}
+		err := decoding.Unmarshal(text, message.Declarations)
+		if err != nil || len(message.Declarations.Reports) == 0 {
+			return nil, errors.Wrapf(ErrInvalidMessage, "declarations: %v", err)
 		}
 		return &message, nil
 	}
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -44,8 +44,8 @@
 	if message.Quota != nil {
 		controller.receiveQuotaReport(now, message.Quota)
 	}
-	if message.Limits != nil {
-		controller.receiveLimits(now, message.Limits)
+	if message.Declarations != nil {
+		controller.receiveDeclarations(now, message.Declarations)
 	}
 	for index := range message.Readings {
 		sharedReading := &message.Readings[index]
--- a/internal/fleet/tick.go
+++ b/internal/fleet/tick.go
@@ -47,7 +47,7 @@
 	if serving {
 		controller.shareReadings(now)
 	}
-	controller.reportLimits(now)
+	controller.reportDeclarations(now)
 	controller.updateKeyStatus(now)
 	controller.updateFleetFraction(now)
 	controller.reportQuota(now)
--- a/internal/service/candidate.go
+++ b/internal/service/candidate.go
@@ -100,8 +100,8 @@
 	// tokens is the number of requests that a cold target may get now, last refilled at tokensAt.
 	tokens   float64
 	tokensAt clock.Moment
-	// rateLimit is the limit that the target named, nil if it never did.
-	rateLimit *rateLimit
+	// declaration is what the target has said of itself, nil if it has said nothing.
+	declaration *declaration
 	// backoffUntil, consecutiveFailures and failureRate are derived from failed requests.
 	backoffUntil        clock.Moment
 	consecutiveFailures int
--- /dev/null
+++ b/internal/service/declaration.go
@@ -0,0 +1,141 @@
+package service
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
+const (
+	// declarationRefreshInterval is how often an instance repeats an unchanged declaration to others, some of which may be new.
+	declarationRefreshInterval = 500 * clock.Millisecond
+	// withdrawalReportTime is how long a withdrawn limit is reported to other instances.
+	withdrawalReportTime = 2 * clock.Second
+	// declarationRetention is how long the declaration of a target is kept that is no longer configured: its entry may only have
+	// lapsed.
+	declarationRetention = 5 * clock.Minute
+)
+
+// PeerKey identifies the process of another instance.
+type PeerKey uint64
+
+// declaration is what a process of a target has said of itself. It is kept while the target's record is not.
+type declaration struct {
+	rateLimit
+
+	// started is the start time of the process.
+	started int64
+	// unreported is whether something has changed since the last report, nextReport when it is repeated.
+	unreported bool
+	nextReport clock.Moment
+	// removedAt is when the target was found to be no longer configured, 0 while it is.
+	removedAt clock.Moment
+}
+
+// attachDeclaration gives a candidate what its target said before, and drops what an earlier process of the target said.
+func (scheduler *Scheduler) attachDeclaration(candidate *candidate) {
+	known, found := scheduler.declarations[candidate.Name]
+	if found && known.started != candidate.config.Started {
+		delete(scheduler.declarations, candidate.Name)
+		known = nil
+	}
+	candidate.declaration = known
+}
+
+// declarationOf returns the declaration of a candidate, created if there is none.
+func (scheduler *Scheduler) declarationOf(now clock.Moment, candidate *candidate) *declaration {
+	if candidate.declaration == nil {
+		candidate.declaration = &declaration{started: candidate.config.Started, rateLimit: newRateLimit(now)}
+		scheduler.declarations[candidate.Name] = candidate.declaration
+	}
+	return candidate.declaration
+}
+
+// dropOldDeclarations drops the declarations of targets that have not been configured for declarationRetention.
+func (scheduler *Scheduler) dropOldDeclarations(now clock.Moment) {
+	for name, known := range scheduler.declarations {
+		_, configured := scheduler.candidates[name]
+		switch {
+		case configured:
+			known.removedAt = 0
+		case known.removedAt == 0:
+			known.removedAt = now
+		case now.Since(known.removedAt) > declarationRetention:
+			delete(scheduler.declarations, name)
+		}
+	}
+}
+
+// DeclarationReport tells other instances what a target has said of itself, and of the requests sent to it.
+type DeclarationReport struct {
+	Target  settings.TargetName
+	Started int64
+	// Observed reports that this instance received the statement of the limit itself; Limited is whether the limit is in force,
+	// Rate the limit and StatedAt when the statement arrived.
+	Observed, Limited bool
+	Rate              float64
+	StatedAt          clock.Moment
+	// Sent is the number of requests that this instance has sent while the target was limited, from an arbitrary start.
+	Sent uint32
+}
+
+// DeclarationReports returns what is to be reported to other instances now.
+func (scheduler *Scheduler) DeclarationReports(now clock.Moment) []DeclarationReport {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	var reports []DeclarationReport
+	for name, known := range scheduler.declarations {
+		if !known.reportDue(now) {
+			continue
+		}
+		known.unreported = false
+		known.nextReport = now.Add(declarationRefreshInterval)
+		reports = append(reports, DeclarationReport{
+			Target: name, Started: known.started, Observed: known.observed, Limited: known.named, Rate: known.rate, StatedAt: known.statedAt, Sent: known.sent,
+		})
+	}
+	slices.SortFunc(reports, func(left, right DeclarationReport) int { return cmp.Compare(left.Target, right.Target) })
+	return reports
+}
+
+func (declaration *declaration) reportDue(now clock.Moment) bool {
+	if declaration.removedAt > 0 {
+		return false
+	}
+	inForce := declaration.named || now.Since(declaration.statedAt) < withdrawalReportTime
+	return declaration.unreported || inForce && now >= declaration.nextReport
+}
+
+// ReceiveDeclaration applies the report of another instance.
+func (scheduler *Scheduler) ReceiveDeclaration(peer PeerKey, report DeclarationReport) StatementChange {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	candidate, found := scheduler.candidates[report.Target]
+	if !found || candidate.config.Started != report.Started {
+		return StatementChange{}
+	}
+	now := scheduler.clock.Now()
+	declaration := scheduler.declarationOf(now, candidate)
+	change := StatementChange{Target: candidate.Name, Source: FromPeer}
+	if report.Observed && report.StatedAt > declaration.statedAt {
+		if report.Limited != declaration.named || report.Rate != declaration.rate {
+			declaration.observed = false
+		}
+		scheduler.setLimit(now, candidate, report.StatedAt, report.Limited, report.Rate, &change)
+	}
+	before, known := declaration.peerSent[peer]
+	// The counter may overflow, and datagrams may arrive in another order than they were sent.
+	sent := int32(report.Sent - before)
+	if known && sent <= 0 {
+		return change
+	}
+	declaration.peerSent[peer] = report.Sent
+	if known {
+		declaration.refill(now, *candidate.rateShare)
+		declaration.deduct(float64(sent))
+		scheduler.reindex(now, candidate)
+	}
+	return change
+}
--- a/internal/service/limitmodel_test.go
+++ b/internal/service/limitmodel_test.go
@@ -81,7 +81,7 @@
 
 type limitDelivery struct {
 	from   PeerKey
-	report LimitReport
+	report DeclarationReport
 }
 
 // limitResult is what a run of the model shows.
@@ -194,7 +194,7 @@
 // run ends requests, exchanges reports and grants permits to waiting requests.
 func (model *limitModel) run(instance *limitInstance, now clock.Moment, naming bool) {
 	for _, delivery := range instance.incoming[model.step] {
-		instance.scheduler.ReceiveLimitReport(delivery.from, delivery.report)
+		instance.scheduler.ReceiveDeclaration(delivery.from, delivery.report)
 	}
 	delete(instance.incoming, model.step)
 	instance.permits = slices.DeleteFunc(instance.permits, func(held limitPermit) bool {
@@ -221,13 +221,13 @@
 		}
 		return ended
 	})
-	for _, report := range instance.scheduler.LimitReports(now) {
+	for _, report := range instance.scheduler.DeclarationReports(now) {
 		model.report(instance, report)
 	}
 }
 
 // report sends a report to the other instances.
-func (model *limitModel) report(from *limitInstance, report LimitReport) {
+func (model *limitModel) report(from *limitInstance, report DeclarationReport) {
 	if model.policy != countTogether {
 		report.Sent = 0
 	}
--- a/internal/service/ratelimit.go
+++ b/internal/service/ratelimit.go
@@ -1,9 +1,6 @@
 package service
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
@@ -24,12 +21,6 @@
 	// minLimitRate is the least rate at which a limited target gets requests, per second over all instances: only a response
 	// shows that a target that accepted none accepts them again.
 	minLimitRate = 0.2
-	// limitRefreshInterval is how often an instance repeats an unchanged limit to others, some of which may be new.
-	limitRefreshInterval = 500 * clock.Millisecond
-	// withdrawalReportTime is how long a withdrawn limit is reported to other instances.
-	withdrawalReportTime = 2 * clock.Second
-	// limitRetention is how long the limit of a target is kept that is no longer configured: its entry may only have lapsed.
-	limitRetention = 5 * clock.Minute
 )
 
 // Probes of a limited target count against its resources as well. There are at most limitedProbeRate times the limit and
@@ -42,17 +33,12 @@
 	limitedProbeMaxAge  = maxReadingAge - 250*clock.Millisecond
 )
 
-// PeerKey identifies the process of another instance.
-type PeerKey uint64
-
-// rateLimit is the limit of one target, and what this instance knows of its use. It is kept while the target's record is not.
+// rateLimit is the limit of one target, and what this instance knows of its use.
 type rateLimit struct {
-	// started is the start time of the process of the target that named the limit.
-	started int64
 	// named is whether the limit is in force.
 	named bool
 	rate  float64
-	// statedAt is when the newest response that named or withdrew the limit arrived, here or at another instance. observed is
+	// statedAt is when the newest response that named or withdrew the limit arrived, here or at another instance; observed is
 	// whether it arrived here.
 	statedAt clock.Moment
 	observed bool
@@ -66,11 +52,10 @@
 	// sent is the number of requests that this instance has sent, peerSent that of the others by their last reports.
 	sent     uint32
 	peerSent map[PeerKey]uint32
-	// unreported is whether something has changed since the last report, nextReport when it is repeated.
-	unreported bool
-	nextReport clock.Moment
-	// removedAt is when the target was found to be no longer configured, 0 while it is.
-	removedAt clock.Moment
+}
+
+func newRateLimit(now clock.Moment) rateLimit {
+	return rateLimit{filledAt: now, threshold: 1, peerSent: map[PeerKey]uint32{}}
 }
 
 // fillRate returns the number of requests per second that this instance may send if no other does.
@@ -108,7 +93,7 @@
 
 // limited reports whether the target names a limit.
 func (candidate *candidate) limited() bool {
-	return candidate.rateLimit != nil && candidate.rateLimit.named
+	return candidate.declaration != nil && candidate.declaration.named
 }
 
 // limitAllows reports whether the limit of the target admits one more request now.
@@ -116,8 +101,8 @@
 	if !candidate.limited() {
 		return true
 	}
-	candidate.rateLimit.refill(now, *candidate.rateShare)
-	return candidate.rateLimit.level >= candidate.rateLimit.threshold
+	candidate.declaration.refill(now, *candidate.rateShare)
+	return candidate.declaration.level >= candidate.declaration.threshold
 }
 
 // limitAllowsAt returns when the limit next admits a request, or the value never if it admits one now.
@@ -125,8 +110,8 @@
 	if candidate.limitAllows(now) {
 		return never
 	}
-	rateLimit := candidate.rateLimit
-	return now.Add(clock.Milliseconds((rateLimit.threshold-rateLimit.level)/rateLimit.fillRate(*candidate.rateShare)) * clock.Second)
+	declaration := candidate.declaration
+	return now.Add(clock.Milliseconds((declaration.threshold-declaration.level)/declaration.fillRate(*candidate.rateShare)) * clock.Second)
 }
 
 // countSent counts a request that is sent to the target.
@@ -134,85 +119,47 @@
 	if !candidate.limited() {
 		return
 	}
-	rateLimit := candidate.rateLimit
-	rateLimit.threshold = 1 + limitThresholdSpread*scheduler.random.Float64()
-	rateLimit.refill(now, *candidate.rateShare)
-	rateLimit.level--
-	rateLimit.sent++
-	rateLimit.unreported = true
-}
-
-// attachLimit gives a candidate the limit that its target named before, and drops the limit of an earlier process of the target.
-func (scheduler *Scheduler) attachLimit(candidate *candidate) {
-	known, found := scheduler.rateLimits[candidate.Name]
-	if found && known.started != candidate.config.Started {
-		delete(scheduler.rateLimits, candidate.Name)
-		known = nil
-	}
-	candidate.rateLimit = known
-}
-
-// limitOf returns the limit of a candidate, created if there is none.
-func (scheduler *Scheduler) limitOf(now clock.Moment, candidate *candidate) *rateLimit {
-	if candidate.rateLimit == nil {
-		candidate.rateLimit = &rateLimit{started: candidate.config.Started, filledAt: now, threshold: 1, peerSent: map[PeerKey]uint32{}}
-		scheduler.rateLimits[candidate.Name] = candidate.rateLimit
-	}
-	return candidate.rateLimit
-}
-
-// dropOldLimits drops the limits of targets that have not been configured for limitRetention.
-func (scheduler *Scheduler) dropOldLimits(now clock.Moment) {
-	for name, known := range scheduler.rateLimits {
-		_, configured := scheduler.candidates[name]
-		switch {
-		case configured:
-			known.removedAt = 0
-		case known.removedAt == 0:
-			known.removedAt = now
-		case now.Since(known.removedAt) > limitRetention:
-			delete(scheduler.rateLimits, name)
-		}
-	}
+	declaration := candidate.declaration
+	declaration.threshold = 1 + limitThresholdSpread*scheduler.random.Float64()
+	declaration.refill(now, *candidate.rateShare)
+	declaration.level--
+	declaration.sent++
+	declaration.unreported = true
 }
 
 // observeLimit applies what a response says of the target's limit. A limit that is not understood changes nothing.
-func (scheduler *Scheduler) observeLimit(candidate *candidate, statement Statement, source Source) StatementChange {
+func (scheduler *Scheduler) observeLimit(now clock.Moment, candidate *candidate, statement Statement, change *StatementChange) {
 	stated := statement.Limit
 	if !stated.Named && (!stated.Absent || !candidate.limited()) {
-		return StatementChange{}
+		return
 	}
-	now := scheduler.clock.Now()
-	rateLimit := scheduler.limitOf(now, candidate)
-	if statement.At < rateLimit.statedAt || !stated.Named && source == FromProbe && !rateLimit.probesName {
-		return StatementChange{}
+	declaration := scheduler.declarationOf(now, candidate)
+	if statement.At < declaration.statedAt || !stated.Named && change.Source == FromProbe && !declaration.probesName {
+		return
 	}
-	rateLimit.probesName = rateLimit.probesName || stated.Named && source == FromProbe
-	rateLimit.observed = true
-	change := scheduler.setLimit(now, candidate, statement.At, stated.Named, stated.Rate)
-	change.Source = source
-	rateLimit.unreported = rateLimit.unreported || change.Changed()
-	return change
+	declaration.probesName = declaration.probesName || stated.Named && change.Source == FromProbe
+	declaration.observed = true
+	scheduler.setLimit(now, candidate, statement.At, stated.Named, stated.Rate, change)
 }
 
 // setLimit puts a limit in force, or withdraws it.
-func (scheduler *Scheduler) setLimit(now clock.Moment, candidate *candidate, statedAt clock.Moment, named bool, rate float64) StatementChange {
-	rateLimit := candidate.rateLimit
-	rateLimit.statedAt = statedAt
-	if rateLimit.named == named && rateLimit.rate == rate {
-		return StatementChange{}
+func (scheduler *Scheduler) setLimit(now clock.Moment, candidate *candidate, statedAt clock.Moment, named bool, rate float64, change *StatementChange) {
+	declaration := candidate.declaration
+	declaration.statedAt = statedAt
+	if declaration.named == named && declaration.rate == rate {
+		return
 	}
-	change := StatementChange{Target: candidate.Name, Limited: named, Unlimited: !named && rateLimit.named, Rate: rate}
+	change.Limited, change.Unlimited, change.Rate = named, !named && declaration.named, rate
 	if named {
-		rateLimit.refill(now, *candidate.rateShare)
-		rateLimit.name(now, rate)
+		declaration.refill(now, *candidate.rateShare)
+		declaration.name(now, rate)
 	} else {
-		rateLimit.named = false
+		declaration.named = false
 	}
+	declaration.unreported = true
 	scheduler.countLimited()
 	scheduler.reindex(now, candidate)
 	scheduler.serveWaiting(now)
-	return change
 }
 
 // countLimited lists the usable targets that name a limit.
@@ -233,8 +180,8 @@
 	rate, level := 0.0, 0.0
 	for _, candidate := range scheduler.limitedTargets {
 		candidate.limitAllows(now)
-		level += min(candidate.rateLimit.level, 1)
-		rate += candidate.rateLimit.fillRate(*candidate.rateShare)
+		level += min(candidate.declaration.level, 1)
+		rate += candidate.declaration.fillRate(*candidate.rateShare)
 	}
 	return clock.Milliseconds(max(float64(requests)-level, 0)/rate) * clock.Second
 }
@@ -247,7 +194,7 @@
 	if !found || !candidate.limited() {
 		return 0
 	}
-	return clock.Second / clock.Milliseconds(limitedProbeRate*candidate.rateLimit.rate+minLimitedProbeRate)
+	return clock.Second / clock.Milliseconds(limitedProbeRate*candidate.declaration.rate+minLimitedProbeRate)
 }
 
 // ProbeDue reports whether the target should be probed now, provided that MinProbeInterval has passed since the last probe.
@@ -262,69 +209,3 @@
 	next := candidate.limitAllowsAt(now)
 	return next == never || next.Since(now) <= limitedProbeLead || !candidate.hasReading || now.Since(candidate.reading.At) >= limitedProbeMaxAge
 }
-
-// LimitReport tells other instances of a target's limit and of the requests sent to it.
-type LimitReport struct {
-	Target  settings.TargetName
-	Started int64
-	// Stated reports that this instance received the statement itself; Named is whether the limit is in force, Rate the limit
-	// and StatedAt when the statement arrived.
-	Stated, Named bool
-	Rate          float64
-	StatedAt      clock.Moment
-	// Sent is the number of requests that this instance has sent, from an arbitrary start.
-	Sent uint32
-}
-
-// LimitReports returns what is to be reported to other instances now.
-func (scheduler *Scheduler) LimitReports(now clock.Moment) []LimitReport {
-	scheduler.mutex.Lock()
-	defer scheduler.mutex.Unlock()
-	var reports []LimitReport
-	for name, known := range scheduler.rateLimits {
-		recent := known.named || now.Since(known.statedAt) < withdrawalReportTime
-		if known.removedAt > 0 || !known.unreported && (!recent || now < known.nextReport) {
-			continue
-		}
-		known.unreported = false
-		known.nextReport = now.Add(limitRefreshInterval)
-		reports = append(reports, LimitReport{
-			Target: name, Started: known.started, Stated: known.observed, Named: known.named, Rate: known.rate, StatedAt: known.statedAt, Sent: known.sent,
-		})
-	}
-	slices.SortFunc(reports, func(left, right LimitReport) int { return cmp.Compare(left.Target, right.Target) })
-	return reports
-}
-
-// ReceiveLimitReport applies the report of another instance.
-func (scheduler *Scheduler) ReceiveLimitReport(peer PeerKey, report LimitReport) StatementChange {
-	scheduler.mutex.Lock()
-	defer scheduler.mutex.Unlock()
-	candidate, found := scheduler.candidates[report.Target]
-	if !found || candidate.config.Started != report.Started {
-		return StatementChange{}
-	}
-	now := scheduler.clock.Now()
-	rateLimit := scheduler.limitOf(now, candidate)
-	var change StatementChange
-	if report.Stated && report.StatedAt > rateLimit.statedAt {
-		if report.Named != rateLimit.named || report.Rate != rateLimit.rate {
-			rateLimit.observed = false
-		}
-		change = scheduler.setLimit(now, candidate, report.StatedAt, report.Named, report.Rate)
-		change.Source = FromPeer
-	}
-	before, known := rateLimit.peerSent[peer]
-	// The counter may overflow, and datagrams may arrive in another order than they were sent.
-	sent := int32(report.Sent - before)
-	if known && sent <= 0 {
-		return change
-	}
-	rateLimit.peerSent[peer] = report.Sent
-	if known {
-		rateLimit.refill(now, *candidate.rateShare)
-		rateLimit.deduct(float64(sent))
-		scheduler.reindex(now, candidate)
-	}
-	return change
-}
--- a/internal/service/ratelimit_test.go
+++ b/internal/service/ratelimit_test.go
@@ -270,21 +270,21 @@
 func TestReportsOfLimitedServers(t *testing.T) {
 	local, remote := newLimitFixture(t, limitedName), newLimitFixture(t, limitedName)
 	remote.say(FromAnswer, named(10))
-	var reports []LimitReport
+	var reports []DeclarationReport
 	for range 4 {
 		remote.manual.Advance(200 * clock.Millisecond)
 		require.Equal(t, limitedName, remote.request())
-		reports = append(reports, remote.LimitReports(remote.manual.Now())...)
+		reports = append(reports, remote.DeclarationReports(remote.manual.Now())...)
 	}
 	require.Len(t, reports, 4)
 	const peer = PeerKey(9)
-	change := local.ReceiveLimitReport(peer, reports[0])
+	change := local.ReceiveDeclaration(peer, reports[0])
 	require.Equal(t, StatementChange{Target: limitedName, Source: FromPeer, Limited: true, Rate: 10}, change)
 	local.manual.Advance(clock.Minute)
 	local.candidates[limitedName].limitAllows(local.manual.Now())
-	level := local.candidates[limitedName].rateLimit.level
-	for _, report := range []LimitReport{reports[3], reports[1], reports[3], reports[2], reports[0]} {
-		local.ReceiveLimitReport(peer, report)
+	level := local.candidates[limitedName].declaration.level
+	for _, report := range []DeclarationReport{reports[3], reports[1], reports[3], reports[2], reports[0]} {
+		local.ReceiveDeclaration(peer, report)
 	}
-	require.InDelta(t, level-3, local.candidates[limitedName].rateLimit.level, 1e-9)
+	require.InDelta(t, level-3, local.candidates[limitedName].declaration.level, 1e-9)
 }
--- a/internal/service/scheduler.go
+++ b/internal/service/scheduler.go
@@ -66,8 +66,8 @@
 	meanPermitDuration clock.Milliseconds
 	// rateShare is the share of the request rate of cold and of limited targets that this instance may use.
 	rateShare float64
-	// rateLimits are the limits that targets have named, limitedTargets the usable targets with one in force.
-	rateLimits     map[settings.TargetName]*rateLimit
+	// declarations are what targets have said of themselves, limitedTargets the usable targets with a limit in force.
+	declarations   map[settings.TargetName]*declaration
 	limitedTargets []*candidate
 	// lastAcquire is when a permit was last requested.
 	lastAcquire clock.Moment
@@ -97,7 +97,7 @@
 		lastSlowAt: options.Clock.Now(),
 		clock:      options.Clock, random: options.Rand, candidates: map[settings.TargetName]*candidate{},
 		classStats: map[settings.ClassName]*classStats{}, meanSlowdown: initialSlowdown, meanSpeed: 1 / initialSlowdown, meanPermitDuration: initialServiceTime, rateShare: 1,
-		rateLimits: map[settings.TargetName]*rateLimit{},
+		declarations: map[settings.TargetName]*declaration{},
 	}
 }
 
@@ -132,7 +132,7 @@
 	}
 	clear(scheduler.ordered[len(remaining):])
 	scheduler.ordered = remaining
-	scheduler.dropOldLimits(now)
+	scheduler.dropOldDeclarations(now)
 	scheduler.countLimited()
 	scheduler.reindexAll(now)
 	if scheduler.usableCount == 0 {
@@ -162,7 +162,7 @@
 	}
 	existing.refill(now)
 	existing.config = config
-	scheduler.attachLimit(existing)
+	scheduler.attachDeclaration(existing)
 	existing.slotClass = existing.concurrencyModel.slotClassOf(config.Slots)
 	if existing.Address != config.Address || existing.DataCentre != config.DataCentre {
 		existing.Target = &Target{Name: config.Name, Address: config.Address, DataCentre: config.DataCentre}
--- a/internal/service/statement.go
+++ b/internal/service/statement.go
@@ -72,5 +72,7 @@
 	if !found || candidate.config.Started != started {
 		return StatementChange{}
 	}
-	return scheduler.observeLimit(candidate, statement, source)
+	change := StatementChange{Target: name, Source: source}
+	scheduler.observeLimit(scheduler.clock.Now(), candidate, statement, &change)
+	return change
 }
