Give servers the rest that they ask for

Callers' view: each request that was sent to such a server cost one more attempt from the retry budget, and callers were refused although other servers had time for them. Cause: Retry-After of a server's 503 was not read. What avoided the server was the backoff after failures in a row, 100 ms at first, which each success ended.

Change: a 503 with Retry-After, to a request or a probe, keeps every request and probe of this instance from the server until the time is over: first attempts, retries, hedged requests, requests that wait, requests to cold servers, and the second choice among servers that failed. It is kept by the process of the server and outlasts successes, readings, configurations and lapsed entries. A longer rest extends it, nothing shortens it. If all servers rest, a request is refused at once with the time until the first one accepts requests.

--- a/internal/fleet/declarations.go
+++ b/internal/fleet/declarations.go
@@ -23,6 +23,7 @@
 const (
 	EventLimitNamed     = "server.limitNamed"
 	EventLimitWithdrawn = "server.limitWithdrawn"
+	EventRest           = "server.restAsked"
 )
 
 // SharedDeclaration is what a backend server has said of itself, as an instance sends it to others.
@@ -53,6 +54,11 @@
 		events.Add(EventLimitWithdrawn, 1)
 		line.Msg("backend server no longer limits the requests that it accepts")
 	}
+	if change.Rest > 0 {
+		events.Add(EventRest, 1)
+		controller.options.Log.Info().Str("target", string(change.Target)).Str("source", string(change.Source)).
+			Stringer("for", change.Rest).Msg("backend server wants no requests from this instance")
+	}
 }
 
 // reportDeclarations sends what backend servers have said of themselves, and the requests sent to limited ones, to the instances that send requests.
--- a/internal/fleet/virtual_checks_test.go
+++ b/internal/fleet/virtual_checks_test.go
@@ -44,11 +44,11 @@
 	misdirectedSince map[*machine]clock.Moment
 	// disturbed is when anything was last disturbed, faultedAt when links or processes were last disturbed other than by a
 	// start or an end.
-	disturbed clock.Moment
-	faultedAt clock.Moment
-	versions  []acknowledged
-	worstCase worstCase
-	limits    *limitChecks
+	disturbed  clock.Moment
+	faultedAt  clock.Moment
+	versions   []acknowledged
+	worstCase  worstCase
+	statements *statementChecks
 }
 
 type acknowledged struct {
@@ -79,7 +79,7 @@
 func newChecks(fleet *virtualFleet) *checks {
 	checks := &checks{
 		fleet: fleet, sent: map[settings.TargetName][]clock.Moment{}, unservedSince: map[settings.DataCentreName]clock.Moment{},
-		misdirectedSince: map[*machine]clock.Moment{}, limits: newLimitChecks(),
+		misdirectedSince: map[*machine]clock.Moment{}, statements: newStatementChecks(),
 	}
 	checks.list = []namedCheck{
 		{"configuration never older", checks.neverOlder},
@@ -93,7 +93,8 @@
 		{"answers contain a running instance", checks.answersNameRunningInstance},
 		{"few instances serve", checks.fewServe},
 		{"settled", checks.settled},
-		{"limits of servers", func(clock.Moment) string { return checks.limits.exceeded }},
+		{"limits of servers", func(clock.Moment) string { return checks.statements.exceeded }},
+		{"rests of servers", func(clock.Moment) string { return checks.statements.restBroken }},
 	}
 	return checks
 }
--- a/internal/fleet/virtual_fleet_test.go
+++ b/internal/fleet/virtual_fleet_test.go
@@ -49,8 +49,8 @@
 	dataCentres int
 	servers     int
 	length      clock.Milliseconds
-	// limits makes the servers warm, and some of them name a limit.
-	limits bool
+	// limits makes the servers warm, and some of them name limits, ask for rest and leave.
+	statements bool
 }
 
 // machine runs one instance at a time.
@@ -173,8 +173,8 @@
 		return
 	}
 	if serves := process.controller.members.State(); serves == membership.Serving || serves == membership.Leaving || now >= process.nextProbe {
-		if fleet.options.limits {
-			fleet.checks.limits.send(machine, process.time(now), now)
+		if fleet.options.statements {
+			fleet.checks.statements.send(machine, process.time(now), now)
 		} else {
 			fleet.checks.recordSent(process, process.sendRequests(process.time(now)), now)
 		}
--- a/internal/fleet/virtual_process_test.go
+++ b/internal/fleet/virtual_process_test.go
@@ -47,13 +47,15 @@
 	revision catalog.Revision
 	// toldLimit is when a server first named its limit to the process.
 	toldLimit map[serverProcess]clock.Moment
+	// rests are the rests for which servers have asked the process.
+	rests map[serverProcess]*restState
 }
 
 // halfCallTime is half the duration of a call of a reader.
 const halfCallTime = 2 * clock.Millisecond
 
 func newProcess(fleet *virtualFleet, machine *machine, first bool) *process {
-	process := &process{fleet: fleet, machine: machine, started: fleet.clock.Now(), leavesAt: never, done: make(chan struct{}), toldLimit: map[serverProcess]clock.Moment{}}
+	process := &process{fleet: fleet, machine: machine, started: fleet.clock.Now(), leavesAt: never, done: make(chan struct{}), toldLimit: map[serverProcess]clock.Moment{}, rests: map[serverProcess]*restState{}}
 	random := rand.New(rand.NewPCG(fleet.random.Uint64(), 1))
 	own := &clock.Clock{Now: func() clock.Moment { return process.time(fleet.clock.Now()) }}
 	registry := metrics.NewRegistry()
@@ -193,8 +195,8 @@
 	}
 	if now >= process.nextProbe {
 		process.nextProbe = now.Add(ownedInterval)
-		if process.fleet.options.limits {
-			process.fleet.checks.limits.probe(process, process.time(now))
+		if process.fleet.options.statements {
+			process.fleet.checks.statements.probe(process, process.time(now))
 		} else {
 			process.probe(process.time(now))
 		}
--- a/internal/fleet/virtual_limit_test.go
+++ b/internal/fleet/virtual_statements_test.go
@@ -25,23 +25,41 @@
 	limitKnownTime = 500 * clock.Millisecond
 )
 
-// limitChecks sends requests to servers of which some name a limit, and counts them over all instances.
-type limitChecks struct {
+// statementChecks sends requests to servers of which some name a limit, and counts them over all instances.
+type statementChecks struct {
 	// firstNamed is when a process of a server first named its limit, counted are the requests within the last window.
 	firstNamed map[serverProcess]clock.Moment
 	counted    map[serverProcess][]clock.Moment
 	exceeded   string
+	// shedding counts the requests to servers that turn some away, restBroken describes a rest that was not given.
+	shedding   map[settings.TargetName]int
+	restBroken string
 	// most is the largest number of requests in a window, total the number of all that count.
 	most, total int
 }
 
+// Rests that a server asks for: it turns away every shedInterval-th request and wants none for restLength. From restNoticeTime after
+// a refusal to the end of the rest, it gets maxRequestsInRest at most from the instance.
+const (
+	shedInterval      = 4
+	restLength        = 3 * clock.Second
+	restNoticeTime    = 500 * clock.Millisecond
+	maxRequestsInRest = 2
+)
+
+// restState is what a server with a rest has got from a process since it last asked it for rest.
+type restState struct {
+	askedAt  clock.Moment
+	requests int
+}
+
 type serverProcess struct {
 	name    settings.TargetName
 	started int64
 }
 
-func newLimitChecks() *limitChecks {
-	return &limitChecks{firstNamed: map[serverProcess]clock.Moment{}, counted: map[serverProcess][]clock.Moment{}}
+func newStatementChecks() *statementChecks {
+	return &statementChecks{firstNamed: map[serverProcess]clock.Moment{}, counted: map[serverProcess][]clock.Moment{}, shedding: map[settings.TargetName]int{}}
 }
 
 // limited reports whether the server names a limit: every second one does.
@@ -56,13 +74,18 @@
 	return service.Statement{At: now, Limit: service.RateLimitStatement{Named: true, Rate: limitRate}}
 }
 
+// sheds reports whether the server turns some requests away and asks for rest.
+func sheds(name settings.TargetName) bool {
+	return strings.HasSuffix(string(name), "1")
+}
+
 // startedOf returns the start time of the server's process by the view of an instance.
 func startedOf(controller *Controller, name settings.TargetName) int64 {
 	return controller.knownServers[name].Started
 }
 
 // probe reports warm servers. Responses to probes name limits at every second instance only, since not all platforms do so.
-func (limits *limitChecks) probe(process *process, now clock.Moment) {
+func (statements *statementChecks) probe(process *process, now clock.Moment) {
 	for _, job := range process.jobs {
 		health := sensing.Health{Healthy: true, LoadReading: service.LoadReading{At: now, Slots: 2, Slowdown: 1, ColdKnown: true}}
 		if process.machine.number%2 == 0 {
@@ -73,13 +96,13 @@
 }
 
 // send ends the requests of a process that are due, and sends up to one more to each service.
-func (limits *limitChecks) send(machine *machine, processTime, now clock.Moment) {
+func (statements *statementChecks) send(machine *machine, processTime, now clock.Moment) {
 	process := machine.process
 	process.permits = slices.DeleteFunc(process.permits, func(held heldPermit) bool {
 		if processTime < held.until {
 			return false
 		}
-		limits.answer(machine, held.permit, processTime, now)
+		statements.answer(machine, held.permit, processTime, now)
 		return true
 	})
 	for _, name := range slices.Sorted(maps.Keys(process.controller.services)) {
@@ -90,51 +113,92 @@
 			permit, err = pending.Cancel()
 		}
 		if err == nil {
-			limits.count(machine, permit.Target.Name, now)
+			statements.count(machine, permit.Target.Name, now)
+			statements.countInRest(machine, permit.Target.Name, now)
 			process.permits = append(process.permits, heldPermit{permit: permit, until: processTime.Add(ownedInterval)})
 		}
 	}
 }
 
-func (limits *limitChecks) answer(machine *machine, permit service.Permit, processTime, now clock.Moment) {
+func (statements *statementChecks) answer(machine *machine, permit service.Permit, processTime, now clock.Moment) {
 	name := permit.Target.Name
+	if statements.shed(machine, permit, processTime, now) {
+		return
+	}
 	permit.ObserveStatement(statementOf(name, processTime))
 	permit.Release(service.Succeeded)
 	if !limited(name) {
 		return
 	}
 	server := serverProcess{name: name, started: startedOf(machine.process.controller, name)}
-	if _, named := limits.firstNamed[server]; !named {
-		limits.firstNamed[server] = now
+	if _, named := statements.firstNamed[server]; !named {
+		statements.firstNamed[server] = now
 	}
 	if _, told := machine.process.toldLimit[server]; !told {
 		machine.process.toldLimit[server] = now
 	}
 }
 
+// shed turns a request away and asks for rest, if it is the server's turn.
+func (statements *statementChecks) shed(machine *machine, permit service.Permit, processTime, now clock.Moment) bool {
+	name := permit.Target.Name
+	if !sheds(name) {
+		return false
+	}
+	statements.shedding[name]++
+	if statements.shedding[name]%shedInterval > 0 {
+		return false
+	}
+	machine.process.rests[serverProcess{name: name, started: startedOf(machine.process.controller, name)}] = &restState{askedAt: now}
+	permit.ObserveStatement(service.Statement{At: processTime, Rest: restLength})
+	permit.Release(service.Failed)
+	return true
+}
+
+// countInRest counts a request to a server that has asked the process for rest.
+func (statements *statementChecks) countInRest(machine *machine, name settings.TargetName, now clock.Moment) {
+	state, asked := machine.process.rests[serverProcess{name: name, started: startedOf(machine.process.controller, name)}]
+	if since := now.Since(state.since()); !asked || since <= restNoticeTime || since >= restLength || !machine.undisturbed(now, restLength) {
+		return
+	}
+	state.requests++
+	if state.requests > maxRequestsInRest {
+		statements.restBroken = fmt.Sprintf("%s got %d requests of %s while it rests", name, state.requests, machine.identity.Name)
+	}
+}
+
+// since returns when the rest was asked for, 0 without one.
+func (state *restState) since() clock.Moment {
+	if state == nil {
+		return 0
+	}
+	return state.askedAt
+}
+
 // count counts a request if it is one of those that a limit allows.
-func (limits *limitChecks) count(machine *machine, name settings.TargetName, now clock.Moment) {
+func (statements *statementChecks) count(machine *machine, name settings.TargetName, now clock.Moment) {
 	server := serverProcess{name: name, started: startedOf(machine.process.controller, name)}
 	told, wasTold := machine.process.toldLimit[server]
-	if !wasTold || now.Since(told) < limitKnownTime || now.Since(limits.firstNamed[server]) < contactTime || !machine.undisturbed(now, contactTime) {
+	if !wasTold || now.Since(told) < limitKnownTime || now.Since(statements.firstNamed[server]) < contactTime || !machine.undisturbed(now, contactTime) {
 		return
 	}
-	recent := slices.DeleteFunc(limits.counted[server], func(at clock.Moment) bool { return now.Since(at) >= limitWindow })
-	limits.counted[server] = append(recent, now)
-	limits.total++
-	limits.most = max(limits.most, len(limits.counted[server]))
-	if allowed := limitFactor*limitRate*float64(limitWindow/clock.Second) + limitSlack; float64(len(limits.counted[server])) > allowed {
-		limits.exceeded = fmt.Sprintf("%s got %d requests in %s, the last from %s", name, len(limits.counted[server]), limitWindow, machine.identity.Name)
+	recent := slices.DeleteFunc(statements.counted[server], func(at clock.Moment) bool { return now.Since(at) >= limitWindow })
+	statements.counted[server] = append(recent, now)
+	statements.total++
+	statements.most = max(statements.most, len(statements.counted[server]))
+	if allowed := limitFactor*limitRate*float64(limitWindow/clock.Second) + limitSlack; float64(len(statements.counted[server])) > allowed {
+		statements.exceeded = fmt.Sprintf("%s got %d requests in %s, the last from %s", name, len(statements.counted[server]), limitWindow, machine.identity.Name)
 	}
 }
 
-// Guards against a server that names a limit and gets more from the whole fleet, whatever happens to instances and links.
-func TestVirtualFleetKeepsLimits(t *testing.T) {
+// Guards against a server that names a limit and gets more from the whole fleet, or asks an instance for rest and gets its
+// requests, whatever happens to instances and links.
+func TestVirtualFleetKeepsStatements(t *testing.T) {
 	for seed := *virtualSeed; seed < *virtualSeed+uint64(*virtualSeeds); seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
 			options := optionsForSeed(seed)
-			options.limits = true
+			options.statements = true
 			schedule := newSchedule(options)
 			result := playVirtual(t, options, schedule)
 			t.Logf("%d instances: at most %d requests to a server in a window, %d in all", options.instances, result.mostLimited, result.totalLimited)
@@ -150,7 +214,7 @@
 	for _, instances := range []int{5, 13, 30} {
 		t.Run(fmt.Sprintf("%d instances", instances), func(t *testing.T) {
 			t.Parallel()
-			result := playVirtual(t, virtualOptions{seed: 1, instances: instances, dataCentres: 3, servers: 6, length: 20 * clock.Second, limits: true}, nil)
+			result := playVirtual(t, virtualOptions{seed: 1, instances: instances, dataCentres: 3, servers: 6, length: 20 * clock.Second, statements: true}, nil)
 			require.Nil(t, result.violation)
 			const limitedServers, seconds = 3, 10
 			require.GreaterOrEqual(t, result.totalLimited, limitedServers*seconds/2)
--- a/internal/fleet/virtual_test.go
+++ b/internal/fleet/virtual_test.go
@@ -48,7 +48,7 @@
 		fleet := newVirtualFleet(options, schedule)
 		result.violation = fleet.play()
 		result.worstCase, result.steps, result.datagrams = fleet.checks.worstCase, fleet.steps, fleet.datagrams
-		result.mostLimited, result.totalLimited = fleet.checks.limits.most, fleet.checks.limits.total
+		result.mostLimited, result.totalLimited = fleet.checks.statements.most, fleet.checks.statements.total
 	})
 	return result
 }
--- a/internal/service/admission.go
+++ b/internal/service/admission.go
@@ -104,7 +104,8 @@
 
 // expectedWait returns the expected queue time of a request of the given rank: the number of requests ahead of it, divided by
 // the rate at which permits are released for its rank. By Little's law that rate is the number of permits in use divided by the
-// mean time that a permit is in use. If all targets limit their rate, it is at least the time until they accept as many requests.
+// mean time that a permit is in use. If all targets limit their rate, it is at least the time until they accept as many requests, and
+// if all rest, the time until one accepts requests.
 // The expected wait is 0 while a fast target is available.
 func (scheduler *Scheduler) expectedWait(now clock.Moment, rank rank) clock.Milliseconds {
 	if scheduler.anyFastAvailable(now) {
@@ -113,7 +114,7 @@
 	ahead := scheduler.waiting.ahead(rank)
 	availablePermits := float64(max(scheduler.ownInFlight, 1)) * scheduler.rankShares.remaining(rank)
 	untilPermit := clock.Milliseconds(ahead+1) * scheduler.meanPermitDuration / clock.Milliseconds(availablePermits) * waitBias
-	return max(untilPermit, scheduler.limitedWait(now, ahead+1))
+	return max(untilPermit, scheduler.limitedWait(now, ahead+1), scheduler.restWait(now))
 }
 
 // waitBias is the factor by which expected waits exceed the estimate by Little's law. Some of the permits belong to slow targets,
--- a/internal/service/candidateindex.go
+++ b/internal/service/candidateindex.go
@@ -246,6 +246,7 @@
 	}
 	until(candidate.coldUntil)
 	until(candidate.backoffUntil)
+	until(candidate.restUntil())
 	until(candidate.ownedFrom)
 	if candidate.config.Owned && now >= candidate.ownedFrom && candidate.cold(now) {
 		next = min(next, candidate.nextColdStartAt(now))
--- a/internal/service/declaration.go
+++ b/internal/service/declaration.go
@@ -27,6 +27,8 @@
 
 	// started is the start time of the process.
 	started int64
+	// restUntil is when the target accepts requests of this instance again.
+	restUntil clock.Moment
 	// unreported is whether something has changed since the last report, nextReport when it is repeated.
 	unreported bool
 	nextReport clock.Moment
--- a/internal/service/ratelimit.go
+++ b/internal/service/ratelimit.go
@@ -202,10 +202,16 @@
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
 	candidate, found := scheduler.candidates[name]
-	if !found || !candidate.limited() {
+	if !found {
 		return true
 	}
 	now := scheduler.clock.Now()
+	if now < candidate.restUntil() {
+		return false
+	}
+	if !candidate.limited() {
+		return true
+	}
 	next := candidate.limitAllowsAt(now)
 	return next == never || next.Since(now) <= limitedProbeLead || !candidate.hasReading || now.Since(candidate.reading.At) >= limitedProbeMaxAge
 }
--- a/internal/service/statement.go
+++ b/internal/service/statement.go
@@ -44,11 +44,13 @@
 	// Limited reports that the target names a limit from now on, Rate is the limit; Unlimited reports that it withdrew it.
 	Limited, Unlimited bool
 	Rate               float64
+	// Rest is the time for which the target gets no request from this instance from now on, 0 if it is as before.
+	Rest clock.Milliseconds
 }
 
 // Changed reports whether anything has changed.
 func (change *StatementChange) Changed() bool {
-	return change.Limited || change.Unlimited
+	return change.Limited || change.Unlimited || change.Rest > 0
 }
 
 // ObserveStatement adds what a target said of itself in the response to a probe. started is the start time of the target that was
@@ -73,6 +75,8 @@
 		return StatementChange{}
 	}
 	change := StatementChange{Target: name, Source: source}
-	scheduler.observeLimit(scheduler.clock.Now(), candidate, statement, &change)
+	now := scheduler.clock.Now()
+	scheduler.observeLimit(now, candidate, statement, &change)
+	scheduler.observeRest(now, candidate, statement, &change)
 	return change
 }
