Send nothing more to servers that say in their answers that they leave

Callers' view: requests that reach a server just before it stops may be cut off. Cause: only the server's entry in the store was read, which may say so later, or never.

Change: a server that says in a response to a request or a probe that it is about to stop, or has said so to another instance, gets no request from then on, whatever its entry says, until it starts again. It outlasts configurations, lapsed entries and later answers without the header; an answer or a report of an earlier process of the same name is ignored. If no other server is left, waiting requests are refused at once, as when the store says so. Such servers are probed at most four times a second.

--- a/internal/fleet/declarations.go
+++ b/internal/fleet/declarations.go
@@ -24,6 +24,7 @@
 	EventLimitNamed     = "server.limitNamed"
 	EventLimitWithdrawn = "server.limitWithdrawn"
 	EventRest           = "server.restAsked"
+	EventServerLeaving  = "server.leaving"
 )
 
 // SharedDeclaration is what a backend server has said of itself, as an instance sends it to others.
@@ -38,6 +39,8 @@
 	Limited  bool
 	Rate     float64
 	AgeMs    uint32
+	// Leaving reports that the process is about to stop.
+	Leaving bool
 	// Sent is the number of requests that the sender has sent to the server.
 	Sent uint32
 }
@@ -54,6 +57,11 @@
 		events.Add(EventLimitWithdrawn, 1)
 		line.Msg("backend server no longer limits the requests that it accepts")
 	}
+	if change.Leaving {
+		events.Add(EventServerLeaving, 1)
+		controller.options.Log.Info().Str("target", string(change.Target)).Str("source", string(change.Source)).
+			Msg("backend server says that it is about to stop")
+	}
 	if change.Rest > 0 {
 		events.Add(EventRest, 1)
 		controller.options.Log.Info().Str("target", string(change.Target)).Str("source", string(change.Source)).
@@ -103,7 +111,7 @@
 func newSharedDeclaration(report *service.DeclarationReport, now clock.Moment) SharedDeclaration {
 	return SharedDeclaration{
 		Target: keyOf(report.Target), Started: report.Started, Observed: report.Observed, Limited: report.Limited, Rate: report.Rate,
-		AgeMs: uint32(min(max(now.Since(report.StatedAt), 0), maxStatementAge)), Sent: report.Sent,
+		AgeMs: uint32(min(max(now.Since(report.StatedAt), 0), maxStatementAge)), Leaving: report.Leaving, Sent: report.Sent,
 	}
 }
 
@@ -119,7 +127,7 @@
 		}
 		change := controller.services[ref.service].scheduler.ReceiveDeclaration(service.PeerKey(message.Sender), service.DeclarationReport{
 			Target: ref.name, Started: shared.Started, Observed: shared.Observed, Limited: shared.Limited, Rate: shared.Rate,
-			StatedAt: now.Add(-clock.Milliseconds(shared.AgeMs)), Sent: shared.Sent,
+			StatedAt: now.Add(-clock.Milliseconds(shared.AgeMs)), Leaving: shared.Leaving, Sent: shared.Sent,
 		})
 		if change.Changed() {
 			controller.RecordStatement(change)
--- a/internal/fleet/virtual_checks_test.go
+++ b/internal/fleet/virtual_checks_test.go
@@ -94,6 +94,7 @@
 		{"few instances serve", checks.fewServe},
 		{"settled", checks.settled},
 		{"limits of servers", func(clock.Moment) string { return checks.statements.exceeded }},
+		{"servers that said that they leave", func(clock.Moment) string { return checks.statements.leavingBroken }},
 		{"rests of servers", func(clock.Moment) string { return checks.statements.restBroken }},
 	}
 	return checks
--- a/internal/fleet/virtual_process_test.go
+++ b/internal/fleet/virtual_process_test.go
@@ -49,13 +49,18 @@
 	toldLimit map[serverProcess]clock.Moment
 	// rests are the rests for which servers have asked the process.
 	rests map[serverProcess]*restState
+	// toldLeaving is when a server first said to the process that it leaves.
+	toldLeaving map[serverProcess]clock.Moment
 }
 
 // halfCallTime is half the duration of a call of a reader.
 const halfCallTime = 2 * clock.Millisecond
 
 func newProcess(fleet *virtualFleet, machine *machine, first bool) *process {
-	process := &process{fleet: fleet, machine: machine, started: fleet.clock.Now(), leavesAt: never, done: make(chan struct{}), toldLimit: map[serverProcess]clock.Moment{}, rests: map[serverProcess]*restState{}}
+	process := &process{
+		fleet: fleet, machine: machine, started: fleet.clock.Now(), leavesAt: never, done: make(chan struct{}),
+		toldLimit: map[serverProcess]clock.Moment{}, rests: map[serverProcess]*restState{}, toldLeaving: map[serverProcess]clock.Moment{},
+	}
 	random := rand.New(rand.NewPCG(fleet.random.Uint64(), 1))
 	own := &clock.Clock{Now: func() clock.Moment { return process.time(fleet.clock.Now()) }}
 	registry := metrics.NewRegistry()
--- a/internal/fleet/virtual_statements_test.go
+++ b/internal/fleet/virtual_statements_test.go
@@ -34,6 +34,8 @@
 	// shedding counts the requests to servers that turn some away, restBroken describes a rest that was not given.
 	shedding   map[settings.TargetName]int
 	restBroken string
+	// leavingBroken describes a request to a server that had said that it leaves.
+	leavingBroken string
 	// most is the largest number of requests in a window, total the number of all that count.
 	most, total int
 }
@@ -47,6 +49,13 @@
 	maxRequestsInRest = 2
 )
 
+// Every fourth server says in its answers that it leaves, leavesAt after the start of the fleet. From leavingNoticeTime after the
+// first such answer it gets no request of the instance that received it.
+const (
+	leavesAt          = 12 * clock.Second
+	leavingNoticeTime = 2 * clock.Second
+)
+
 // restState is what a server with a rest has got from a process since it last asked it for rest.
 type restState struct {
 	askedAt  clock.Moment
@@ -79,6 +88,11 @@
 	return strings.HasSuffix(string(name), "1")
 }
 
+// leaves reports whether the server says that it leaves. A process that started later does not.
+func leaves(server serverProcess, now clock.Moment) bool {
+	return strings.HasSuffix(string(server.name), "3") && server.started == 0 && now >= clock.Moment(leavesAt)
+}
+
 // startedOf returns the start time of the server's process by the view of an instance.
 func startedOf(controller *Controller, name settings.TargetName) int64 {
 	return controller.knownServers[name].Started
@@ -115,6 +129,7 @@
 		if err == nil {
 			statements.count(machine, permit.Target.Name, now)
 			statements.countInRest(machine, permit.Target.Name, now)
+			statements.checkLeaving(machine, permit.Target.Name, now)
 			process.permits = append(process.permits, heldPermit{permit: permit, until: processTime.Add(ownedInterval)})
 		}
 	}
@@ -125,6 +140,14 @@
 	if statements.shed(machine, permit, processTime, now) {
 		return
 	}
+	if server := (serverProcess{name: name, started: startedOf(machine.process.controller, name)}); leaves(server, now) {
+		if _, told := machine.process.toldLeaving[server]; !told {
+			machine.process.toldLeaving[server] = now
+		}
+		permit.ObserveStatement(service.Statement{At: processTime, Leaving: true})
+		permit.Release(service.Succeeded)
+		return
+	}
 	permit.ObserveStatement(statementOf(name, processTime))
 	permit.Release(service.Succeeded)
 	if !limited(name) {
@@ -167,6 +190,14 @@
 	}
 }
 
+// checkLeaving checks a request against what its server has said to the process.
+func (statements *statementChecks) checkLeaving(machine *machine, name settings.TargetName, now clock.Moment) {
+	server := serverProcess{name: name, started: startedOf(machine.process.controller, name)}
+	if told, wasTold := machine.process.toldLeaving[server]; wasTold && now.Since(told) > leavingNoticeTime {
+		statements.leavingBroken = fmt.Sprintf("%s got a request of %s %s after it said that it leaves", name, machine.identity.Name, now.Since(told))
+	}
+}
+
 // since returns when the rest was asked for, 0 without one.
 func (state *restState) since() clock.Moment {
 	if state == nil {
--- a/internal/service/candidate.go
+++ b/internal/service/candidate.go
@@ -260,7 +260,7 @@
 
 // availableWithLimit reports whether a request may be sent to the target now under the given concurrency limit.
 func (candidate *candidate) availableWithLimit(now clock.Moment, limit int, despiteFailures bool) bool {
-	if !candidate.config.Usable || candidate.down || now < candidate.restUntil() {
+	if !candidate.usable() || candidate.down || now < candidate.restUntil() {
 		return false
 	}
 	if !despiteFailures && candidate.consecutiveFailures >= failuresUntilThrottled || candidate.stale(now) {
--- a/internal/service/candidateindex.go
+++ b/internal/service/candidateindex.go
@@ -100,7 +100,7 @@
 	indexEntry := &candidate.indexEntry
 	inFlight := candidate.ownInFlight + candidate.othersInFlight(now)
 	indexEntry.loadPenalty = candidate.loadPenalty(inFlight, candidate.slotClass.concurrencyLimit)
-	if candidate.config.Usable && !candidate.down {
+	if candidate.usable() && !candidate.down {
 		indexEntry.countInFlight(candidate.slotClass, inFlight)
 	} else {
 		indexEntry.countInFlight(nil, 0)
@@ -213,7 +213,7 @@
 func (scheduler *Scheduler) availableListOf(now clock.Moment, candidate *candidate, inFlight int) (*availableTargets, availability) {
 	slotClass := candidate.slotClass
 	switch nextLimit := slotClass.nextLimit(); {
-	case !candidate.config.Usable || candidate.down || inFlight >= candidate.limitShare(nextLimit):
+	case !candidate.usable() || candidate.down || inFlight >= candidate.limitShare(nextLimit):
 		return nil, availableToAll
 	case candidate.availableWithLimit(now, slotClass.concurrencyLimit, false):
 		return &scheduler.available, availableToAll
--- a/internal/service/declaration.go
+++ b/internal/service/declaration.go
@@ -29,6 +29,8 @@
 	started int64
 	// restUntil is when the target accepts requests of this instance again.
 	restUntil clock.Moment
+	// leaving is whether the process is about to stop. It does not return from that.
+	leaving bool
 	// unreported is whether something has changed since the last report, nextReport when it is repeated.
 	unreported bool
 	nextReport clock.Moment
@@ -79,6 +81,8 @@
 	Observed, Limited bool
 	Rate              float64
 	StatedAt          clock.Moment
+	// Leaving reports that the process of the target is about to stop.
+	Leaving bool
 	// Sent is the number of requests that this instance has sent while the target was limited, from an arbitrary start.
 	Sent uint32
 }
@@ -95,7 +99,8 @@
 		known.unreported = false
 		known.nextReport = now.Add(declarationRefreshInterval)
 		reports = append(reports, DeclarationReport{
-			Target: name, Started: known.started, Observed: known.observed, Limited: known.named, Rate: known.rate, StatedAt: known.statedAt, Sent: known.sent,
+			Target: name, Started: known.started, Observed: known.observed, Limited: known.named, Rate: known.rate, StatedAt: known.statedAt,
+			Leaving: known.leaving, Sent: known.sent,
 		})
 	}
 	slices.SortFunc(reports, func(left, right DeclarationReport) int { return cmp.Compare(left.Target, right.Target) })
@@ -106,7 +111,7 @@
 	if declaration.removedAt > 0 {
 		return false
 	}
-	inForce := declaration.named || now.Since(declaration.statedAt) < withdrawalReportTime
+	inForce := declaration.named || declaration.leaving || now.Since(declaration.statedAt) < withdrawalReportTime
 	return declaration.unreported || inForce && now >= declaration.nextReport
 }
 
@@ -121,6 +126,9 @@
 	now := scheduler.clock.Now()
 	declaration := scheduler.declarationOf(now, candidate)
 	change := StatementChange{Target: candidate.Name, Source: FromPeer}
+	if report.Leaving {
+		scheduler.setLeaving(now, candidate, &change)
+	}
 	if report.Observed && report.StatedAt > declaration.statedAt {
 		if report.Limited != declaration.named || report.Rate != declaration.rate {
 			declaration.observed = false
--- a/internal/service/ratelimit.go
+++ b/internal/service/ratelimit.go
@@ -157,16 +157,21 @@
 		declaration.named = false
 	}
 	declaration.unreported = true
-	scheduler.countLimited()
+	scheduler.countUsable()
 	scheduler.reindex(now, candidate)
 	scheduler.serveWaiting(now)
 }
 
-// countLimited lists the usable targets that name a limit.
-func (scheduler *Scheduler) countLimited() {
+// countUsable counts the usable targets, and lists those of them that name a limit.
+func (scheduler *Scheduler) countUsable() {
+	scheduler.usableCount = 0
 	scheduler.limitedTargets = scheduler.limitedTargets[:0]
 	for _, candidate := range scheduler.ordered {
-		if candidate.config.Usable && candidate.limited() {
+		if !candidate.usable() {
+			continue
+		}
+		scheduler.usableCount++
+		if candidate.limited() {
 			scheduler.limitedTargets = append(scheduler.limitedTargets, candidate)
 		}
 	}
@@ -191,7 +196,13 @@
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
 	candidate, found := scheduler.candidates[name]
-	if !found || !candidate.limited() {
+	if !found {
+		return 0
+	}
+	if candidate.leaving() {
+		return leavingProbeInterval
+	}
+	if !candidate.limited() {
 		return 0
 	}
 	return clock.Second / clock.Milliseconds(limitedProbeRate*candidate.declaration.rate+minLimitedProbeRate)
--- a/internal/service/rest.go
+++ b/internal/service/rest.go
@@ -35,7 +35,7 @@
 func (scheduler *Scheduler) restWait(now clock.Moment) clock.Milliseconds {
 	wait := clock.Milliseconds(0)
 	for _, candidate := range scheduler.ordered {
-		if !candidate.config.Usable {
+		if !candidate.usable() {
 			continue
 		}
 		rest := candidate.restUntil().Since(now)
--- a/internal/service/scheduler.go
+++ b/internal/service/scheduler.go
@@ -108,13 +108,9 @@
 	defer scheduler.mutex.Unlock()
 	now := scheduler.clock.Now()
 	configured := make(map[settings.TargetName]bool, len(configs))
-	scheduler.usableCount = 0
 	for index := range configs {
 		configured[configs[index].Name] = true
 		scheduler.setTarget(now, configs[index])
-		if configs[index].Usable {
-			scheduler.usableCount++
-		}
 	}
 	remaining := scheduler.ordered[:0]
 	for _, candidate := range scheduler.ordered {
@@ -133,7 +129,7 @@
 	clear(scheduler.ordered[len(remaining):])
 	scheduler.ordered = remaining
 	scheduler.dropOldDeclarations(now)
-	scheduler.countLimited()
+	scheduler.countUsable()
 	scheduler.reindexAll(now)
 	if scheduler.usableCount == 0 {
 		scheduler.refuseAll(ErrNoTarget)
--- a/internal/service/statement.go
+++ b/internal/service/statement.go
@@ -46,11 +46,13 @@
 	Rate               float64
 	// Rest is the time for which the target gets no request from this instance from now on, 0 if it is as before.
 	Rest clock.Milliseconds
+	// Leaving reports that the target gets no request from now on, since it is about to stop.
+	Leaving bool
 }
 
 // Changed reports whether anything has changed.
 func (change *StatementChange) Changed() bool {
-	return change.Limited || change.Unlimited || change.Rest > 0
+	return change.Limited || change.Unlimited || change.Rest > 0 || change.Leaving
 }
 
 // ObserveStatement adds what a target said of itself in the response to a probe. started is the start time of the target that was
@@ -78,5 +80,8 @@
 	now := scheduler.clock.Now()
 	scheduler.observeLimit(now, candidate, statement, &change)
 	scheduler.observeRest(now, candidate, statement, &change)
+	if statement.Leaving {
+		scheduler.setLeaving(now, candidate, &change)
+	}
 	return change
 }
