Show limits of servers in the status

An operator who asks why a server gets few requests had to search the log for what it had said. The status of an instance now shows for each server its limit and the tokens left. No decision changes.

--- a/internal/service/dispatcher.go
+++ b/internal/service/dispatcher.go
@@ -499,6 +499,10 @@
 	OthersInFlight int                     `json:"others"`
 	Limit          int                     `json:"limit"`
 	Failures       int                     `json:"failures"`
+	// RateLimit is the number of requests per second that the target accepts from the whole fleet, nil if it has named no limit;
+	// Tokens is the number of requests that it may get now.
+	RateLimit *float64 `json:"rateLimit,omitempty"`
+	Tokens    float64  `json:"tokens,omitempty"`
 }
 
 // State returns the state of every target, in no particular order, and the number of waiting requests.
--- a/internal/service/scheduler.go
+++ b/internal/service/scheduler.go
@@ -285,10 +285,16 @@
 	now := scheduler.clock.Now()
 	states := make([]TargetState, 0, len(scheduler.ordered))
 	for _, candidate := range scheduler.ordered {
-		states = append(states, TargetState{
+		state := TargetState{
 			Name: candidate.Name, Address: candidate.Address, DataCentre: candidate.DataCentre, OwnInFlight: candidate.ownInFlight,
 			OthersInFlight: candidate.othersInFlight(now), Limit: candidate.concurrencyLimit(), Failures: candidate.consecutiveFailures,
-		})
+		}
+		if candidate.limited() {
+			candidate.limitAllows(now)
+			rate := candidate.declaration.rate
+			state.RateLimit, state.Tokens = &rate, candidate.declaration.level
+		}
+		states = append(states, state)
 	}
 	return states, scheduler.waiting.length
 }
