Show rests and leaving of servers in the status

As for limits: an operator who asks why a server gets no requests had to search the log. The status of an instance now shows for each server how long it still rests, and whether it has said that it leaves. No decision changes.

--- a/internal/service/dispatcher.go
+++ b/internal/service/dispatcher.go
@@ -503,6 +503,10 @@
 	// Tokens is the number of requests that it may get now.
 	RateLimit *float64 `json:"rateLimit,omitempty"`
 	Tokens    float64  `json:"tokens,omitempty"`
+	// Rest is the time for which the target wants no request from this instance.
+	Rest clock.Milliseconds `json:"rest,omitempty"`
+	// Leaving is whether the target has said that it is about to stop.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // State returns the state of every target, in no particular order, and the number of waiting requests.
--- a/internal/service/scheduler.go
+++ b/internal/service/scheduler.go
@@ -288,6 +288,7 @@
 		state := TargetState{
 			Name: candidate.Name, Address: candidate.Address, DataCentre: candidate.DataCentre, OwnInFlight: candidate.ownInFlight,
 			OthersInFlight: candidate.othersInFlight(now), Limit: candidate.concurrencyLimit(), Failures: candidate.consecutiveFailures,
+			Rest: max(candidate.restUntil().Since(now), 0), Leaving: candidate.leaving(),
 		}
 		if candidate.limited() {
 			candidate.limitAllows(now)
