Report declarations of servers at most 20 times a second

With 20 limited servers that get 10 requests a second each, an instance reported at every tick in which it had sent one, up to 100 datagrams a second to each peer; the allowance for control is 13 KB/s. The first report after a pause still goes at once, further ones 50 ms later.

--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -185,11 +185,12 @@
 	serving          []membership.Identity
 	nextReadingShare clock.Moment
 	// declarationReporters are the instances that have reported requests to limited servers, with the time of the last report.
-	declarationReporters map[membership.Incarnation]clock.Moment
-	teams                teamState
-	nextIdleClose        clock.Moment
-	behindSince          clock.Moment
-	bootClockSkew        clock.Milliseconds
+	declarationReporters  map[membership.Incarnation]clock.Moment
+	nextDeclarationReport clock.Moment
+	teams                 teamState
+	nextIdleClose         clock.Moment
+	behindSince           clock.Moment
+	bootClockSkew         clock.Milliseconds
 	// membershipDirty reports that heartbeats since the last tick brought changes that have to be passed on to other
 	// instances.
 	membershipDirty bool
--- a/internal/fleet/declarations.go
+++ b/internal/fleet/declarations.go
@@ -10,6 +10,8 @@
 )
 
 const (
+	// declarationReportInterval is the shortest interval between two reports of declarations; the first after a pause is sent at once.
+	declarationReportInterval = 50 * clock.Millisecond
 	// maxDeclarationsPerDatagram is the maximum number of declarations in a datagram: at about 30 bytes each they fit into one packet.
 	maxDeclarationsPerDatagram = 40
 	// declarationReporterTimeout is how long an instance is sent the reports of others after its own last report, whatever its state:
@@ -71,6 +73,9 @@
 
 // reportDeclarations sends what backend servers have said of themselves, and the requests sent to limited ones, to the instances that send requests.
 func (controller *Controller) reportDeclarations(now clock.Moment) {
+	if now < controller.nextDeclarationReport {
+		return
+	}
 	var declarations []SharedDeclaration
 	for _, state := range controller.services {
 		for _, report := range state.scheduler.DeclarationReports(now) {
@@ -80,6 +85,7 @@
 	if len(declarations) == 0 {
 		return
 	}
+	controller.nextDeclarationReport = now.Add(declarationReportInterval)
 	recipients := controller.declarationRecipients(now)
 	for start := 0; start < len(declarations); start += maxDeclarationsPerDatagram {
 		message := &Message{Declarations: &DeclarationsMessage{
--- a/internal/service/limitmodel_test.go
+++ b/internal/service/limitmodel_test.go
@@ -38,8 +38,10 @@
 	limitModelLength  = 30 * clock.Second
 	// limitModelNamedAt is when targets begin to name their limit.
 	limitModelNamedAt = 5 * clock.Second
-	limitModelDelay   = 2
-	limitModelWork    = 160 * clock.Millisecond
+	// limitModelDelay is the number of steps that a report takes, limitModelReportInterval that between two reports.
+	limitModelDelay          = 2
+	limitModelReportInterval = 5
+	limitModelWork           = 160 * clock.Millisecond
 )
 
 // limitScenario is a load on a fleet some of whose targets name a limit.
@@ -72,6 +74,8 @@
 	permits  []limitPermit
 	pending  []*PendingPermit
 	incoming map[int][]limitDelivery
+	// nextReport is the step from which the instance may report again.
+	nextReport int
 }
 
 type limitPermit struct {
@@ -221,7 +225,11 @@
 		}
 		return ended
 	})
+	if model.step < instance.nextReport {
+		return
+	}
 	for _, report := range instance.scheduler.DeclarationReports(now) {
+		instance.nextReport = model.step + limitModelReportInterval
 		model.report(instance, report)
 	}
 }
