Tidy the code of declarations after a reading

A log line that was begun and not written, a method that nobody called, a method whose name said nothing, comments that wrapped badly. No change of behaviour; the tests of service and fleet pass unchanged.

--- a/internal/fleet/declarations.go
+++ b/internal/fleet/declarations.go
@@ -4,6 +4,8 @@
 	"math"
 	"net/netip"
 
+	"github.com/rs/zerolog"
+
 	"github.com/jaywheel/jaywheel/internal/membership"
 	"github.com/jaywheel/jaywheel/internal/service"
 	"github.com/jaywheel/jaywheel/pkg/clock"
@@ -49,29 +51,26 @@
 
 // RecordStatement logs and counts a change of what is known of a backend server from its statements.
 func (controller *Controller) RecordStatement(change service.StatementChange) {
-	events := &controller.options.Registry.Events
-	line := controller.options.Log.Info().Str("target", string(change.Target)).Str("source", string(change.Source))
-	switch {
-	case change.Limited:
-		events.Add(EventLimitNamed, 1)
-		line.Float64("perSecond", change.Rate).Msg("backend server limits the requests that it accepts")
-	case change.Unlimited:
-		events.Add(EventLimitWithdrawn, 1)
-		line.Msg("backend server no longer limits the requests that it accepts")
+	record := func(event string) *zerolog.Event {
+		controller.options.Registry.Events.Add(event, 1)
+		return controller.options.Log.Info().Str("target", string(change.Target)).Str("source", string(change.Source))
 	}
-	if change.Leaving {
-		events.Add(EventServerLeaving, 1)
-		controller.options.Log.Info().Str("target", string(change.Target)).Str("source", string(change.Source)).
-			Msg("backend server says that it is about to stop")
+	if change.Limited {
+		record(EventLimitNamed).Float64("perSecond", change.Rate).Msg("backend server limits the requests that it accepts")
+	}
+	if change.Unlimited {
+		record(EventLimitWithdrawn).Msg("backend server no longer limits the requests that it accepts")
 	}
 	if change.Rest > 0 {
-		events.Add(EventRest, 1)
-		controller.options.Log.Info().Str("target", string(change.Target)).Str("source", string(change.Source)).
-			Stringer("for", change.Rest).Msg("backend server wants no requests from this instance")
+		record(EventRest).Stringer("for", change.Rest).Msg("backend server wants no requests from this instance")
+	}
+	if change.Leaving {
+		record(EventServerLeaving).Msg("backend server says that it is about to stop")
 	}
 }
 
-// reportDeclarations sends what backend servers have said of themselves, and the requests sent to limited ones, to the instances that send requests.
+// reportDeclarations sends what backend servers have said of themselves, and how many requests the limited ones were sent, to the
+// instances that send requests.
 func (controller *Controller) reportDeclarations(now clock.Moment) {
 	if now < controller.nextDeclarationReport {
 		return
--- a/internal/service/ratelimit.go
+++ b/internal/service/ratelimit.go
@@ -80,8 +80,8 @@
 	rateLimit.level = max(rateLimit.level-requests, min(debt, rateLimit.level))
 }
 
-// name puts a limit in force.
-func (rateLimit *rateLimit) name(now clock.Moment, rate float64) {
+// enforce puts a limit in force.
+func (rateLimit *rateLimit) enforce(now clock.Moment, rate float64) {
 	if !rateLimit.named {
 		// The requests of the last moments are not known.
 		rateLimit.level = min(rateLimit.level, 0)
@@ -152,7 +152,7 @@
 	change.Limited, change.Unlimited, change.Rate = named, !named && declaration.named, rate
 	if named {
 		declaration.refill(now, *candidate.rateShare)
-		declaration.name(now, rate)
+		declaration.enforce(now, rate)
 	} else {
 		declaration.named = false
 	}
--- a/internal/service/rest.go
+++ b/internal/service/rest.go
@@ -1,9 +1,6 @@
 package service
 
-import (
-	"github.com/jaywheel/jaywheel/pkg/clock"
-	"github.com/jaywheel/jaywheel/pkg/settings"
-)
+import "github.com/jaywheel/jaywheel/pkg/clock"
 
 // observeRest applies the time for which a target wants no request from this instance. A shorter time than was asked for before,
 // and a response without one, change nothing: they may have been sent earlier.
@@ -48,11 +45,3 @@
 	}
 	return wait
 }
-
-// Resting reports whether the target wants no request from this instance now.
-func (scheduler *Scheduler) Resting(name settings.TargetName) bool {
-	scheduler.mutex.Lock()
-	defer scheduler.mutex.Unlock()
-	candidate, found := scheduler.candidates[name]
-	return found && scheduler.clock.Now() < candidate.restUntil()
-}
