Ask a second peer for changes without giving up the first

Callers' view: 404 for routes that had been added 3 s before, from a small instance that had just begun to serve. Cause: on its full link every answer of a peer took longer than 0.4 s, after which the request was given up and another peer asked in vain; then everything was read from the store, which takes longest.

Change: after 0.4 s a second peer is asked as well, while the first request goes on, within the second that the reader gives peers. A silent peer costs what it did. Ruled out: a longer time-out, which delays what follows a dead peer (revocation within 440 ms).

--- a/internal/fleet/updates.go
+++ b/internal/fleet/updates.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -50,29 +51,73 @@
 	return max(controller.view.RetainedUntil.Since(controller.options.Clock.Now()), minRetainedFor)
 }
 
-// updateTimeout bounds a request to a peer for the changes after a revision, which are mostly a few backend servers.
-const updateTimeout = 400 * clock.Millisecond
+// secondPeerDelay is the time without an answer after which the changes since a revision, which are mostly a few backend servers,
+// are requested from a second peer as well. The first request goes on: on a full link every answer takes longer.
+const secondPeerDelay = 400 * clock.Millisecond
 
-// FetchFromPeer reads the changes after a revision from the peer with the freshest view, by the given function. If
-// the request fails, the peer is avoided for a while. The error is ErrNoPeer if no such peer is known.
+// peerUpdate is the answer of a peer, or the error of the request to it.
+type peerUpdate struct {
+	address netip.AddrPort
+	update  catalog.Update
+	err     error
+}
+
+// FetchFromPeer reads the changes after a revision from the peer with the freshest view, by the given function. A peer whose
+// request fails or takes long is avoided for a while. The error is ErrNoPeer if no such peer is known.
 func (controller *Controller) FetchFromPeer(
 	ctx context.Context, after catalog.Revision, read func(context.Context, netip.AddrPort, catalog.Revision) (catalog.Update, error),
 ) (catalog.Update, error) {
-	address, err := controller.freshestPeerAddress(ctx)
+	first, err := controller.freshestPeerAddress(ctx)
 	if err != nil {
 		return catalog.Update{}, err
 	}
-	callCtx := ctx
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan peerUpdate, 2)
+	request := func(address netip.AddrPort) {
+		update, err := read(ctx, address, after)
+		answers <- peerUpdate{address: address, update: update, err: err}
+	}
+	go request(first)
+	pending := 1
+	var late <-chan time.Time
 	if after > 0 {
-		var cancel context.CancelFunc
-		callCtx, cancel = context.WithTimeout(ctx, updateTimeout.Duration())
-		defer cancel()
+		timer := time.NewTimer(secondPeerDelay.Duration())
+		defer timer.Stop()
+		late = timer.C
 	}
-	update, err := read(callCtx, address, after)
-	if err == nil {
-		return update, nil
+	for {
+		select {
+		case answer := <-answers:
+			pending--
+			if answer.err == nil {
+				return answer.update, nil
+			}
+			err = errors.CombineErrors(answer.err, controller.avoidPeer(ctx, answer.address))
+			if pending == 0 {
+				return catalog.Update{}, err
+			}
+		case <-late:
+			if second, found := controller.otherPeerAddress(ctx, first); found {
+				pending++
+				go request(second)
+			}
+		}
 	}
-	return update, errors.CombineErrors(err, controller.post(ctx, func(controller *Controller) { controller.members.SetUnreachable(address) }))
+}
+
+// otherPeerAddress avoids a peer and returns the address of another one, if there is one.
+func (controller *Controller) otherPeerAddress(ctx context.Context, slow netip.AddrPort) (netip.AddrPort, bool) {
+	if controller.avoidPeer(ctx, slow) != nil {
+		return netip.AddrPort{}, false
+	}
+	address, err := controller.freshestPeerAddress(ctx)
+	return address, err == nil && address != slow
+}
+
+// avoidPeer avoids a peer for a while.
+func (controller *Controller) avoidPeer(ctx context.Context, address netip.AddrPort) error {
+	return controller.post(ctx, func(controller *Controller) { controller.members.SetUnreachable(address) })
 }
 
 // freshestPeerAddress returns the address of the peer whose view is to be read, whether it serves or not: the store may refuse
