Check that the caller is still there before a request is written

Cause: an instance notices a caller's disconnect only when the goroutine that reads the connection runs. In a process that is short of processor time, a request and its caller's FIN are read together and late, and the request passes several goroutines (handler, permit, connection to the server) before its first byte is written; the one that reads the FIN may come after all of them.

Change: the connection to a backend server calls a check immediately before the first byte of a request is written, which asks the kernel whether the caller's socket is half closed. It holds for first attempts, retries and hedged requests alike. A request that fails the check is not retried and costs its server nothing.

--- a/internal/backendserver/servers.go
+++ b/internal/backendserver/servers.go
@@ -87,6 +87,16 @@
 	closed     bool
 }
 
+// writeCheckKey is the context key of a write check.
+type writeCheckKey struct{}
+
+// WithWriteCheck returns a context for Send under which check is called immediately before the first byte of the request is
+// written. The time between Send and that write is long when the process is short of processor time. If check returns an error,
+// nothing is written, and the error of Send wraps it.
+func WithWriteCheck(ctx context.Context, check func() error) context.Context {
+	return context.WithValue(ctx, writeCheckKey{}, check)
+}
+
 // Send writes the request once on a connection to target and returns when the response header has arrived. With freshOnly
 // it uses a new connection, or one on which data has been received within the freshness period of the settings. The error
 // is an *Error.
@@ -107,6 +117,9 @@
 func (pool *pool) exchange(ctx context.Context, connection *connection, request *http.Request) (*Exchange, error) {
 	before := connection.socket.written.Load()
 	reused := connection.used
+	if check, found := ctx.Value(writeCheckKey{}).(func() error); found {
+		connection.socket.writeCheck.Store(&check)
+	}
 	response, err := connection.client.RoundTrip(request.WithContext(ctx)) //nolint:bodyclose // Exchange.Close does.
 	if err != nil {
 		// Close the socket before reading the count, so that no byte of the request is sent after the read.
--- a/internal/backendserver/socket.go
+++ b/internal/backendserver/socket.go
@@ -19,6 +19,8 @@
 
 	written  atomic.Int64
 	lastRead atomic.Int64
+	// writeCheck is called before the next write, if it is not nil.
+	writeCheck atomic.Pointer[func() error]
 }
 
 // Read implements net.Conn.
@@ -33,6 +35,11 @@
 // Write implements net.Conn. Bytes are counted before they are passed to the kernel, since a write that fails part way may
 // have sent some of them.
 func (socket *socket) Write(buffer []byte) (int, error) {
+	if check := socket.writeCheck.Swap(nil); check != nil {
+		if err := (*check)(); err != nil {
+			return 0, err
+		}
+	}
 	socket.written.Add(int64(len(buffer)))
 	return socket.Conn.Write(buffer)
 }
--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -51,7 +51,7 @@
 	target := permit.Target
 	freshOnly := !call.route.Class.Settings.Idempotent
 	before := call.now()
-	exchange, err := call.handler.options.Servers.Send(ctx, target.Name, request, freshOnly)
+	exchange, err := call.handler.options.Servers.Send(backendserver.WithWriteCheck(ctx, call.checkCaller), target.Name, request, freshOnly)
 	attempt := attempt{permit: permit, exchange: exchange, err: err, connected: !isConnectError(err)}
 	attempt.trace = trace.Attempt{
 		Target: target.Name, DataCentre: target.DataCentre, Considered: permit.Considered, InFlight: permit.InFlight, QueueWait: permit.QueueTime,
@@ -67,6 +67,19 @@
 	return attempt
 }
 
+// errCallerGone means that the caller disconnected before the request was written to a backend server.
+var errCallerGone = errors.New("caller disconnected before the request was sent")
+
+// checkCaller returns errCallerGone if the caller has disconnected. Requests of multiplexed connections are cancelled by the HTTP
+// server alone.
+func (call *call) checkCaller() error {
+	guarded, found := call.request.Context().Value(connectionKey{}).(*guardedConnection)
+	if found && call.request.ProtoMajor == 1 && guarded.disconnected() {
+		return errCallerGone
+	}
+	return nil
+}
+
 // isConnectError reports whether an attempt failed before a connection was obtained for the request.
 func isConnectError(err error) bool {
 	var failure *backendserver.Error
@@ -96,6 +109,7 @@
 		errors.Is(attempt.err, backendserver.ErrConnectionLimitReached),
 		errors.Is(attempt.err, backendserver.ErrUnknownTarget),
 		errors.Is(ctx.Err(), context.Canceled),
+		errors.Is(attempt.err, errCallerGone),
 		call.body.readError() != nil:
 		return service.Cancelled
 	default:
--- a/internal/caller/connection.go
+++ b/internal/caller/connection.go
@@ -95,6 +95,23 @@
 	return err == nil && ioctlErr == nil && count > 0
 }
 
+// disconnected reports whether the caller has closed the connection or its sending side. The HTTP server notices that only when
+// its goroutine runs, which takes long in a process that is short of processor time.
+func (guardedConnection *guardedConnection) disconnected() bool {
+	raw, err := guardedConnection.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var events int16
+	err = raw.Control(func(descriptor uintptr) {
+		descriptors := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLRDHUP}}
+		if count, pollErr := unix.Poll(descriptors, 0); pollErr == nil && count > 0 {
+			events = descriptors[0].Revents
+		}
+	})
+	return err != nil || events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
 // closeWhenIdle closes the connection at once if it waits for a request, otherwise after its current request. New connections,
 // on which nothing has been read yet, are kept unless includeNew is set. Multiplexed connections are left to the HTTP server.
 func (guardedConnection *guardedConnection) closeWhenIdle(includeNew bool) {
--- a/internal/caller/forward.go
+++ b/internal/caller/forward.go
@@ -156,7 +156,7 @@
 // sender that retried it, since the retries of each level of calls, up to nine deep, would multiply. Attempts that are
 // exempt from the budget are retried in either case.
 func (call *call) mayRetry(ctx context.Context, attempt *attempt) bool {
-	if ctx.Err() != nil || !call.body.replayable() || call.body.readError() != nil {
+	if ctx.Err() != nil || errors.Is(attempt.err, errCallerGone) || !call.body.replayable() || call.body.readError() != nil {
 		return false
 	}
 	if !attempt.notRun && !call.route.Class.Settings.Idempotent {
@@ -189,7 +189,7 @@
 	case endedByDrain(ctx):
 		errorResponse.status = http.StatusGatewayTimeout
 		errorResponse.reason = outcome.ReasonLeaving
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled), errors.Is(attempt.err, errCallerGone):
 		errorResponse.reason = outcome.ReasonCallerGone
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		errorResponse.status = http.StatusGatewayTimeout
