Go on watching the store while peers are asked for a newer view

Cause: on a full link each new connection takes two trips through the queue of downloads, over a second. The watch, whose request was already on its way and whose response needs no free outgoing link, was the first thing to be given up.

Change: the watch goes on while the view of a peer is requested. Whichever comes first counts; only when no peer answers is the watch given up and everything read.

--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -41,10 +41,15 @@
 
 // readPeer adopts the view of a peer if it is newer, or if full is set. The store may refuse the calls of some instances only.
 func (reader *Reader) readPeer(ctx context.Context, full bool) {
-	view, err := reader.fetchFromPeers(ctx, full)
-	if err != nil {
-		return
+	requestContext, cancel := reader.cancellableContext(ctx, readTimeout)
+	defer cancel()
+	if view, err := reader.fetchFromPeers(requestContext, reader.newPeerRequest(full)); err == nil {
+		reader.adoptPeerView(ctx, view, full)
 	}
+}
+
+// adoptPeerView puts the view of a peer in force if it is newer, or if full is set.
+func (reader *Reader) adoptPeerView(ctx context.Context, view View, full bool) {
 	outdated := view.Revision < reader.revision || view.Revision == reader.revision && !full && reader.recheckPeerAt == 0
 	if outdated || view.Configuration == nil {
 		return
@@ -71,16 +76,20 @@
 
 // fetchFromPeers requests the view of a peer, and that of a second peer at once when the first request fails, since the first peer
 // may just have ended.
-func (reader *Reader) fetchFromPeers(ctx context.Context, full bool) (View, error) {
-	ctx, cancel := reader.cancellableContext(ctx, readTimeout)
-	defer cancel()
-	view, err := reader.fetchPeerView(ctx, full)
+func (reader *Reader) fetchFromPeers(ctx context.Context, request peerRequest) (View, error) {
+	started := reader.options.Clock.Now()
+	view, err := reader.fetchPeerView(ctx, request)
 	if err != nil && ctx.Err() == nil {
 		reader.options.Events.Add(EventPeerFailed, 1)
-		view, err = reader.fetchPeerView(ctx, full)
+		view, err = reader.fetchPeerView(ctx, request)
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		// Nobody waits for the response any more.
+		return view, err
 	}
 	if err != nil {
 		reader.options.Events.Add(EventPeerFailed, 1)
+		reader.options.Log.Info().Str("problem", err.Error()).Stringer("after", reader.options.Clock.Now().Since(started)).Msg("no peer answered with its view")
 	}
 	reader.mutex.Lock()
 	reader.peerFailing = err != nil
@@ -107,22 +116,35 @@
 	return first
 }
 
-// fetchPeerView requests the changes since the known revision from a peer, and everything when those do not apply to the view here.
-func (reader *Reader) fetchPeerView(ctx context.Context, full bool) (View, error) {
-	after := reader.revision
+// peerRequest is a request for the view of a peer, and the view here that the response is applied to.
+type peerRequest struct {
+	base View
+	// after is the revision after which changes are requested, 0 for everything.
+	after Revision
+	// recheck is whether the view of a peer may change although the revision does not.
+	recheck bool
+}
+
+// newPeerRequest returns a request for the changes since the known revision, or for everything if full is set.
+func (reader *Reader) newPeerRequest(full bool) peerRequest {
+	request := peerRequest{base: reader.current(), after: reader.revision, recheck: reader.recheckPeerAt > 0}
 	if full || reader.configuration == nil {
-		after = 0
+		request.after = 0
 	}
-	update, err := reader.options.FetchFromPeer(ctx, after)
+	return request
+}
+
+// fetchPeerView requests the changes since the known revision from a peer, and everything when those do not apply to the view here.
+func (reader *Reader) fetchPeerView(ctx context.Context, request peerRequest) (View, error) {
+	update, err := reader.options.FetchFromPeer(ctx, request.after)
 	if err != nil {
 		return View{}, err
 	}
-	base := reader.current()
-	if update.Revision < after || update.Revision == after && reader.recheckPeerAt == 0 {
-		return base, nil
+	if update.Revision < request.after || update.Revision == request.after && !request.recheck {
+		return request.base, nil
 	}
-	view, err := update.Apply(&base)
-	if !errors.Is(err, ErrMismatch) || after == 0 {
+	view, err := update.Apply(&request.base)
+	if !errors.Is(err, ErrMismatch) || request.after == 0 {
 		view.RetainedUntil = reader.retentionEnd(update.RetainedFor)
 		return view, err
 	}
@@ -130,7 +152,7 @@
 	if update, err = reader.options.FetchFromPeer(ctx, 0); err != nil {
 		return View{}, err
 	}
-	view, err = update.Apply(&base)
+	view, err = update.Apply(&request.base)
 	view.RetainedUntil = reader.retentionEnd(update.RetainedFor)
 	return view, err
 }
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -87,6 +87,8 @@
 type Reader struct {
 	options Options
 	wake    chan struct{}
+	// catchUp requests the view of a peer during a watch.
+	catchUp chan struct{}
 
 	mutex            sync.Mutex
 	role             Role
@@ -107,11 +109,13 @@
 	revision Revision
 	complete bool
 	// refreshing is set from a request to read everything until that is done.
-	refreshing    bool
-	configuration *Configuration
-	servers       map[Key]Server
-	evacuated     map[Key]settings.DataCentreName
-	lapsed        map[Key]clock.Moment
+	refreshing bool
+	// peersFailedInWatch is whether the last watch was given up because no peer responded either.
+	peersFailedInWatch bool
+	configuration      *Configuration
+	servers            map[Key]Server
+	evacuated          map[Key]settings.DataCentreName
+	lapsed             map[Key]clock.Moment
 	// calledAt is when the last call to the source began, failedAt when the last failed one did.
 	calledAt, failedAt clock.Moment
 	// retainUntil is the time until which removed entries are retained that may only have lapsed.
@@ -125,7 +129,7 @@
 // NewReader returns a reader with RoleFollower. It reads nothing until its role changes or a peer's revision is set.
 func NewReader(options Options) *Reader {
 	return &Reader{
-		options: options, wake: make(chan struct{}, 1), servers: map[Key]Server{},
+		options: options, wake: make(chan struct{}, 1), catchUp: make(chan struct{}, 1), servers: map[Key]Server{},
 		evacuated: map[Key]settings.DataCentreName{}, lapsed: map[Key]clock.Moment{},
 	}
 }
@@ -153,11 +157,12 @@
 			reader.followOnce(ctx)
 			continue
 		}
-		if refresh && (reader.failures > 0 || reader.behind()) {
+		if refresh && !reader.peersFailedInWatch && (reader.failures > 0 || reader.behind()) {
 			// The entry of a server that peers saw removed while only this instance got no responses has not lapsed. The source may also
 			// never have responded to the call that was cancelled for the refresh, nor respond to the next one: peers are read first.
 			reader.readPeer(ctx, false)
 		}
+		reader.peersFailedInWatch = false
 		if err := reader.step(ctx); err != nil && ctx.Err() == nil {
 			reader.handleFailure(ctx, err)
 		}
@@ -180,12 +185,16 @@
 		return reader.readAll(ctx)
 	}
 	wait := reader.nextWatchWait()
-	ctx, cancel := reader.callContext(ctx, wait+watchSlack)
+	callContext, cancel := reader.callContext(ctx, wait+watchSlack)
 	defer cancel()
 	reader.options.Events.Add(EventWatch, 1)
 	reader.setWatching(true)
-	changes, err := reader.options.Source.Watch(ctx, reader.revision, wait)
+	changes, peerView, err := reader.watch(callContext, wait)
 	reader.setWatching(false)
+	if peerView != nil {
+		reader.adoptPeerView(ctx, *peerView, false)
+		return nil
+	}
 	if errors.Is(err, ErrCompacted) {
 		reader.complete = false
 		reader.options.Log.Info().Uint64("revision", uint64(reader.revision)).Msg("changes since the revision are no longer available, reading everything")
--- a/internal/catalog/role.go
+++ b/internal/catalog/role.go
@@ -1,8 +1,6 @@
 package catalog
 
 import (
-	"context"
-
 	"github.com/jaywheel/jaywheel/pkg/clock"
 )
 
@@ -55,19 +53,19 @@
 	reader.signal()
 }
 
-// CatchUp reports that a peer has had the given newer revision for some time. A watch in progress is cancelled, the view of a peer
-// is read, and everything is read again. A read in progress is not cancelled: on a slow link it would never complete.
+// CatchUp reports that a peer has had the given newer revision for some time. The view of a peer is requested while a watch in progress
+// goes on: on a full link the response to the watch arrives first, since it needs no new connection. A read of everything in progress
+// is not cancelled either: on a slow link it would never complete.
 func (reader *Reader) CatchUp(newest Revision) {
 	reader.mutex.Lock()
 	reader.peerRevision = newest
-	var cancel context.CancelFunc
-	if reader.watching {
-		reader.refreshRequested = true
-		cancel = reader.cancelIO
-	}
+	watching := reader.watching
 	reader.mutex.Unlock()
-	if cancel != nil {
-		cancel()
+	if watching {
+		select {
+		case reader.catchUp <- struct{}{}:
+		default:
+		}
 	}
 	reader.signal()
 }
