Let the number of serving instances follow the load

Callers saw requests wait until their deadlines while nearly all instances were idle: three instances served whatever was asked.

Cause: one instance of each data centre served, at least three, at any load.

Change: a serving instance measures the use of its processor and of its link over a second and reports it every half second to the other serving ones, in a datagram of its own that earlier releases pass over. Above 70% more instances begin to serve, so many that each uses 55%, at most twice as many every two seconds; fewer when they have used under 35% for ten seconds. Larger ones come first, and of equal ones those of the data centre that has the fewest. Who should serve is the largest number that any serving instance reports; below the threshold nothing changes. What was divided by a fixed number of instances now follows: connections to a server and saved-up retries (27 instances with a fifth of the slack each exceed the retry budget: 1,732 retries of 1,642, in TestFleetKeepsTheRetryBudget). Readings are encoded once for all peers and sent every 25 to 100 ms.

TestMoreInstancesServeWhatThreeCannot (nine real instances, a fifth of a core each): three named and 0.57 of the calls answered before, six named and all answered now.

--- a/internal/caller/connection.go
+++ b/internal/caller/connection.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -17,6 +18,8 @@
 	guard headGuard
 	// untrack removes the connection from those that its listener waits for; releaseToken lets the listener accept another one.
 	untrack, releaseToken func()
+	// onSent is called with the number of bytes written.
+	onSent func(int64)
 	// onUnfinished is called when the connection is closed within a request that was never handled.
 	onUnfinished func()
 	// unhandledBytes means that bytes have been read that do not belong to a handled request.
@@ -64,6 +67,20 @@
 	return count, err
 }
 
+// Write implements net.Conn.
+func (guardedConnection *guardedConnection) Write(buffer []byte) (int, error) {
+	count, err := guardedConnection.TCPConn.Write(buffer)
+	guardedConnection.onSent(int64(count))
+	return count, err
+}
+
+// ReadFrom implements io.ReaderFrom.
+func (guardedConnection *guardedConnection) ReadFrom(source io.Reader) (int64, error) {
+	count, err := guardedConnection.TCPConn.ReadFrom(source)
+	guardedConnection.onSent(count)
+	return count, err
+}
+
 // SetReadDeadline implements net.Conn.
 func (guardedConnection *guardedConnection) SetReadDeadline(deadline time.Time) error {
 	guardedConnection.mutex.Lock()
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -44,6 +44,8 @@
 	MaxStall clock.Milliseconds
 	// Dialect defines headers and reserved paths; nil means NewDialect().
 	Dialect *Dialect
+	// Lateness returns how long work waits for the processor of this instance, 0 while it does not wait. It may be nil.
+	Lateness func() clock.Milliseconds
 	// OnRequestDone is called with the trace of each completed request. It must not block. It may be nil.
 	OnRequestDone func(*trace.Request)
 	// OnStatement is called when a backend server's response has changed what is known of it. It must not block. It may be nil.
@@ -82,6 +84,8 @@
 const (
 	// EventUnfinished counts connections that were closed within a malformed or incomplete request.
 	EventUnfinished = "caller.unfinished"
+	// EventSentBytes counts the bytes written to callers.
+	EventSentBytes = "caller.sentBytes"
 	// EventPanic counts requests whose handling panicked unexpectedly.
 	EventPanic = "caller.panic"
 )
--- a/internal/caller/listener.go
+++ b/internal/caller/listener.go
@@ -32,6 +32,7 @@
 	closed       chan struct{}
 	closeOnce    sync.Once
 	onUnfinished func()
+	onSent       func(int64)
 
 	mutex sync.Mutex
 	// open contains the open connections that are not known to be multiplexed.
@@ -42,7 +43,7 @@
 }
 
 // Listen listens for callers on the TCP address, and limits the number of open connections to limits.MaxConnections. It counts
-// EventUnfinished in events. It returns an error if the address cannot be resolved or listened on.
+// EventUnfinished and EventSentBytes in events. It returns an error if the address cannot be resolved or listened on.
 func Listen(address string, limits settings.Callers, events *expvar.Map) (*Listener, error) {
 	resolved, err := net.ResolveTCPAddr("tcp", address)
 	if err != nil {
@@ -55,6 +56,7 @@
 	return &Listener{
 		TCPListener: listener, tokens: make(chan struct{}, limits.MaxConnections), closed: make(chan struct{}), drained: make(chan struct{}),
 		open: map[*guardedConnection]struct{}{}, onUnfinished: func() { events.Add(EventUnfinished, 1) },
+		onSent: func(count int64) { events.Add(EventSentBytes, count) },
 	}, nil
 }
 
@@ -85,7 +87,7 @@
 		return nil, err
 	}
 	guarded := &guardedConnection{
-		TCPConn: connection, onUnfinished: listener.onUnfinished, releaseToken: sync.OnceFunc(func() { <-listener.tokens }),
+		TCPConn: connection, onUnfinished: listener.onUnfinished, onSent: listener.onSent, releaseToken: sync.OnceFunc(func() { <-listener.tokens }),
 	}
 	guarded.untrack = func() { listener.untrack(guarded) }
 	guarded.guard.reset()
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -29,9 +29,6 @@
 	// its peers, standbyTickInterval that of all other instances.
 	servingTickInterval = 10 * clock.Millisecond
 	standbyTickInterval = 50 * clock.Millisecond
-	// readingShareInterval is the interval at which load readings are sent to the other serving instances. It is a tenth of a
-	// slowdown interval, so that a reading is valid at the other instances for nearly as long as at its owner.
-	readingShareInterval = 25 * clock.Millisecond
 	// minSharedValidity is the shortest remaining validity with which a load reading is still sent.
 	minSharedValidity = 12 * clock.Millisecond
 	// learningProbePause is the pause between probes of a target whose slowdown cycle is not known yet.
@@ -124,6 +121,12 @@
 	Servers   *backendserver.Servers
 	Registry  *metrics.Registry
 	Log       zerolog.Logger
+	// ProcessorTime returns the processor time that this process has used; nil if it is not known.
+	ProcessorTime func() clock.Milliseconds
+	// SentBytes returns the number of bytes sent to callers; nil if it is not known. LinkRate is the number of bytes per millisecond
+	// that the link of this instance carries, 0 if it is not known.
+	SentBytes func() int64
+	LinkRate  float64
 	// Quota enforces the rate limits of teams; nil if there are none.
 	Quota *quota.Limiter
 	// Send sends a datagram to a peer.
@@ -157,7 +160,12 @@
 	// tableSet is closed and replaced when a table comes into force.
 	tableSet atomic.Pointer[chan struct{}]
 	ready    atomic.Bool
-	inbox    chan event
+	// lateness is the current value of Lateness in whole milliseconds.
+	lateness atomic.Int64
+	// minProbePause is the minimum pause between two probes of a target in whole milliseconds, so that all probes together leave enough
+	// processor time for requests.
+	minProbePause atomic.Int64
+	inbox         chan event
 	// staleMutex guards nextStaleRead, the earliest time at which a request may trigger the next stale read.
 	staleMutex    sync.Mutex
 	nextStaleRead clock.Moment
@@ -195,6 +203,7 @@
 	// instances.
 	membershipDirty bool
 	nextTick        clock.Moment
+	loadMeter       loadMeter
 }
 
 type targetRef struct {
@@ -227,6 +236,7 @@
 		bootClockSkew: bootClockSkew(options), started: options.Clock.Now(),
 		isSeed: slices.ContainsFunc(options.Seeds, func(seed netip.AddrPort) bool { return seed.String() == options.Self.Peer }),
 	}
+	controller.loadMeter = newLoadMeter(options)
 	tableSet := make(chan struct{})
 	controller.tableSet.Store(&tableSet)
 	return controller
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -105,6 +105,8 @@
 	Quota     *quota.Report
 	// Declarations is sent alone, in a datagram of its own form: instances of releases that do not know it ignore just these datagrams.
 	Declarations *DeclarationsMessage `cbor:"-"`
+	// Load is sent alone as well.
+	Load *membership.LoadReport `cbor:"-"`
 }
 
 // DeclarationsMessage contains what backend servers have said of themselves, and how many requests its sender has sent to them.
@@ -117,6 +119,9 @@
 // declarationsMessageStart is the first byte of a DeclarationsMessage, an array of two elements in CBOR.
 const declarationsMessageStart = 0x82
 
+// loadReportStart is the first byte of a LoadReport, an array of five elements in CBOR.
+const loadReportStart = 0x85
+
 // decoding is strict: a datagram that does not fit the message exactly was not written by an instance of this release.
 var decoding = func() cbor.DecMode {
 	mode, err := cbor.DecOptions{
@@ -132,8 +137,11 @@
 // Encode returns the CBOR encoding of a message.
 func Encode(message *Message) ([]byte, error) {
 	var content any = message
-	if message.Declarations != nil {
+	switch {
+	case message.Declarations != nil:
 		content = message.Declarations
+	case message.Load != nil:
+		content = message.Load
 	}
 	text, err := cbor.Marshal(content)
 	return text, errors.Wrap(err, "encode message to a peer")
@@ -150,6 +158,13 @@
 		}
 		return &message, nil
 	}
+	if len(text) > 0 && text[0] == loadReportStart {
+		message.Load = &membership.LoadReport{}
+		if err := decoding.Unmarshal(text, message.Load); err != nil {
+			return nil, errors.Wrapf(ErrInvalidMessage, "load report: %v", err)
+		}
+		return &message, nil
+	}
 	if err := decoding.Unmarshal(text, &message); err != nil {
 		return nil, errors.Wrapf(ErrInvalidMessage, "%v", err)
 	}
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -35,6 +35,22 @@
 	controller.options.Send(address, datagram)
 }
 
+// sendToServing sends the message to all other serving instances. It is encoded once.
+func (controller *Controller) sendToServing(message *Message) {
+	peers := controller.members.ServingPeers()
+	if len(peers) == 0 {
+		return
+	}
+	datagram, err := Encode(message)
+	if err != nil {
+		controller.options.Log.Error().Str("problem", err.Error()).Msg("datagram to the serving instances not sent")
+		return
+	}
+	for _, peer := range peers {
+		controller.options.Send(peer.Address, datagram)
+	}
+}
+
 // receiveMessage applies the message of a peer.
 func (controller *Controller) receiveMessage(message *Message) {
 	now := controller.options.Clock.Now()
@@ -47,6 +63,9 @@
 	if message.Declarations != nil {
 		controller.receiveDeclarations(now, message.Declarations)
 	}
+	if message.Load != nil {
+		controller.members.ReceiveLoad(*message.Load)
+	}
 	for index := range message.Readings {
 		sharedReading := &message.Readings[index]
 		ref, known := controller.targets[sharedReading.Target]
--- /dev/null
+++ b/internal/fleet/probepause.go
@@ -0,0 +1,29 @@
+package fleet
+
+import "github.com/jaywheel/jaywheel/pkg/clock"
+
+// Limits of the processor time for probes.
+const (
+	// probeProcessorShare is the share of the processor that probes may use, probeProcessorTime what one probe takes.
+	probeProcessorShare = 0.2
+	probeProcessorTime  = 0.07 * clock.Millisecond
+	// maxProbePause is shorter than the time after which the state of a target counts as unknown.
+	maxProbePause = 1200 * clock.Millisecond
+)
+
+// setMinProbePause determines the minimum pause between two probes of a target: an instance that owns hundreds of targets probes each
+// of them more rarely.
+func (controller *Controller) setMinProbePause() {
+	owned := 0
+	for _, owner := range controller.owners {
+		if owner == controller.options.Self.Name {
+			owned++
+		}
+	}
+	available := probeProcessorShare * float64(controller.options.Self.Size) / millicores
+	if available <= 0 {
+		return
+	}
+	pause := clock.Milliseconds(float64(owned)/available) * probeProcessorTime
+	controller.minProbePause.Store(int64(min(pause, maxProbePause)))
+}
--- a/internal/fleet/share.go
+++ b/internal/fleet/share.go
@@ -6,6 +6,15 @@
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
 
+// minReadingShareInterval is the interval at which load readings are sent to up to maxFrequentSharePeers serving instances. It is a
+// tenth of a slowdown interval, so that a reading is valid at the other instances for nearly as long as at its owner.
+// maxReadingShareInterval is the interval in a fleet in which many instances serve.
+const (
+	minReadingShareInterval = 25 * clock.Millisecond
+	maxReadingShareInterval = 100 * clock.Millisecond
+	maxFrequentSharePeers   = 6
+)
+
 // ownReading is the latest probe result of an owned target.
 type ownReading struct {
 	reading service.LoadReading
@@ -17,7 +26,7 @@
 	if now < controller.nextReadingShare {
 		return
 	}
-	controller.nextReadingShare = now.Add(readingShareInterval)
+	controller.nextReadingShare = now.Add(controller.readingShareInterval())
 	controller.latestMutex.Lock()
 	latest := controller.latestReadings
 	controller.latestReadings = make(map[settings.TargetName]ownReading, len(latest))
@@ -34,9 +43,13 @@
 		readings = append(readings, newSharedReading(keyOf(name), own, steady, period, now))
 	}
 	for start := 0; start < len(readings); start += maxReadingsPerDatagram {
-		message := &Message{Readings: readings[start:min(start+maxReadingsPerDatagram, len(readings))]}
-		for _, peer := range controller.members.ServingPeers() {
-			controller.send(peer.Address, message)
-		}
+		controller.sendToServing(&Message{Readings: readings[start:min(start+maxReadingsPerDatagram, len(readings))]})
 	}
 }
+
+// readingShareInterval returns the interval at which load readings are sent. It grows with the number of serving instances, since
+// each sends its readings to all others.
+func (controller *Controller) readingShareInterval() clock.Milliseconds {
+	factor := float64(len(controller.members.ServingPeers())) / maxFrequentSharePeers
+	return min(minReadingShareInterval*clock.Milliseconds(max(factor, 1)), maxReadingShareInterval)
+}
--- a/internal/fleet/tick.go
+++ b/internal/fleet/tick.go
@@ -24,12 +24,16 @@
 // tick runs the timed work.
 func (controller *Controller) tick() {
 	now := controller.options.Clock.Now()
+	if controller.nextTick > 0 {
+		controller.loadMeter.recordTick(now.Since(controller.nextTick))
+	}
 	controller.checkSuspended()
 	if changed := controller.members.UpdateStates(); changed || controller.membershipDirty {
 		controller.membershipDirty = false
 		controller.publishIfServingChanged()
 	}
 	controller.updateState(now)
+	controller.updateLoad(now)
 	controller.sendHeartbeats()
 	if controller.members.Leaderless() {
 		// Without a leader, each heartbeat may change which instances are present.
@@ -102,6 +106,7 @@
 	controller.members.SetState(state)
 	if state == membership.Serving {
 		controller.servingSince = controller.options.Clock.Now()
+		controller.loadMeter.reset(controller.servingSince)
 	}
 	controller.publish()
 }
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -15,9 +15,17 @@
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
 
-// connectionShares divides the connection limit of a target between instances: the limit applies to the whole fleet, of which
-// few instances serve.
-const connectionShares = 4
+// The connection limit of a target applies to the whole fleet. It is divided between the serving instances and one more, which
+// may have served until just now; minConnectionShares is the minimum number of parts, minConnections the minimum of a part.
+const (
+	minConnectionShares = 4
+	minConnections      = 4
+)
+
+// connectionShare returns the part of a target's connection limit that this instance may use.
+func (controller *Controller) connectionShare(limit int) int {
+	return max(limit/max(len(controller.serving)+1, minConnectionShares), minConnections)
+}
 
 // connections configures how connections to backend servers are opened and kept.
 var connections = settings.Connections{
@@ -41,12 +49,18 @@
 	// retryBudgetMargin is the fraction of the agreed share that is used; a copy of a request that was cancelled in transit
 	// counts as well.
 	retryBudgetMargin = 0.9
-	// retryBudgetShares is the number of parts of the agreed slack, of which each instance may save up one: few instances
-	// serve, and one more may have served until just now. Saved retries are for the moment at which a data centre fails with
-	// requests on all of its servers.
-	retryBudgetShares = 5
+	// minRetryBudgetShares is the minimum number of parts of the agreed slack, of which each instance may save up one. There is
+	// one for each serving instance, and two more for instances that may have served until just now. Saved retries are for the
+	// moment at which a data centre fails with requests on all of its servers.
+	minRetryBudgetShares   = 5
+	spareRetryBudgetShares = 2
 )
 
+// retryBudgetShares returns the number of parts of the agreed slack while the given number of instances serves.
+func retryBudgetShares(serving int) int {
+	return max(serving+spareRetryBudgetShares, minRetryBudgetShares)
+}
+
 // applyView puts a view in force unless it is older than the present one.
 func (controller *Controller) applyView(view *catalog.View) {
 	now := controller.options.Clock.Now()
@@ -112,7 +126,7 @@
 	}
 	state.limits = limits
 	state.budget.SetRetryRatio(controller.options.Bounds.RetryShare * retryBudgetMargin)
-	state.budget.SetCapacity(controller.options.Bounds.RetrySlack / retryBudgetShares)
+	state.budget.SetCapacity(controller.options.Bounds.RetrySlack / retryBudgetShares(len(controller.serving)))
 	state.settings = &settings.Service{
 		Revision:             settings.Revision(controller.view.Configuration.Version),
 		ConnectionsPerTarget: limits.MaxConnections,
@@ -156,6 +170,7 @@
 	targetConfigs := map[settings.ServiceName][]service.TargetConfig{}
 	seen := map[settings.TargetName]bool{}
 	clear(controller.targets)
+	controller.setMinProbePause()
 	var jobs []sensing.Job
 	for index := range view.Servers {
 		server := &view.Servers[index]
@@ -203,7 +218,7 @@
 	}
 	controller.knownServers[server.Name] = *server
 	controller.options.Servers.Set(server.Name, backendserver.Options{
-		Address: server.Address, MaxConnections: max(state.limits.MaxConnections/connectionShares, 4), Connections: connections,
+		Address: server.Address, MaxConnections: controller.connectionShare(state.limits.MaxConnections), Connections: connections,
 	})
 }
 
@@ -222,7 +237,7 @@
 			return requested && scheduler.ProbeDue(name)
 		},
 		Pause: func() clock.Milliseconds {
-			interval := scheduler.MinProbeInterval(name)
+			interval := max(scheduler.MinProbeInterval(name), clock.Milliseconds(controller.minProbePause.Load()))
 			switch {
 			case !usable:
 				return max(unusedProbePause, interval)
--- a/internal/fleet/virtual_checks_test.go
+++ b/internal/fleet/virtual_checks_test.go
@@ -33,8 +33,12 @@
 
 // checks are evaluated on a fleet after each step.
 type checks struct {
-	fleet *virtualFleet
-	list  []namedCheck
+	// servingSum is the number of serving instances and of those that should serve in the views of all, which last changed at
+	// servingChangedAt.
+	servingSum       int
+	servingChangedAt clock.Moment
+	fleet            *virtualFleet
+	list             []namedCheck
 	// sent are the times within the last second at which a server was sent requests.
 	sent     map[settings.TargetName][]clock.Moment
 	overload string
--- a/internal/fleet/virtual_fleet_test.go
+++ b/internal/fleet/virtual_fleet_test.go
@@ -51,6 +51,9 @@
 	length      clock.Milliseconds
 	// limits makes the servers warm, and some of them name limits, ask for rest and leave.
 	statements bool
+	// load returns the processor capacity that all requests of callers need together, in thousandths of a core; nil for none. It is
+	// distributed evenly over the serving instances.
+	load func(clock.Moment) float64
 }
 
 // machine runs one instance at a time.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,9 @@
 // millicoresPerCore converts the configured number of cores, which may be a fraction, to the integer size that members compare.
 const millicoresPerCore = 1000
 
+// bytesPerMillisecond converts megabits per second to bytes per millisecond.
+const bytesPerMillisecond = 125
+
 // Limits on callers' connections. They are wider than the platform's own limits.
 const (
 	maxHeaderBytes = 32 << 10
@@ -148,7 +151,9 @@
 		Clock: gateway.clock, BootClock: clock.NewBootTime(),
 		Rand:    rand.New(rand.NewPCG(gateway.options.Seed, 0)),
 		Servers: gateway.servers, Registry: gateway.registry, Log: gateway.options.Log, Quota: gateway.quota,
-		Send: gateway.datagrams.Send, SetJobs: gateway.prober.Set,
+		ProcessorTime: processorTime, SentBytes: func() int64 { return gateway.eventCount(caller.EventSentBytes) },
+		LinkRate: gatewaySettings.LinkMegabits * bytesPerMillisecond,
+		Send:     gateway.datagrams.Send, SetJobs: gateway.prober.Set,
 	})
 	peers := &peerReader{http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	gateway.reader = catalog.NewReader(catalog.Options{
@@ -175,7 +180,7 @@
 		Table: gateway.controller.Table, AwaitTable: gateway.controller.AwaitTable, Servers: gateway.servers, Registry: gateway.registry, Traces: gateway.traces,
 		Quota: gateway.quota, KeyFreshness: gateway.controller.KeyStatus,
 		Clock: gateway.clock, Instance: gatewaySettings.Instance, MaxStall: maxStall, Dialect: gateway.options.Platform.Dialect,
-		OnStatement:   gateway.controller.RecordStatement,
+		OnStatement: gateway.controller.RecordStatement,
 		OnRequestDone: newRequestLog(gateway.options.Log, gateway.clock, &gateway.registry.Events).write,
 	})
 	events := &gateway.registry.Events
--- a/internal/gateway/leave.go
+++ b/internal/gateway/leave.go
@@ -56,7 +56,12 @@
 
 // unhandledRequests returns the number of connections so far that were closed within a request that no handler received.
 func (gateway *Gateway) unhandledRequests() int64 {
-	count, counted := gateway.registry.Events.Get(caller.EventUnfinished).(*expvar.Int)
+	return gateway.eventCount(caller.EventUnfinished)
+}
+
+// eventCount returns the value of an event counter.
+func (gateway *Gateway) eventCount(name string) int64 {
+	count, counted := gateway.registry.Events.Get(name).(*expvar.Int)
 	if !counted {
 		return 0
 	}
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -120,7 +120,7 @@
 	members.sequence++
 	heartbeat := Heartbeat{
 		Identity: members.options.Self, Incarnation: members.options.Incarnation, Sequence: members.sequence, State: members.state,
-		Revision: members.revision, Version: members.version, CatalogFresh: members.fresh, Promoted: members.promotions(),
+		Revision: members.revision, Version: members.version, CatalogFresh: members.fresh, Promoted: members.promotionsFor(to),
 	}
 	if member, known := members.roster.findByAddress(to); members.state == Joining || members.Leaderless() {
 		heartbeat.WantsReply = !known || !member.lastWasReply
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -145,6 +145,9 @@
 	// lastSeen is when the last heartbeat came from the member itself, discovered when it became known.
 	lastSeen, discovered clock.Moment
 	nextHeartbeat        clock.Moment
+	// load is the last load report of the member, nextLoadReport when the next one to it is due.
+	load           reportedLoad
+	nextLoadReport clock.Moment
 	// lastOtherMessage is when the last message other than a heartbeat came from the member.
 	lastOtherMessage clock.Moment
 	// lastSent is when the last heartbeat was sent to the member. replyDue is whether it needs a heartbeat outside the schedule,
@@ -188,6 +191,7 @@
 	querying bool
 	// changedAt is when the view of the fleet last changed.
 	changedAt clock.Moment
+	load      loadState
 	// surplusSince is since when this instance serves without being needed, 0 when it is needed.
 	surplusSince clock.Moment
 }
--- a/internal/membership/promotion.go
+++ b/internal/membership/promotion.go
@@ -15,9 +15,9 @@
 		return nil
 	}
 	var promoted []settings.InstanceName
-	byDataCentre, perDataCentre := members.candidates()
-	for _, candidates := range byDataCentre {
-		for _, candidate := range candidates[:min(perDataCentre, len(candidates))] {
+	ranking := members.roster.currentRanking(members)
+	for dataCentre, candidates := range ranking.byDataCentre {
+		for _, candidate := range candidates[:ranking.needed[dataCentre]] {
 			if !candidate.serving {
 				promoted = append(promoted, candidate.identity.Name)
 			}
@@ -26,18 +26,31 @@
 	return promoted
 }
 
+// promotionsFor returns the promotions for a heartbeat to the address. If there are many, the receiver is sent only its own: a whole
+// list would not fit in one packet.
+func (members *Members) promotionsFor(to netip.AddrPort) []settings.InstanceName {
+	promoted := members.promotions()
+	if len(promoted) <= maxSummaries {
+		return promoted
+	}
+	if member, known := members.roster.findByAddress(to); known && slices.Contains(promoted, member.Identity.Name) {
+		return []settings.InstanceName{member.Identity.Name}
+	}
+	return nil
+}
+
 // promoted reports whether a serving instance has recently promoted this one. Promotions that are out of date, or that are based on
 // fewer serving instances than are known here, are ignored.
 func (members *Members) promoted() bool {
 	now := members.options.Clock.Now()
-	byDataCentre, perDataCentre := members.candidates()
+	candidates, needed := members.ownCandidates()
 	serving := 0
-	for _, candidate := range byDataCentre[members.options.Self.DataCentre] {
+	for _, candidate := range candidates {
 		if candidate.serving && candidate.identity.Size >= members.options.Self.Size {
 			serving++
 		}
 	}
-	return serving < perDataCentre && slices.ContainsFunc(members.ServingPeers(), func(peer *Member) bool {
+	return serving < needed && slices.ContainsFunc(members.ServingPeers(), func(peer *Member) bool {
 		return now.Since(peer.lastSeen) < promotionValidity && slices.Contains(peer.Promoted, members.options.Self.Name)
 	})
 }
@@ -59,9 +72,8 @@
 	case members.state == Standby && starting && members.discovering(now):
 		return false
 	}
-	byDataCentre, perDataCentre := members.candidates()
-	own := byDataCentre[members.options.Self.DataCentre]
-	for _, candidate := range own[:min(perDataCentre, len(own))] {
+	candidates, needed := members.ownCandidates()
+	for _, candidate := range candidates[:needed] {
 		if candidate.identity.Name == members.options.Self.Name {
 			return true
 		}
@@ -71,9 +83,8 @@
 
 // TopRanked reports whether this instance is among the first of its data centre by rank, spare candidates included.
 func (members *Members) TopRanked() bool {
-	byDataCentre, perDataCentre := members.candidates()
-	own := byDataCentre[members.options.Self.DataCentre]
-	return slices.ContainsFunc(own[:min(perDataCentre+spareCandidates, len(own))], func(candidate rankedInstance) bool { return candidate.member == nil })
+	candidates, needed := members.ownCandidates()
+	return slices.ContainsFunc(candidates[:min(needed+spareCandidates, len(candidates))], func(candidate rankedInstance) bool { return candidate.member == nil })
 }
 
 // discovering reports whether this instance, which has just started, may not yet know the higher-ranked instances.
--- a/internal/membership/ranking.go
+++ b/internal/membership/ranking.go
@@ -12,10 +12,10 @@
 // each data centre as are needed. After a restart of the whole fleet more may serve for a while; the surplus is left out before it
 // has stopped serving.
 func (members *Members) Serving() []Identity {
-	byDataCentre, perDataCentre := members.candidates()
+	ranking := members.roster.currentRanking(members)
 	var serving []Identity
-	for _, candidates := range byDataCentre {
-		for _, candidate := range candidates[:min(perDataCentre, len(candidates))] {
+	for dataCentre, candidates := range ranking.byDataCentre {
+		for _, candidate := range candidates[:ranking.needed[dataCentre]] {
 			if candidate.serving {
 				serving = append(serving, candidate.identity)
 			}
@@ -36,8 +36,12 @@
 // ranking is the instances of each data centre that serve or could serve, in the order in which they should.
 type ranking struct {
 	byDataCentre map[settings.DataCentreName][]rankedInstance
-	// perDataCentre is the number of instances that should serve in each data centre.
-	perDataCentre int
+	// perDataCentre is the minimum number of instances that should serve in each data centre, minimum that of the whole fleet. needed
+	// is the number that should serve in each data centre at the present load.
+	perDataCentre, minimum int
+	needed                 map[settings.DataCentreName]int
+	// sizes are the sizes of all candidates in the order in which they begin to serve as load increases.
+	sizes []int
 	// topRanked are the first members of each data centre, spare candidates included. toPromote are the members that should serve
 	// and do not.
 	topRanked, toPromote map[*Member]bool
@@ -47,10 +51,11 @@
 // failed.
 const spareCandidates = 1
 
-// candidates returns this instance and all others that are alive, ranked by data centre, and the number that should serve in each.
-func (members *Members) candidates() (map[settings.DataCentreName][]rankedInstance, int) {
+// ownCandidates returns the ranked instances of this instance's own data centre, and the number of them that should serve.
+func (members *Members) ownCandidates() ([]rankedInstance, int) {
 	ranking := members.roster.currentRanking(members)
-	return ranking.byDataCentre, ranking.perDataCentre
+	dataCentre := members.options.Self.DataCentre
+	return ranking.byDataCentre[dataCentre], ranking.needed[dataCentre]
 }
 
 func (members *Members) rank() *ranking {
@@ -81,21 +86,23 @@
 	dataCentres := max(len(byDataCentre), 1)
 	ranking := &ranking{
 		byDataCentre: byDataCentre, perDataCentre: (minServing + dataCentres - 1) / dataCentres, topRanked: map[*Member]bool{}, toPromote: map[*Member]bool{},
+		needed: map[settings.DataCentreName]int{},
 	}
-	for _, candidates := range byDataCentre {
-		ranking.classify(candidates)
+	ranking.addSurplus(members.load.wantedServing)
+	for dataCentre, candidates := range byDataCentre {
+		ranking.classify(candidates, ranking.needed[dataCentre])
 	}
 	return ranking
 }
 
-// classify records which candidates of a data centre are top-ranked, and which of them to promote.
-func (ranking *ranking) classify(candidates []rankedInstance) {
-	for position, candidate := range candidates[:min(ranking.perDataCentre+spareCandidates, len(candidates))] {
+// classify records which candidates of a data centre are top-ranked, and which of them to promote so that the needed number serves.
+func (ranking *ranking) classify(candidates []rankedInstance, needed int) {
+	for position, candidate := range candidates[:min(needed+spareCandidates, len(candidates))] {
 		if candidate.member == nil {
 			continue
 		}
 		ranking.topRanked[candidate.member] = true
-		ranking.toPromote[candidate.member] = position < ranking.perDataCentre && !candidate.serving
+		ranking.toPromote[candidate.member] = position < needed && !candidate.serving
 	}
 }
 
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -54,6 +54,9 @@
 
 // update sets the member's state from its heartbeat.
 func (member *Member) update(heartbeat Heartbeat) {
+	if member.Incarnation != heartbeat.Incarnation {
+		member.load = reportedLoad{}
+	}
 	member.Identity = heartbeat.Identity
 	member.State = heartbeat.State
 	member.Incarnation = heartbeat.Incarnation
--- a/internal/service/retrybudget.go
+++ b/internal/service/retrybudget.go
@@ -37,7 +37,7 @@
 	return budget
 }
 
-// SetCapacity changes the number of retries that the budget can accumulate, at least 1.
+// SetCapacity changes the number of retries that the budget can accumulate, at least 1. Accumulated retries above it are lost.
 func (budget *RetryBudget) SetCapacity(capacity int) {
 	budget.capacity.Store(int64(max(capacity, 1)) * thousandthsPerRetry)
 }
@@ -58,10 +58,11 @@
 func (budget *RetryBudget) TryWithdraw() bool {
 	for {
 		balance := budget.thousandths.Load()
-		if balance < thousandthsPerRetry {
+		remaining := min(balance, budget.capacity.Load()+budget.perRequest.Load()) - thousandthsPerRetry
+		if remaining < 0 {
 			return false
 		}
-		if budget.thousandths.CompareAndSwap(balance, balance-thousandthsPerRetry) {
+		if budget.thousandths.CompareAndSwap(balance, remaining) {
 			return true
 		}
 	}
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -35,6 +35,8 @@
 	// Cores is the number of processor cores of the instance, which may be a fraction. Instances with more cores are
 	// preferred for serving.
 	Cores float64 `json:"cores,omitempty" jsonschema:"exclusiveMinimum=0,default=1"`
+	// LinkMegabits is the bandwidth of the instance's own link in megabits per second; 0 if it is not known.
+	LinkMegabits float64 `json:"linkMegabits,omitempty" jsonschema:"minimum=0"`
 	// MaxDescriptors (descriptorsMost) is the number of file descriptors that the process may use.
 	MaxDescriptors int `json:"descriptorsMost,omitempty" jsonschema:"minimum=64,default=4096"`
 	// FleetBootstrap (fleetStarts) states that all instances of the fleet start for the first time, so that no caller waits for
--- a/pkg/settings/text_fields.go
+++ b/pkg/settings/text_fields.go
@@ -28,13 +28,14 @@
 
 // Limits of the values that a platform may fill in. A value outside them is clamped.
 const (
-	maxCores       = 1024
-	maxDescriptors = 1 << 24
-	maxCount       = 1 << 30
-	maxShare       = 1
-	maxRatio       = 10
-	maxProbes      = 1e4
-	maxSeconds     = 3600
+	maxCores        = 1024
+	maxLinkMegabits = 1e6
+	maxDescriptors  = 1 << 24
+	maxCount        = 1 << 30
+	maxShare        = 1
+	maxRatio        = 10
+	maxProbes       = 1e4
+	maxSeconds      = 3600
 	// minPositive is the minimum of fields that must be greater than 0, in the unit of the field.
 	minPositive = 1e-3
 )
@@ -42,6 +43,7 @@
 // gatewayTextFields lists the fields of a Gateway that may be given as text.
 var gatewayTextFields = []textField{
 	{"", "cores", numberField, minPositive, maxCores},
+	{"", "linkMegabits", numberField, 0, maxLinkMegabits},
 	{"", "descriptorsMost", integerField, 64, maxDescriptors},
 	{"", "fleetStarts", booleanField, 0, 0},
 	{"bounds", "leaveMost", durationField, minPositive, maxSeconds},
