Refuse at once what an overloaded instance cannot answer in time

Cause: admission looks at the servers, never at the instance's own processor. A request whose handling waits four times for the processor, half a second each, was accepted with 1.2 s left.

Change: the control loop measures how late its ticks are. While each of two windows of 250 ms has had one over 120 ms late, a request is rejected as not run if four such waits exceed its deadline, with a time to return of at least 200 ms; others get a deadline shortened by one wait, since they have probably lain unread that long. A single pause has no effect.

--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -128,6 +128,9 @@
 	if softTimeout := route.Class.Settings.SoftTimeout; softTimeout > 0 {
 		call.softDeadline = min(route.Service.SoftDeadline(route.Class.Name, call.started, softTimeout, timeout), call.deadline)
 	}
+	if errorResponse := call.checkOverload(); errorResponse != nil {
+		return errorResponse
+	}
 	if errorResponse := call.applyDrainDeadline(); errorResponse != nil {
 		return errorResponse
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -180,7 +180,7 @@
 		Table: gateway.controller.Table, AwaitTable: gateway.controller.AwaitTable, Servers: gateway.servers, Registry: gateway.registry, Traces: gateway.traces,
 		Quota: gateway.quota, KeyFreshness: gateway.controller.KeyStatus,
 		Clock: gateway.clock, Instance: gatewaySettings.Instance, MaxStall: maxStall, Dialect: gateway.options.Platform.Dialect,
-		OnStatement: gateway.controller.RecordStatement,
+		OnStatement: gateway.controller.RecordStatement, Lateness: gateway.controller.Lateness,
 		OnRequestDone: newRequestLog(gateway.options.Log, gateway.clock, &gateway.registry.Events).write,
 	})
 	events := &gateway.registry.Events
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -56,6 +56,7 @@
 	ReasonAmbiguousFraming Reason = "ambiguousFraming"
 	ReasonUnauthorized     Reason = "unauthorized"
 	ReasonTeamLimit        Reason = "teamLimit"
+	ReasonOverloaded       Reason = "overloaded"
 )
 
 // Headers between callers, instances and backend servers.
