Tell standby instances of changes from the minimum of serving instances

Cause: after each change of membership every serving instance sends summaries of other members with every heartbeat to every standby instance, and a load report.

Change: summaries of a change and load reports reach a standby instance from the minimum of serving instances only (one in each data centre, three at least); the others send it summaries once in seven heartbeats, as without a change.

--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -133,12 +133,19 @@
 }
 
 // includesSummaries reports whether the next heartbeat to the receiver contains member summaries: for some time after a change, and
-// periodically in case those heartbeats were lost. Summaries make up most of a heartbeat's bytes.
+// periodically in case those heartbeats were lost. Summaries make up most of a heartbeat's bytes. Of a change, standby instances learn
+// from the minimum of serving instances alone.
 func (members *Members) includesSummaries(to netip.AddrPort) bool {
-	if members.options.Clock.Now().Since(members.changedAt) < changeSummaryPeriod || members.sequence%heartbeatsPerSummaries == 0 {
+	if members.sequence%heartbeatsPerSummaries == 0 {
 		return true
 	}
 	member, known := members.roster.findByAddress(to)
+	if known && member.State == Standby && members.state == Serving && !members.amongMinimum() {
+		return member.lastWasReply
+	}
+	if members.options.Clock.Now().Since(members.changedAt) < changeSummaryPeriod {
+		return true
+	}
 	return !known || member.lastWasReply
 }
 
--- a/internal/membership/load.go
+++ b/internal/membership/load.go
@@ -91,7 +91,7 @@
 }
 
 // DueLoadReports returns the addresses to which a load report is due now, and records them as sent. Standby instances get reports only
-// while more than the minimum should serve: without a report they assume the minimum.
+// while more than the minimum should serve, and only from the minimum of serving instances; without a report they assume the minimum.
 func (members *Members) DueLoadReports() []netip.AddrPort {
 	if members.state != Serving {
 		return nil
@@ -101,7 +101,7 @@
 	for _, member := range members.roster.listAlive() {
 		interval := loadReportInterval
 		if member.State != Serving {
-			if members.load.wantedServing == 0 {
+			if members.load.wantedServing == 0 || !members.amongMinimum() {
 				continue
 			}
 			interval = standbyInterval
--- a/internal/membership/ranking.go
+++ b/internal/membership/ranking.go
@@ -58,6 +58,13 @@
 	return ranking.byDataCentre[dataCentre], ranking.needed[dataCentre]
 }
 
+// amongMinimum reports whether this instance serves at any load.
+func (members *Members) amongMinimum() bool {
+	ranking := members.roster.currentRanking(members)
+	candidates := ranking.byDataCentre[members.options.Self.DataCentre]
+	return slices.ContainsFunc(candidates[:min(ranking.perDataCentre, len(candidates))], func(candidate rankedInstance) bool { return candidate.member == nil })
+}
+
 func (members *Members) rank() *ranking {
 	byDataCentre := map[settings.DataCentreName][]rankedInstance{}
 	add := func(candidate rankedInstance) {
