Leave probes to their own schedule unless they need too much processor time

Probes follow the changes of a target's slowdown; one that is put off misses the change, and the cycle is learned anew with more probes.

Change: a pause under 150 ms, the rate at which probes come by themselves, is not applied.

--- a/internal/fleet/probepause.go
+++ b/internal/fleet/probepause.go
@@ -7,6 +7,9 @@
 	// probeProcessorShare is the share of the processor that probes may use, probeProcessorTime what one probe takes.
 	probeProcessorShare = 0.2
 	probeProcessorTime  = 0.07 * clock.Millisecond
+	// minProbePause is the pause below which probes are left to their own schedule: they follow the changes of a target's slowdown, and a
+	// probe that is put off comes too late for one.
+	minProbePause = 150 * clock.Millisecond
 	// maxProbePause is shorter than the time after which the state of a target counts as unknown.
 	maxProbePause = 1200 * clock.Millisecond
 )
@@ -25,5 +28,8 @@
 		return
 	}
 	pause := clock.Milliseconds(float64(owned)/available) * probeProcessorTime
+	if pause < minProbePause {
+		pause = 0
+	}
 	controller.minProbePause.Store(int64(min(pause, maxProbePause)))
 }
