Log the addresses given to callers, and servers that are down by whose word

What callers saw: refusals at instances that reach no server, and at others that do. The logs showed neither whether callers went on being sent there nor why the others refused. They now do, and failed attempts to connect to a server are counted (server.connectFailed).

--- a/internal/backendserver/pool.go
+++ b/internal/backendserver/pool.go
@@ -53,8 +53,6 @@
 	if idle != nil || err != nil {
 		return idle, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, options.Connections.ConnectTimeout.Duration())
-	defer cancel()
 	dialed, err := pool.dial(ctx, options)
 	if err != nil {
 		pool.cancelReservation()
--- a/internal/backendserver/servers.go
+++ b/internal/backendserver/servers.go
@@ -15,6 +15,10 @@
 
 // Servers holds the connection pools of all backend servers. It is safe for concurrent use.
 type Servers struct {
+	// OnConnect is called with the result of each attempt to open a connection, except for those that end because nobody waits for
+	// them any more. It must not block, and must be set before the first use. It may be nil.
+	OnConnect func(settings.TargetName, error)
+
 	clock     *clock.Clock
 	connector *connector
 	pools     sync.Map // settings.TargetName to *pool
@@ -25,6 +29,17 @@
 	return &Servers{clock: clock, connector: newConnector(clock)}
 }
 
+// connect opens a connection to a backend server and reports the result to OnConnect.
+func (servers *Servers) connect(ctx context.Context, target settings.TargetName, options Options) (*connection, error) {
+	limited, cancel := context.WithTimeout(ctx, options.Connections.ConnectTimeout.Duration())
+	defer cancel()
+	dialed, err := servers.connector.connect(limited, options)
+	if servers.OnConnect != nil && (err == nil || ctx.Err() == nil) {
+		servers.OnConnect(target, err)
+	}
+	return dialed, err
+}
+
 // Set adds a backend server or replaces its options.
 func (servers *Servers) Set(target settings.TargetName, options Options) {
 	if found, known := servers.pools.Load(target); known {
@@ -32,9 +47,11 @@
 		return
 	}
 	servers.pools.Store(target, &pool{
-		target:  target,
-		clock:   servers.clock,
-		dial:    servers.connector.connect,
+		target: target,
+		clock:  servers.clock,
+		dial: func(ctx context.Context, options Options) (*connection, error) {
+			return servers.connect(ctx, target, options)
+		},
 		options: options,
 	})
 }
--- a/internal/fleet/addresses.go
+++ b/internal/fleet/addresses.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 
+	"github.com/rs/zerolog"
+
 	"github.com/jaywheel/jaywheel/internal/membership"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 )
@@ -51,7 +53,14 @@
 		book.ttl = min(startingAddressTTL, book.ttl)
 	}
 	slices.Sort(book.addresses)
-	controller.book.Store(book)
+	before := controller.book.Swap(book)
+	if before == nil || !slices.Equal(before.addresses, book.addresses) {
+		level := zerolog.DebugLevel
+		if controller.members.State() == membership.Serving {
+			level = zerolog.InfoLevel
+		}
+		controller.options.Log.WithLevel(level).Strs("addresses", book.addresses).Msg("addresses given to callers")
+	}
 }
 
 // Addresses returns the addresses to which callers should connect, and how long they may keep the answer.
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -204,6 +204,7 @@
 	membershipDirty bool
 	nextTick        clock.Moment
 	loadMeter       loadMeter
+	downLog         downLog
 }
 
 type targetRef struct {
@@ -237,6 +238,7 @@
 		isSeed: slices.ContainsFunc(options.Seeds, func(seed netip.AddrPort) bool { return seed.String() == options.Self.Peer }),
 	}
 	controller.loadMeter = newLoadMeter(options)
+	controller.downLog.logged = map[settings.ServiceName]service.DownTargets{}
 	tableSet := make(chan struct{})
 	controller.tableSet.Store(&tableSet)
 	return controller
@@ -301,7 +303,7 @@
 			controller.RecordStatement(change)
 		}
 	}
-	entry.Scheduler.SetDown(result.Target, result.Down)
+	controller.setDown(entry.Scheduler, result.Target, result.Down, service.FromProbe)
 	controller.latestMutex.Lock()
 	defer controller.latestMutex.Unlock()
 	if result.Err == nil || result.Down {
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/netip"
+
+	"github.com/jaywheel/jaywheel/internal/service"
 )
 
 // Receive queues the datagram of a peer. It never blocks: the content of a dropped datagram is soon sent again.
@@ -76,6 +78,6 @@
 		if !sharedReading.Down {
 			state.scheduler.Observe(ref.name, sharedReading.loadReading(now))
 		}
-		state.scheduler.SetDown(ref.name, sharedReading.Down)
+		controller.setDown(state.scheduler, ref.name, sharedReading.Down, service.FromPeer)
 	}
 }
--- a/internal/fleet/tick.go
+++ b/internal/fleet/tick.go
@@ -51,6 +51,7 @@
 	if serving {
 		controller.shareReadings(now)
 	}
+	controller.logDown(now)
 	controller.reportDeclarations(now)
 	controller.updateKeyStatus(now)
 	controller.updateFleetFraction(now)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,6 +121,7 @@
 	gateway.bounds.Store(&options.Settings.Bounds)
 	gateway.storeAddress.Store(&options.Settings.StoreAddress)
 	gateway.servers = backendserver.NewServers(gateway.clock)
+	gateway.servers.OnConnect = gateway.recordConnect
 	gateway.quota = quota.NewLimiter(quota.Options{Clock: gateway.clock, Rand: rand.New(rand.NewPCG(options.Seed, 1))})
 	gateway.makeControl()
 	if err := gateway.makeHTTPServers(); err != nil {
@@ -131,6 +132,16 @@
 	return gateway, nil
 }
 
+// EventConnectFailed counts the failed attempts to open a connection to a backend server.
+const EventConnectFailed = "server.connectFailed"
+
+// recordConnect records the result of an attempt to open a connection to a backend server.
+func (gateway *Gateway) recordConnect(_ settings.TargetName, err error) {
+	if err != nil {
+		gateway.registry.Events.Add(EventConnectFailed, 1)
+	}
+}
+
 func (gateway *Gateway) makeControl() {
 	gatewaySettings := gateway.options.Settings
 	events := &gateway.registry.Events
--- a/internal/service/candidate.go
+++ b/internal/service/candidate.go
@@ -91,8 +91,9 @@
 	hasReading bool
 	// reportsLoad is true once the target has reported its load.
 	reportsLoad bool
-	// down is true while probes fail to reach the target.
-	down bool
+	// down is true while probes fail to reach the target, downSource is whose probes these are.
+	down       bool
+	downSource Source
 	// coldUntil is when the target becomes warm.
 	coldUntil clock.Moment
 	// ownedFrom is when this instance may start to send to the target while it is cold.
--- a/internal/service/randomworkload_test.go
+++ b/internal/service/randomworkload_test.go
@@ -107,7 +107,7 @@
 			randomWorkload.permits = append(randomWorkload.permits, permit)
 		}
 	case kind < 955:
-		scheduler.SetDown(randomWorkload.configs[random.IntN(len(randomWorkload.configs))].Name, randomWorkload.chance(0.3))
+		scheduler.SetDown(randomWorkload.configs[random.IntN(len(randomWorkload.configs))].Name, randomWorkload.chance(0.3), FromProbe)
 	case kind < 980:
 		scheduler.SetRateShare(float64(random.IntN(5)) / 4)
 	case kind < 990:
--- a/internal/service/rest_test.go
+++ b/internal/service/rest_test.go
@@ -64,8 +64,8 @@
 			fixture.configure(0, 0, limitedName)
 		}, true},
 		{"probes that failed and pass again", func(fixture *limitFixture) {
-			fixture.SetDown(limitedName, true)
-			fixture.SetDown(limitedName, false)
+			fixture.SetDown(limitedName, true, FromProbe)
+			fixture.SetDown(limitedName, false, FromProbe)
 		}, true},
 		{"a suspended machine", func(fixture *limitFixture) { fixture.DiscardReadings() }, true},
 		{"a restart of the server", func(fixture *limitFixture) { fixture.configure(7, 0, limitedName) }, false},
--- a/internal/service/scheduler.go
+++ b/internal/service/scheduler.go
@@ -184,20 +184,46 @@
 	learnRetryInterval = 30 * clock.Second
 )
 
-// SetDown sets whether probes fail to reach the target. A target that is down gets no requests.
-func (scheduler *Scheduler) SetDown(name settings.TargetName, down bool) {
+// SetDown sets whether probes fail to reach the target, and whose probes these are. A target that is down gets no requests. It
+// reports whether that has changed.
+func (scheduler *Scheduler) SetDown(name settings.TargetName, down bool, source Source) bool {
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
 	candidate, found := scheduler.candidates[name]
 	if !found || candidate.down == down {
-		return
+		return false
 	}
-	candidate.down = down
+	candidate.down, candidate.downSource = down, source
 	if !down {
 		candidate.consecutiveFailures = 0
 		candidate.backoffUntil = 0
 	}
 	scheduler.reindex(scheduler.clock.Now(), candidate)
+	return true
+}
+
+// DownTargets is how many targets of a service are down.
+type DownTargets struct {
+	// Own are those that probes of this instance fail to reach, Reported those that are down by the word of other instances, Total is
+	// the number of all usable targets.
+	Own, Reported, Total int
+}
+
+// DownTargets returns how many targets are down.
+func (scheduler *Scheduler) DownTargets() DownTargets {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	down := DownTargets{Total: scheduler.usableCount}
+	for _, candidate := range scheduler.ordered {
+		switch {
+		case !candidate.down || !candidate.usable():
+		case candidate.downSource == FromPeer:
+			down.Reported++
+		default:
+			down.Own++
+		}
+	}
+	return down
 }
 
 // SetRateShare sets the share of the request rate of cold and of limited targets that this instance may use, from 0 to 1.
