--- a/internal/backendserver/pool.go
+++ b/internal/backendserver/pool.go
@@ -212,7 +212,9 @@
 // dialRequest holds the parameters and the result of a dial. It is passed in the context.
 type dialRequest struct {
 	userTimeout clock.Milliseconds
-	socket      *socket
+	// dial replaces the dialer of package net if it is not nil.
+	dial   DialFunc
+	socket *socket
 }
 
 func (connector *connector) dialSocket(ctx context.Context, _, address string) (net.Conn, error) {
@@ -220,7 +222,7 @@
 	if !found {
 		return nil, errors.AssertionFailedf("no dial request in the context")
 	}
-	dialed, err := dial(ctx, connector.clock, address, request.userTimeout)
+	dialed, err := dial(ctx, connector.clock, address, request)
 	if err != nil {
 		return nil, err
 	}
@@ -228,8 +230,8 @@
 	return dialed, nil
 }
 
-func (connector *connector) connect(ctx context.Context, options Options) (*connection, error) {
-	request := &dialRequest{userTimeout: options.Connections.AckTimeout}
+func (connector *connector) connect(ctx context.Context, options Options, dial DialFunc) (*connection, error) {
+	request := &dialRequest{userTimeout: options.Connections.AckTimeout, dial: dial}
 	client, err := connector.transport.NewClientConn(context.WithValue(ctx, socketKey{}, request), "http", options.Address)
 	if err != nil {
 		return nil, err
--- a/internal/backendserver/servers.go
+++ b/internal/backendserver/servers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 
@@ -18,6 +19,8 @@
 	// OnConnect is called with the result of each attempt to open a connection, except for those that end because nobody waits for
 	// them any more. It must not block, and must be set before the first use. It may be nil.
 	OnConnect func(settings.TargetName, error)
+	// Dial opens a TCP connection; nil selects that of package net. It must be set before the first use.
+	Dial DialFunc
 
 	clock     *clock.Clock
 	connector *connector
@@ -29,11 +32,14 @@
 	return &Servers{clock: clock, connector: newConnector(clock)}
 }
 
+// DialFunc opens a connection to an IP address and port with the given network of package net.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // connect opens a connection to a backend server and reports the result to OnConnect.
 func (servers *Servers) connect(ctx context.Context, target settings.TargetName, options Options) (*connection, error) {
 	limited, cancel := context.WithTimeout(ctx, options.Connections.ConnectTimeout.Duration())
 	defer cancel()
-	dialed, err := servers.connector.connect(limited, options)
+	dialed, err := servers.connector.connect(limited, options, servers.Dial)
 	if servers.OnConnect != nil && (err == nil || ctx.Err() == nil) {
 		servers.OnConnect(target, err)
 	}
--- a/internal/backendserver/socket.go
+++ b/internal/backendserver/socket.go
@@ -50,14 +50,14 @@
 }
 
 // dial connects to a backend server. The kernel closes the connection when sent data remains unacknowledged for
-// userTimeout. A middlebox may have dropped the state of this connection while new connections work, and without this
+// request.userTimeout. A middlebox may have dropped the state of this connection while new connections work, and without this
 // limit a request on it would hang until its deadline.
-func dial(ctx context.Context, clock *clock.Clock, address string, userTimeout clock.Milliseconds) (*socket, error) {
+func dial(ctx context.Context, clock *clock.Clock, address string, request *dialRequest) (*socket, error) {
 	dialer := net.Dialer{
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var optionError error
 			err := raw.Control(func(descriptor uintptr) {
-				optionError = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout))
+				optionError = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(request.userTimeout))
 			})
 			if err != nil {
 				return err
@@ -66,7 +66,11 @@
 		},
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true},
 	}
-	connection, err := dialer.DialContext(ctx, "tcp", address)
+	open := request.dial
+	if open == nil {
+		open = dialer.DialContext
+	}
+	connection, err := open(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,6 +80,8 @@
 	Log      zerolog.Logger
 	// Seed makes the instance's random choices repeatable; 0 selects a random seed.
 	Seed uint64
+	// DialServer opens connections to backend servers; nil selects the dialer of package net.
+	DialServer backendserver.DialFunc
 }
 
 // Gateway is one instance of the load balancer.
@@ -121,7 +123,7 @@
 	gateway.bounds.Store(&options.Settings.Bounds)
 	gateway.storeAddress.Store(&options.Settings.StoreAddress)
 	gateway.servers = backendserver.NewServers(gateway.clock)
-	gateway.servers.OnConnect = gateway.recordConnect
+	gateway.servers.OnConnect, gateway.servers.Dial = gateway.recordConnect, options.DialServer
 	gateway.quota = quota.NewLimiter(quota.Options{Clock: gateway.clock, Rand: rand.New(rand.NewPCG(options.Seed, 1))})
 	gateway.makeControl()
 	if err := gateway.makeHTTPServers(); err != nil {
