Do not let a lost keep-alive probe end a sound connection to a server

Callers of an exchange that is silent for over 15 s would have lost it to a single lost packet: TCP_USER_TIMEOUT, one second here so that lost paths show, also decides when keep-alive probes give up, whatever their count. Keep-alive is switched off: every exchange has a deadline, bytes that are not acknowledged end a connection after a second, and idle connections are closed after six. TestUserTimeoutDoesNotDecideOnKeepAliveProbes failed before.

--- a/internal/backendserver/socket.go
+++ b/internal/backendserver/socket.go
@@ -64,7 +64,9 @@
 			}
 			return optionError
 		},
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true},
+		// With a user timeout, the kernel closes a connection after a single lost keep-alive probe. Every exchange has a deadline, and idle
+		// connections are closed before the first probe.
+		KeepAlive: -1,
 	}
 	open := request.dial
 	if open == nil {
