Do not take servers as down everywhere that only their owner cannot reach

Callers of instances that reach all servers were refused (queueFull, noTarget): the owner of a server probes it for all, and its failed probes made the server down at every instance.

And an instance that hears of a server that is down probes it once itself, at most once a second; if the server responds, its own word counts.

--- a/internal/backendserver/pool.go
+++ b/internal/backendserver/pool.go
@@ -168,6 +168,12 @@
 	pool.options = options
 }
 
+func (pool *pool) currentOptions() Options {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	return pool.options
+}
+
 func (pool *pool) closeAllIdle() {
 	for _, candidate := range pool.idle {
 		pool.closeLocked(candidate)
--- a/internal/backendserver/servers.go
+++ b/internal/backendserver/servers.go
@@ -62,6 +62,19 @@
 	})
 }
 
+// Check opens a connection to a backend server and closes it. The result is reported to OnConnect.
+func (servers *Servers) Check(ctx context.Context, target settings.TargetName) {
+	found, known := servers.pools.Load(target)
+	if !known {
+		return
+	}
+	options := found.(*pool).currentOptions() //nolint:forcetypeassert // The map holds nothing else.
+	if opened, err := servers.connect(ctx, target, options); err == nil {
+		opened.socket.Conn.Close()
+		opened.client.Close()
+	}
+}
+
 // Remove removes a backend server. Exchanges in progress continue.
 func (servers *Servers) Remove(target settings.TargetName) {
 	if found, known := servers.pools.LoadAndDelete(target); known {
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -133,6 +133,11 @@
 	Send func(netip.AddrPort, []byte)
 	// SetJobs sets the jobs of the prober.
 	SetJobs func([]sensing.Job)
+	// Verify probes a backend server once; nil if reports of servers that are down are not verified.
+	Verify func(sensing.Job)
+	// CheckConnection connects to a backend server and passes the result to RecordConnect, without blocking. If it is nil, the instance
+	// does not determine which services it can reach.
+	CheckConnection func(settings.TargetName)
 }
 
 // CatalogReader has the functions of the catalog reader that the control loop calls.
@@ -205,6 +210,7 @@
 	nextTick        clock.Moment
 	loadMeter       loadMeter
 	downLog         downLog
+	reach           reachState
 }
 
 type targetRef struct {
@@ -238,6 +244,7 @@
 		isSeed: slices.ContainsFunc(options.Seeds, func(seed netip.AddrPort) bool { return seed.String() == options.Self.Peer }),
 	}
 	controller.loadMeter = newLoadMeter(options)
+	controller.reach = newReachState(options)
 	controller.downLog.logged = map[settings.ServiceName]service.DownTargets{}
 	tableSet := make(chan struct{})
 	controller.tableSet.Store(&tableSet)
@@ -297,6 +304,11 @@
 	if !known {
 		return
 	}
+	if result.Verification {
+		controller.recordVerification(entry.Scheduler, result)
+		return
+	}
+	controller.reach.tracker.RecordProbe(result.Target, result.Err == nil)
 	if result.Err == nil {
 		entry.Scheduler.Observe(result.Target, result.Health.LoadReading)
 		if change := entry.Scheduler.ObserveStatement(result.Target, result.Started, result.Health.Statement); change.Changed() {
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -74,10 +74,12 @@
 		if !known || controller.owners[ref.name] == controller.options.Self.Name {
 			continue
 		}
-		state := controller.services[ref.service]
-		if !sharedReading.Down {
-			state.scheduler.Observe(ref.name, sharedReading.loadReading(now))
+		if sharedReading.Down {
+			controller.receiveDown(now, ref)
+			continue
 		}
-		controller.setDown(state.scheduler, ref.name, sharedReading.Down, service.FromPeer)
+		state := controller.services[ref.service]
+		state.scheduler.Observe(ref.name, sharedReading.loadReading(now))
+		controller.setDown(state.scheduler, ref.name, false, service.FromPeer)
 	}
 }
--- a/internal/fleet/share.go
+++ b/internal/fleet/share.go
@@ -35,6 +35,10 @@
 	for name, own := range latest {
 		var steady, period clock.Milliseconds
 		if ref, known := controller.targets[keyOf(name)]; known {
+			if own.down && controller.reach.tracker.Doubtful(ref.service) {
+				// The server may be sound, since this instance cannot reach others of the service either.
+				continue
+			}
 			steady, period = controller.services[ref.service].scheduler.SlowdownCycle(name)
 		}
 		if period > 0 && steady < minSharedValidity && !own.down {
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -190,12 +190,14 @@
 	for name := range controller.knownServers {
 		if !seen[name] {
 			delete(controller.knownServers, name)
+			controller.forgetVerification(name)
 			controller.options.Servers.Remove(name)
 		}
 	}
 	for name, state := range controller.services {
 		state.scheduler.SetTargets(targetConfigs[name])
 	}
+	controller.setReachTargets(targetConfigs)
 	controller.options.SetJobs(jobs)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -138,12 +138,18 @@
 const EventConnectFailed = "server.connectFailed"
 
 // recordConnect records the result of an attempt to open a connection to a backend server.
-func (gateway *Gateway) recordConnect(_ settings.TargetName, err error) {
+func (gateway *Gateway) recordConnect(name settings.TargetName, err error) {
+	gateway.controller.RecordConnect(name, err == nil)
 	if err != nil {
 		gateway.registry.Events.Add(EventConnectFailed, 1)
 	}
 }
 
+// checkConnection connects to a backend server in the background.
+func (gateway *Gateway) checkConnection(name settings.TargetName) {
+	go gateway.servers.Check(context.Background(), name)
+}
+
 func (gateway *Gateway) makeControl() {
 	gatewaySettings := gateway.options.Settings
 	events := &gateway.registry.Events
@@ -166,7 +172,8 @@
 		Servers: gateway.servers, Registry: gateway.registry, Log: gateway.options.Log, Quota: gateway.quota,
 		ProcessorTime: processorTime, SentBytes: func() int64 { return gateway.eventCount(caller.EventSentBytes) },
 		LinkRate: gatewaySettings.LinkMegabits * bytesPerMillisecond,
-		Send:     gateway.datagrams.Send, SetJobs: gateway.prober.Set,
+		Send:     gateway.datagrams.Send, SetJobs: gateway.prober.Set, Verify: gateway.prober.Verify,
+		CheckConnection: gateway.checkConnection,
 	})
 	peers := &peerReader{http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	gateway.reader = catalog.NewReader(catalog.Options{
--- /dev/null
+++ b/internal/reachability/tracker.go
@@ -0,0 +1,420 @@
+// Package reachability determines which services this instance cannot reach although their backend servers may be sound: an instance
+// that has lost its network path to the servers must not take them as down, and may forward requests through another instance. It is
+// pure: it does no I/O, and the time comes from the given clock.
+//
+// A service whose attempts to connect fail at most of the targets tried lately is suspected. A round of checks, which only connect,
+// then decides. While a service is unreachable, further rounds show when it is reachable again. Nothing is checked while all
+// targets are reached.
+//
+// # Usage
+//
+//	tracker := reachability.New(reachability.Options{Clock: clock, Rand: random})
+//	tracker.SetTargets(targetsByService)
+//	tracker.RecordConnect(target, err == nil)
+//	for _, target := range tracker.Update() { go connect(target) }
+//	if tracker.Unreachable(service) { ... }
+package reachability
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
+// Parameters of the decision.
+const (
+	// evidenceAge is how long the result of an attempt to reach a target counts.
+	evidenceAge = 1500 * clock.Millisecond
+	// minFailing is the minimum number of targets that cannot be reached for a service to be suspected, if it has as many: a single
+	// target that cannot be reached has probably failed itself.
+	minFailing = 2
+	// maxChecks is the maximum number of targets in a round of checks.
+	maxChecks = 8
+	// roundTimeout is the time after which a round is decided without the checks that have no result yet. It is longer than the
+	// timeout for connecting.
+	roundTimeout = 300 * clock.Millisecond
+	// minRoundInterval is the time between two rounds of a service that has just become unreachable. It doubles with each round, up
+	// to maxRoundInterval.
+	minRoundInterval = 250 * clock.Millisecond
+	maxRoundInterval = clock.Second
+	// suspectInterval is the minimum time between two rounds of a service that is reached after all.
+	suspectInterval = clock.Second
+	// minReachedShare is the share of the targets of a round that have to be reached for a service that was unreachable to be
+	// reachable again. It exceeds one half, so that a service of which half is reached does not change its state with each round.
+	minReachedShare = 0.75
+)
+
+// Options configures a Tracker.
+type Options struct {
+	Clock *clock.Clock
+	Rand  *rand.Rand
+}
+
+// Tracker records attempts to reach targets. It is safe for concurrent use.
+type Tracker struct {
+	clock *clock.Clock
+
+	mutex    sync.Mutex
+	random   *rand.Rand
+	services map[settings.ServiceName]*serviceState
+	targets  map[settings.TargetName]*targetState
+	// active is whether Update has anything to do.
+	active atomic.Bool
+	// doubtful are the services that are suspected or unreachable, unreachable only the latter. Both are replaced, never modified,
+	// and nil if there are none.
+	doubtful, unreachable atomic.Pointer[map[settings.ServiceName]bool]
+	// isolated is whether no service is reachable.
+	isolated atomic.Bool
+}
+
+// status is the state of a service.
+type status int
+
+const (
+	reachable status = iota
+	suspected
+	unreachable
+)
+
+// serviceState is what is known of a service.
+type serviceState struct {
+	status  status
+	targets []*targetState
+	// roundStart is when the current or last round of checks began, 0 if there was none; roundOpen is whether it is undecided.
+	roundStart    clock.Moment
+	roundOpen     bool
+	roundInterval clock.Milliseconds
+	// requested is whether a round is due although nothing failed here.
+	requested bool
+}
+
+// targetState is when a target was last reached, and when it was not.
+type targetState struct {
+	name    settings.TargetName
+	service *serviceState
+	// connectedAt and connectFailedAt are the last attempts to connect, probedAt and probeFailedAt the last probes, which mostly
+	// use open connections.
+	connectedAt, connectFailedAt clock.Moment
+	probedAt, probeFailedAt      clock.Moment
+	// checking is whether the target is in the current round and has no result yet.
+	checking bool
+}
+
+// New returns a Tracker without targets.
+func New(options Options) *Tracker {
+	return &Tracker{
+		clock: options.Clock, random: options.Rand, services: map[settings.ServiceName]*serviceState{}, targets: map[settings.TargetName]*targetState{},
+	}
+}
+
+// SetTargets replaces the targets of all services. What is known of targets that remain is kept.
+func (tracker *Tracker) SetTargets(targets map[settings.ServiceName][]settings.TargetName) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	known := tracker.targets
+	tracker.targets = make(map[settings.TargetName]*targetState, len(known))
+	for name := range tracker.services {
+		if len(targets[name]) == 0 {
+			delete(tracker.services, name)
+		}
+	}
+	for name, names := range targets {
+		if len(names) == 0 {
+			continue
+		}
+		service, found := tracker.services[name]
+		if !found {
+			service = &serviceState{}
+			tracker.services[name] = service
+		}
+		service.targets = service.targets[:0]
+		for _, targetName := range names {
+			target, found := known[targetName]
+			if !found {
+				target = &targetState{name: targetName}
+			}
+			target.service = service
+			tracker.targets[targetName] = target
+			service.targets = append(service.targets, target)
+		}
+	}
+	tracker.publish()
+}
+
+// RecordConnect records the result of an attempt to connect to a target.
+func (tracker *Tracker) RecordConnect(name settings.TargetName, connected bool) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	target, known := tracker.targets[name]
+	if !known {
+		return
+	}
+	target.checking = false
+	if connected {
+		target.connectedAt = tracker.clock.Now()
+		return
+	}
+	target.connectFailedAt = tracker.clock.Now()
+	tracker.active.Store(true)
+}
+
+// RecordProbe records the result of a probe of a target.
+func (tracker *Tracker) RecordProbe(name settings.TargetName, answered bool) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	target, known := tracker.targets[name]
+	if !known {
+		return
+	}
+	if answered {
+		target.probedAt = tracker.clock.Now()
+		return
+	}
+	target.probeFailedAt = tracker.clock.Now()
+	tracker.active.Store(true)
+}
+
+// Check requests a round of checks of the services: another instance has reported that it cannot reach them.
+func (tracker *Tracker) Check(services []settings.ServiceName) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	for _, name := range services {
+		if service, known := tracker.services[name]; known && service.status == reachable {
+			service.requested = true
+			tracker.active.Store(true)
+		}
+	}
+}
+
+// Unreachable reports whether this instance cannot reach the service.
+func (tracker *Tracker) Unreachable(service settings.ServiceName) bool {
+	services := tracker.unreachable.Load()
+	return services != nil && (*services)[service]
+}
+
+// Doubtful reports whether this instance cannot reach the service, or suspects so.
+func (tracker *Tracker) Doubtful(service settings.ServiceName) bool {
+	services := tracker.doubtful.Load()
+	return services != nil && (*services)[service]
+}
+
+// UnreachableServices returns the services that this instance cannot reach, in no particular order.
+func (tracker *Tracker) UnreachableServices() []settings.ServiceName {
+	services := tracker.unreachable.Load()
+	if services == nil {
+		return nil
+	}
+	return slices.Collect(maps.Keys(*services))
+}
+
+// AnyDoubtful reports whether any service is suspected or unreachable.
+func (tracker *Tracker) AnyDoubtful() bool {
+	return tracker.doubtful.Load() != nil
+}
+
+// Isolated reports whether this instance can reach no service at all.
+func (tracker *Tracker) Isolated() bool {
+	return tracker.isolated.Load()
+}
+
+// Change is a service that this instance can reach no more, or again.
+type Change struct {
+	Service settings.ServiceName
+	// Reachable is whether the service can be reached now. Failing and Tried are the targets that could not be reached, and all that
+	// were tried.
+	Reachable      bool
+	Failing, Tried int
+}
+
+// Update decides on the states of all services. It returns the targets to which a connection is to be opened now, whose results are
+// passed to RecordConnect, and the changes.
+func (tracker *Tracker) Update() ([]settings.TargetName, []Change) {
+	if !tracker.active.Load() {
+		return nil, nil
+	}
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	now := tracker.clock.Now()
+	tracker.active.Store(false)
+	var checks []settings.TargetName
+	var changes []Change
+	for name, service := range tracker.services {
+		before := service.status
+		checks = append(checks, tracker.updateService(now, service)...)
+		if service.status == before || before != unreachable && service.status != unreachable {
+			continue
+		}
+		failing, reached := service.evidence(now)
+		changes = append(changes, Change{Service: name, Reachable: service.status == reachable, Failing: failing, Tried: failing + reached})
+	}
+	if slices.ContainsFunc(changes, func(change Change) bool { return !change.Reachable }) {
+		// Whether other services can be reached shows whether this instance is isolated.
+		for _, service := range tracker.services {
+			service.requested = service.requested || service.status == reachable
+		}
+		tracker.active.Store(true)
+	}
+	tracker.publish()
+	return checks, changes
+}
+
+// updateService decides on the state of one service, and returns the targets to check.
+func (tracker *Tracker) updateService(now clock.Moment, service *serviceState) []settings.TargetName {
+	if service.roundOpen && (now.Since(service.roundStart) >= roundTimeout || !service.checking()) {
+		service.decide()
+	}
+	suspicious := service.mostFail(service.evidence(now))
+	due := !service.roundOpen && service.roundDue(now, suspicious)
+	if due && service.status == reachable && suspicious {
+		service.status = suspected
+	}
+	if service.roundOpen || due || service.status != reachable || service.requested || service.anyFailing(now) {
+		tracker.active.Store(true)
+	}
+	if !due {
+		return nil
+	}
+	return tracker.startRound(now, service)
+}
+
+// roundDue reports whether a round of checks is to begin.
+func (service *serviceState) roundDue(now clock.Moment, suspicious bool) bool {
+	sinceLast := now.Since(service.roundStart)
+	switch {
+	case service.status == unreachable:
+		return sinceLast >= service.roundInterval
+	case service.requested || suspicious:
+		return service.roundStart == 0 || sinceLast >= suspectInterval
+	default:
+		return false
+	}
+}
+
+// startRound chooses the targets of a round of checks.
+func (tracker *Tracker) startRound(now clock.Moment, service *serviceState) []settings.TargetName {
+	service.roundStart, service.roundOpen, service.requested = now, true, false
+	service.roundInterval = min(max(2*service.roundInterval, minRoundInterval), maxRoundInterval)
+	checks := make([]settings.TargetName, 0, maxChecks)
+	for _, index := range tracker.random.Perm(len(service.targets))[:min(len(service.targets), maxChecks)] {
+		service.targets[index].checking = true
+		checks = append(checks, service.targets[index].name)
+	}
+	return checks
+}
+
+// decide ends a round of checks.
+func (service *serviceState) decide() {
+	service.roundOpen = false
+	failing, reached := service.roundResults()
+	for _, target := range service.targets {
+		target.checking = false
+	}
+	switch {
+	case service.status == unreachable:
+		if float64(reached) >= minReachedShare*float64(failing+reached) && reached > 0 {
+			service.setReachable()
+		}
+	case service.mostFail(failing, reached):
+		service.status = unreachable
+		service.roundInterval = 0
+	default:
+		service.status, service.roundInterval = reachable, 0
+	}
+}
+
+// setReachable makes the service reachable. What failed before does not count any more.
+func (service *serviceState) setReachable() {
+	service.status, service.roundInterval = reachable, 0
+	for _, target := range service.targets {
+		target.connectFailedAt, target.probeFailedAt = 0, 0
+	}
+}
+
+// checking reports whether a check of the current round has no result yet.
+func (service *serviceState) checking() bool {
+	return slices.ContainsFunc(service.targets, func(target *targetState) bool { return target.checking })
+}
+
+// roundResults returns how many targets could not be reached, and how many could, since the current round began.
+func (service *serviceState) roundResults() (failing, reached int) {
+	for _, target := range service.targets {
+		switch {
+		case target.connectFailedAt >= service.roundStart && target.connectFailedAt >= target.connectedAt, target.checking:
+			failing++
+		case target.connectedAt >= service.roundStart:
+			reached++
+		}
+	}
+	return failing, reached
+}
+
+// evidence returns how many targets could not be reached lately, and how many could.
+func (service *serviceState) evidence(now clock.Moment) (failing, reached int) {
+	for _, target := range service.targets {
+		switch {
+		case target.failing(now):
+			failing++
+		case recent(now, target.connectedAt) || recent(now, target.probedAt):
+			reached++
+		}
+	}
+	return failing, reached
+}
+
+// mostFail reports whether that many targets that cannot be reached, and that many that can, make the service doubtful.
+func (service *serviceState) mostFail(failing, reached int) bool {
+	return failing >= min(minFailing, len(service.targets)) && failing > reached
+}
+
+// anyFailing reports whether any target could not be reached lately.
+func (service *serviceState) anyFailing(now clock.Moment) bool {
+	return slices.ContainsFunc(service.targets, func(target *targetState) bool { return target.failing(now) })
+}
+
+// failing reports whether the target could not be reached lately. Probes on open connections may succeed while new connections
+// fail.
+func (target *targetState) failing(now clock.Moment) bool {
+	return recent(now, target.connectFailedAt) && target.connectFailedAt > target.connectedAt ||
+		recent(now, target.probeFailedAt) && target.probeFailedAt > max(target.probedAt, target.connectedAt)
+}
+
+func recent(now, at clock.Moment) bool {
+	return at > 0 && now.Since(at) <= evidenceAge
+}
+
+// publish makes the states visible to readers.
+func (tracker *Tracker) publish() {
+	var doubtful, unreached map[settings.ServiceName]bool
+	for name, service := range tracker.services {
+		if service.status == reachable {
+			continue
+		}
+		if doubtful == nil {
+			doubtful = map[settings.ServiceName]bool{}
+		}
+		doubtful[name] = true
+		if service.status != unreachable {
+			continue
+		}
+		if unreached == nil {
+			unreached = map[settings.ServiceName]bool{}
+		}
+		unreached[name] = true
+	}
+	storeSet(&tracker.doubtful, doubtful)
+	storeSet(&tracker.unreachable, unreached)
+	tracker.isolated.Store(len(unreached) > 0 && len(unreached) == len(tracker.services))
+}
+
+func storeSet(pointer *atomic.Pointer[map[settings.ServiceName]bool], set map[settings.ServiceName]bool) {
+	if set == nil {
+		pointer.Store(nil)
+		return
+	}
+	pointer.Store(&set)
+}
--- a/internal/sensing/sensing.go
+++ b/internal/sensing/sensing.go
@@ -85,9 +85,11 @@
 	Target  settings.TargetName
 	Started int64
 	Health  Health
-	// Down is whether at least downAfter consecutive probes failed.
+	// Down is whether at least downThreshold consecutive probes failed.
 	Down bool
-	Err  error
+	// Verification is whether the result is of Verify rather than of a job.
+	Verification bool
+	Err          error
 }
 
 // Options configures a Prober.
@@ -209,6 +211,27 @@
 	}
 }
 
+// Verify probes the target of a job once, without blocking.
+func (prober *Prober) Verify(job Job) {
+	prober.mutex.Lock()
+	defer prober.mutex.Unlock()
+	if prober.context == nil {
+		return
+	}
+	ctx := prober.context
+	prober.group.Go(func() {
+		health, err := prober.probe(ctx, job)
+		event := EventProbed
+		if err != nil {
+			event = EventFailed
+		}
+		prober.options.Events.Add(event, 1)
+		if ctx.Err() == nil {
+			prober.options.Deliver(Result{Service: job.Service, Target: job.Target, Started: job.Started, Health: health, Verification: true, Err: err})
+		}
+	})
+}
+
 func (prober *Prober) probe(ctx context.Context, job Job) (Health, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
 	defer cancel()
--- a/internal/service/scheduler.go
+++ b/internal/service/scheduler.go
@@ -202,6 +202,18 @@
 	return true
 }
 
+// ForgetFailures makes all targets available again that failed or were down: this instance could not reach them, and can now.
+func (scheduler *Scheduler) ForgetFailures() {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	for _, candidate := range scheduler.ordered {
+		candidate.down, candidate.consecutiveFailures, candidate.backoffUntil = false, 0, 0
+	}
+	now := scheduler.clock.Now()
+	scheduler.reindexAll(now)
+	scheduler.serveWaiting(now)
+}
+
 // DownTargets is how many targets of a service are down.
 type DownTargets struct {
 	// Own are those that probes of this instance fail to reach, Reported those that are down by the word of other instances, Total is
