Let who serves, who owns servers and whom callers are sent to follow what instances reach

Callers were sent on to instances that reached no server: nothing in the fleet knew.

An instance that cannot reach a service reports that to all others, five times a second while it lasts, in a datagram that earlier releases ignore. Its servers of that service go to instances that reach them, it is no longer named to callers once it reaches no service at all, and another instance of its data centre, or of another if all of that one are cut off, takes its place. If no instance reaches the servers, nothing changes hands: an instance that reports the same takes nobody's place. Instances that hear such a report check their own paths first.

--- a/internal/fleet/addresses.go
+++ b/internal/fleet/addresses.go
@@ -26,18 +26,24 @@
 // server that accepts requests, and may use only the permits that the owners of the other servers leave free: its callers would
 // wait and be refused while there are free permits for callers of the other instances. It is advertised only if there is no other
 // instance.
+//
+// The same holds for an isolated instance, whose requests have to be relayed.
 func (controller *Controller) advertised() []membership.Identity {
 	if controller.view == nil {
 		return controller.serving
 	}
-	advertised := make([]membership.Identity, 0, len(controller.serving))
-	for _, identity := range controller.serving {
+	reaching := slices.DeleteFunc(slices.Clone(controller.serving), func(identity membership.Identity) bool { return controller.isIsolated(identity.Name) })
+	if len(reaching) == 0 {
+		reaching = controller.serving
+	}
+	advertised := make([]membership.Identity, 0, len(reaching))
+	for _, identity := range reaching {
 		if !controller.view.IsEvacuated(identity.DataCentre) {
 			advertised = append(advertised, identity)
 		}
 	}
 	if len(advertised) == 0 {
-		return controller.serving
+		return reaching
 	}
 	return advertised
 }
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -105,10 +105,34 @@
 	Quota     *quota.Report
 	// Declarations is sent alone, in a datagram of its own form: instances of releases that do not know it ignore just these datagrams.
 	Declarations *DeclarationsMessage `cbor:"-"`
-	// Load is sent alone as well.
-	Load *membership.LoadReport `cbor:"-"`
+	// Load and Reach are sent alone as well.
+	Load  *membership.LoadReport `cbor:"-"`
+	Reach *ReachReport           `cbor:"-"`
 }
 
+// ServiceKey identifies a service by a hash of its name.
+type ServiceKey uint32
+
+func serviceKeyOf(name settings.ServiceName) ServiceKey {
+	return ServiceKey(keyOf(settings.TargetName(name)))
+}
+
+// ReachReport announces which services its sender cannot reach although their backend servers may be sound.
+type ReachReport struct {
+	_           struct{} `cbor:",toarray"`
+	Sender      settings.InstanceName
+	Incarnation membership.Incarnation
+	// Sequence increases with each report of the sender.
+	Sequence uint64
+	// Isolated is whether the sender reaches no service at all, Services the number of services that it knows.
+	Isolated    bool
+	Services    int
+	Unreachable []ServiceKey
+}
+
+// reachReportStart is the first byte of a ReachReport, an array of six elements in CBOR.
+const reachReportStart = 0x86
+
 // DeclarationsMessage contains what backend servers have said of themselves, and how many requests its sender has sent to them.
 type DeclarationsMessage struct {
 	_       struct{} `cbor:",toarray"`
@@ -142,6 +166,8 @@
 		content = message.Declarations
 	case message.Load != nil:
 		content = message.Load
+	case message.Reach != nil:
+		content = message.Reach
 	}
 	text, err := cbor.Marshal(content)
 	return text, errors.Wrap(err, "encode message to a peer")
@@ -165,6 +191,13 @@
 		}
 		return &message, nil
 	}
+	if len(text) > 0 && text[0] == reachReportStart {
+		message.Reach = &ReachReport{}
+		if err := decoding.Unmarshal(text, message.Reach); err != nil {
+			return nil, errors.Wrapf(ErrInvalidMessage, "reach report: %v", err)
+		}
+		return &message, nil
+	}
 	if err := decoding.Unmarshal(text, &message); err != nil {
 		return nil, errors.Wrapf(ErrInvalidMessage, "%v", err)
 	}
--- a/internal/fleet/message_test.go
+++ b/internal/fleet/message_test.go
@@ -51,6 +51,25 @@
 	require.Error(t, decoding.Unmarshal(text, &Message{}))
 }
 
+// Guards against reports of services that cannot be reached which are changed by the transmission, do not fit into one packet, or are
+// taken for something else by an instance of an earlier release.
+func TestReachReportsRoundTrip(t *testing.T) {
+	report := ReachReport{
+		Sender: "front-sofia-c-10", Incarnation: math.MaxUint64, Sequence: math.MaxUint64, Isolated: true, Services: maxReportedServices,
+	}
+	for range maxReportedServices {
+		report.Unreachable = append(report.Unreachable, math.MaxUint32)
+	}
+	text, err := Encode(&Message{Reach: &report})
+	require.NoError(t, err)
+	const maxPacketBytes = 1472
+	require.LessOrEqual(t, len(text), maxPacketBytes)
+	message, err := Decode(text)
+	require.NoError(t, err)
+	require.Equal(t, report, *message.Reach)
+	require.Error(t, decoding.Unmarshal(text, &Message{}))
+}
+
 // Guards against declarations of any sender that reaches the port: they must neither limit an unknown server nor distort a limit.
 func TestInvalidDeclarationsAreIgnored(t *testing.T) {
 	for _, rate := range []float64{math.NaN(), math.Inf(1), -1} {
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -65,6 +65,9 @@
 	if message.Declarations != nil {
 		controller.receiveDeclarations(now, message.Declarations)
 	}
+	if message.Reach != nil {
+		controller.receiveReach(now, message.Reach)
+	}
 	if message.Load != nil {
 		controller.members.ReceiveLoad(*message.Load)
 	}
--- a/internal/fleet/reach.go
+++ b/internal/fleet/reach.go
@@ -1,7 +1,11 @@
 package fleet
 
 import (
+	"slices"
+
+	"github.com/jaywheel/jaywheel/internal/membership"
 	"github.com/jaywheel/jaywheel/internal/reachability"
+	"github.com/jaywheel/jaywheel/internal/routing"
 	"github.com/jaywheel/jaywheel/internal/sensing"
 	"github.com/jaywheel/jaywheel/internal/service"
 	"github.com/jaywheel/jaywheel/pkg/clock"
@@ -9,6 +13,14 @@
 )
 
 const (
+	// reachReportInterval is the interval at which an instance reports the services that it cannot reach.
+	reachReportInterval = 200 * clock.Millisecond
+	// reachReportTimeout is how long a report counts.
+	reachReportTimeout = 1200 * clock.Millisecond
+	// reachRepetitions is how often the report is repeated that all services can be reached again.
+	reachRepetitions = 3
+	// checkRequestInterval is the shortest interval between two rounds of checks because of the reports of other instances.
+	checkRequestInterval = 2 * clock.Second
 	// verificationInterval is the shortest interval between two probes of a backend server that its owner reports as down, and
 	// verificationValidity how long the owner's report is ignored after the server has responded to one.
 	verificationInterval = clock.Second
@@ -21,9 +33,26 @@
 	EventServiceReachable   = "reach.regained"
 )
 
+// peerReach is what another instance has reported of the services that it cannot reach.
+type peerReach struct {
+	incarnation membership.Incarnation
+	unreachable []ServiceKey
+	isolated    bool
+	sequence    uint64
+	receivedAt  clock.Moment
+}
+
 // reachState is what the control loop keeps of services that instances cannot reach.
 type reachState struct {
 	tracker *reachability.Tracker
+	peers   map[settings.InstanceName]peerReach
+	// nextReport is when the next report of this instance is due, repetitions how many more reports are due although it reaches all
+	// services.
+	nextReport  clock.Moment
+	repetitions int
+	sequence    uint64
+	// nextCheckRequest is when reports of other instances may next cause checks.
+	nextCheckRequest clock.Moment
 	// verifiedAt is when a server that its owner reports as down last responded to this instance, nextVerification when it may be
 	// probed again. Both are guarded by latestMutex.
 	verifiedAt, nextVerification map[settings.TargetName]clock.Moment
@@ -31,7 +60,7 @@
 
 func newReachState(options Options) reachState {
 	return reachState{
-		tracker:    reachability.New(reachability.Options{Clock: options.Clock, Rand: options.Rand}),
+		tracker: reachability.New(reachability.Options{Clock: options.Clock, Rand: options.Rand}), peers: map[settings.InstanceName]peerReach{},
 		verifiedAt: map[settings.TargetName]clock.Moment{}, nextVerification: map[settings.TargetName]clock.Moment{},
 	}
 }
@@ -54,22 +83,35 @@
 	controller.reach.tracker.SetTargets(targets)
 }
 
-// updateReach determines which services this instance cannot reach.
-func (controller *Controller) updateReach() {
+// updateReach determines which services this instance cannot reach, reports them, and follows the reports of others.
+func (controller *Controller) updateReach(now clock.Moment) {
 	if controller.options.CheckConnection == nil {
 		return
 	}
-	checks, changes := controller.reach.tracker.Update()
+	reach := &controller.reach
+	checks, changes := reach.tracker.Update()
 	for _, name := range checks {
 		controller.options.CheckConnection(name)
 	}
 	for _, change := range changes {
-		controller.applyReachChange(change)
+		controller.applyReachChange(now, change)
+	}
+	expired := false
+	for name, peer := range reach.peers {
+		if now.Since(peer.receivedAt) > reachReportTimeout {
+			delete(reach.peers, name)
+			expired = true
+		}
+	}
+	controller.members.SetIsolated(reach.tracker.Isolated())
+	if controller.members.UpdateReach() || expired || len(changes) > 0 {
+		controller.publish()
 	}
+	controller.reportReach(now)
 }
 
 // applyReachChange applies that this instance can no longer reach a service, or can again.
-func (controller *Controller) applyReachChange(change reachability.Change) {
+func (controller *Controller) applyReachChange(now clock.Moment, change reachability.Change) {
 	event, message := EventServiceUnreachable, "this instance cannot reach the service"
 	if change.Reachable {
 		event, message = EventServiceReachable, "this instance reaches the service again"
@@ -77,6 +119,7 @@
 	controller.options.Registry.Events.Add(event, 1)
 	controller.options.Log.Warn().Str("service", string(change.Service)).Int("failing", change.Failing).Int("tried", change.Tried).
 		Bool("isolated", controller.reach.tracker.Isolated()).Msg(message)
+	controller.reach.nextReport, controller.reach.repetitions = now, reachRepetitions
 	state, known := controller.services[change.Service]
 	if !known {
 		return
@@ -86,6 +129,107 @@
 	}
 }
 
+// reportReach reports the services that this instance cannot reach to all other instances.
+func (controller *Controller) reportReach(now clock.Moment) {
+	reach := &controller.reach
+	unreachable := reach.tracker.UnreachableServices()
+	if now < reach.nextReport || len(unreachable) == 0 && reach.repetitions == 0 {
+		return
+	}
+	reach.nextReport = now.Add(reachReportInterval)
+	if len(unreachable) == 0 {
+		reach.repetitions--
+	}
+	reach.sequence++
+	report := &ReachReport{
+		Sender: controller.options.Self.Name, Incarnation: controller.options.Incarnation, Sequence: reach.sequence,
+		Isolated: reach.tracker.Isolated(), Services: len(controller.services),
+	}
+	for _, name := range unreachable {
+		report.Unreachable = append(report.Unreachable, serviceKeyOf(name))
+	}
+	slices.Sort(report.Unreachable)
+	report.Unreachable = report.Unreachable[:min(len(report.Unreachable), maxReportedServices)]
+	for _, member := range controller.members.Alive() {
+		controller.send(member.Address, &Message{Reach: report})
+	}
+}
+
+// maxReportedServices is the maximum number of services in a report.
+const maxReportedServices = 100
+
+// receiveReach applies the report of another instance.
+func (controller *Controller) receiveReach(now clock.Moment, report *ReachReport) {
+	reach := &controller.reach
+	before, known := reach.peers[report.Sender]
+	outdated := known && before.incarnation == report.Incarnation && report.Sequence <= before.sequence
+	if outdated || !controller.members.ReceiveReach(report.Sender, report.Incarnation, report.Isolated) {
+		return
+	}
+	reach.peers[report.Sender] = peerReach{
+		incarnation: report.Incarnation, unreachable: report.Unreachable, isolated: report.Isolated, sequence: report.Sequence, receivedAt: now,
+	}
+	if !slices.Equal(before.unreachable, report.Unreachable) || before.isolated != report.Isolated {
+		controller.membershipDirty = true
+		controller.publish()
+	}
+	if len(report.Unreachable) == 0 || now < reach.nextCheckRequest || controller.members.State() != membership.Serving && !controller.members.TopRanked() {
+		return
+	}
+	reach.nextCheckRequest = now.Add(checkRequestInterval)
+	services := make([]settings.ServiceName, 0, len(report.Unreachable))
+	for name := range controller.services {
+		if slices.Contains(report.Unreachable, serviceKeyOf(name)) {
+			services = append(services, name)
+		}
+	}
+	reach.tracker.Check(services)
+}
+
+// isIsolated reports whether the instance, which may be this one, reaches no service at all as far as is known here.
+func (controller *Controller) isIsolated(instance settings.InstanceName) bool {
+	if instance == controller.options.Self.Name {
+		return controller.reach.tracker.Isolated()
+	}
+	return controller.reach.peers[instance].isolated
+}
+
+// instanceReaches reports whether the instance, which may be this one, can reach the service as far as is known here.
+func (controller *Controller) instanceReaches(instance settings.InstanceName, name settings.ServiceName) bool {
+	if instance == controller.options.Self.Name {
+		return !controller.reach.tracker.Unreachable(name)
+	}
+	return !slices.Contains(controller.reach.peers[instance].unreachable, serviceKeyOf(name))
+}
+
+// anyUnreachable reports whether any instance cannot reach some service as far as is known here.
+func (controller *Controller) anyUnreachable() bool {
+	return len(controller.reach.peers) > 0 || controller.reach.tracker.AnyDoubtful()
+}
+
+// reassignUnreachable gives the servers whose owners cannot reach their service to instances that can, if there are any.
+func (controller *Controller) reassignUnreachable(all []routing.Instance) {
+	if !controller.anyUnreachable() {
+		return
+	}
+	orphans := map[settings.ServiceName][]settings.TargetName{}
+	for index := range controller.view.Servers {
+		server := &controller.view.Servers[index]
+		if owner, owned := controller.owners[server.Name]; owned && !controller.instanceReaches(owner, server.Service) {
+			orphans[server.Service] = append(orphans[server.Service], server.Name)
+		}
+	}
+	for name, targets := range orphans {
+		able := slices.DeleteFunc(slices.Clone(all), func(instance routing.Instance) bool { return !controller.instanceReaches(instance.Name, name) })
+		if len(able) == 0 {
+			continue
+		}
+		for target, owner := range routing.Owners(targets, able) {
+			controller.owners[target] = owner
+		}
+	}
+}
+
 // receiveDown applies the report of its owner that a backend server is down. The owner may be the one that has lost the path to the
 // server, so this instance probes it as well.
 func (controller *Controller) receiveDown(now clock.Moment, ref targetRef) {
--- a/internal/fleet/reach_test.go
+++ b/internal/fleet/reach_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -84,6 +85,82 @@
 	}
 }
 
+// receiveReach passes the report of another instance to the controller.
+func (fixture *reachFixture) receiveReach(number int, isolated bool, services ...settings.ServiceName) {
+	fixture.sequence++
+	report := &ReachReport{Sender: identity(number).Name, Incarnation: 1, Sequence: fixture.sequence, Isolated: isolated}
+	for _, name := range services {
+		report.Unreachable = append(report.Unreachable, serviceKeyOf(name))
+	}
+	slices.Sort(report.Unreachable)
+	fixture.controller.receiveMessage(&Message{Reach: report})
+}
+
+// owned returns how many servers of each service an instance owns.
+func (fixture *reachFixture) owned(number int) map[settings.ServiceName]int {
+	counts := map[settings.ServiceName]int{}
+	for _, server := range fixture.controller.view.Servers {
+		if fixture.controller.owners[server.Name] == identity(number).Name {
+			counts[server.Service]++
+		}
+	}
+	return counts
+}
+
+// Guards against servers that nobody probes, and that get no request while cold, since their owner cannot reach them.
+func TestServersAreOwnedByInstancesThatReachThem(t *testing.T) {
+	fixture := newReachFixture(t)
+	before := fixture.owned(1)
+	require.Len(t, before, 3)
+	fixture.receiveReach(1, false, "lookups")
+	require.Zero(t, fixture.owned(1)["lookups"])
+	require.Equal(t, before["payments"], fixture.owned(1)["payments"])
+	for number := range fixtureDataCentres {
+		fixture.receiveReach(number, false, "payments")
+	}
+	require.Equal(t, before["lookups"], fixture.owned(1)["lookups"], "the report is replaced")
+	fixture.run(reachReportTimeout + 2*servingTickInterval)
+	require.Equal(t, before, fixture.owned(1), "reports that are not repeated do not count")
+
+	for number := 1; number < fixtureDataCentres; number++ {
+		fixture.receiveReach(number, false, "lookups")
+	}
+	require.Equal(t, reachTargets/3, fixture.owned(0)["lookups"])
+	for _, server := range fixture.controller.view.Servers {
+		fixture.unreachable[server.Name] = server.Service == "lookups"
+	}
+	for range 4 {
+		fixture.run(500 * clock.Millisecond)
+		for number := 1; number < fixtureDataCentres; number++ {
+			fixture.receiveReach(number, false, "lookups")
+		}
+	}
+	require.True(t, fixture.controller.reach.tracker.Unreachable("lookups"))
+	require.Equal(t, before, fixture.owned(1), "owners stay as they are while no instance reaches the service")
+}
+
+// Guards against callers that are sent to an instance that reaches no backend server while others do, and against an empty answer when
+// none does.
+func TestIsolatedInstancesAreNotNamedToCallers(t *testing.T) {
+	fixture := newReachFixture(t)
+	services := []settings.ServiceName{"exports", "lookups", "payments"}
+	fixture.receiveReach(2, true, services...)
+	addresses, _ := fixture.controller.Addresses()
+	require.Len(t, addresses, fixtureDataCentres-1)
+	require.NotContains(t, addresses, identity(2).Caller)
+	for _, server := range fixture.controller.view.Servers {
+		fixture.unreachable[server.Name] = true
+	}
+	for range 4 {
+		fixture.run(250 * clock.Millisecond)
+		for number := 1; number < fixtureDataCentres; number++ {
+			fixture.receiveReach(number, true, services...)
+		}
+	}
+	addresses, _ = fixture.controller.Addresses()
+	require.Len(t, addresses, fixtureDataCentres)
+}
+
 // Guards against an owner that reports servers as down which it only cannot reach itself, and against one that keeps a failed server to
 // itself.
 func TestOwnerReportsOnlyServersThatHaveFailed(t *testing.T) {
@@ -112,14 +189,19 @@
 			fixture.sent = nil
 			fixture.run(2 * clock.Second)
 			down := map[TargetKey]bool{}
+			reports := 0
 			for _, message := range fixture.sent {
 				for _, reading := range message.Readings {
 					if reading.Down {
 						down[reading.Target] = true
 					}
 				}
+				if message.Reach != nil {
+					reports++
+				}
 			}
 			require.Len(t, down, testCase.reported)
+			require.Equal(t, testCase.reach, reports > 0)
 			require.Equal(t, testCase.reach, fixture.controller.reach.tracker.Unreachable("lookups"))
 		})
 	}
--- a/internal/fleet/tick.go
+++ b/internal/fleet/tick.go
@@ -34,7 +34,7 @@
 	}
 	controller.updateState(now)
 	controller.updateLoad(now)
-	controller.updateReach()
+	controller.updateReach(now)
 	controller.sendHeartbeats()
 	if controller.members.Leaderless() {
 		// Without a leader, each heartbeat may change which instances are present.
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -162,6 +162,7 @@
 			controller.owners[name] = owner
 		}
 	}
+	controller.reassignUnreachable(all)
 }
 
 // setTargets passes the backend servers to the schedulers, the connection pools and the prober.
--- a/internal/membership/load.go
+++ b/internal/membership/load.go
@@ -217,6 +217,9 @@
 		size       int
 	}
 	var spares []spare
+	// missing is the number of instances that count for the minimum and reach no backend server, because their whole data centre does
+	// not. Others serve in their place.
+	missing := 0
 	for dataCentre, candidates := range ranking.byDataCentre {
 		needed := min(ranking.perDataCentre, len(candidates))
 		ranking.needed[dataCentre] = needed
@@ -224,6 +227,10 @@
 		for position, candidate := range candidates {
 			if position < needed {
 				ranking.sizes = append(ranking.sizes, candidate.identity.Size)
+				missing += boolOrder(candidate.isolated)
+				continue
+			}
+			if candidate.isolated {
 				continue
 			}
 			spares = append(spares, spare{dataCentre: dataCentre, position: position, size: candidate.identity.Size})
@@ -234,7 +241,7 @@
 	})
 	for index, spare := range spares {
 		ranking.sizes = append(ranking.sizes, spare.size)
-		if ranking.minimum+index < wanted {
+		if ranking.minimum+index < max(wanted, ranking.minimum)+missing {
 			ranking.needed[spare.dataCentre]++
 		}
 	}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -145,6 +145,8 @@
 	// lastSeen is when the last heartbeat came from the member itself, discovered when it became known.
 	lastSeen, discovered clock.Moment
 	nextHeartbeat        clock.Moment
+	// reach is what the member has reported of the services that it cannot reach.
+	reach reachState
 	// load is the last load report of the member, nextLoadReport when the next one to it is due.
 	load           reportedLoad
 	nextLoadReport clock.Moment
@@ -192,6 +194,10 @@
 	// changedAt is when the view of the fleet last changed.
 	changedAt clock.Moment
 	load      loadState
+	// reach is what this instance itself reports of the backend servers that it cannot reach.
+	reach reachState
+	// anyIsolated is whether any instance is isolated, or was when UpdateReach last ran.
+	anyIsolated bool
 	// surplusSince is since when this instance serves without being needed, 0 when it is needed.
 	surplusSince clock.Moment
 }
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -30,6 +30,8 @@
 	// load returns the processor capacity that all callers' requests need together, in thousandths of a core; nil for none. It is
 	// distributed evenly over the serving instances.
 	load func(clock.Moment) float64
+	// isolated reports whether an instance reaches no backend server; nil if all do. Each notices at a time of its own.
+	isolated func(number int) bool
 	// servingCount is the number of serving instances at the start of the step.
 	servingCount int
 }
@@ -39,6 +41,14 @@
 	to        int
 	heartbeat Heartbeat
 	load      *LoadReport
+	reach     *reachDelivery
+}
+
+// reachDelivery is a report of an instance that reaches no backend server, or does again.
+type reachDelivery struct {
+	sender      settings.InstanceName
+	incarnation Incarnation
+	isolated    bool
 }
 
 type simulatedInstance struct {
@@ -48,6 +58,9 @@
 	address netip.AddrPort
 	startAt clock.Moment
 	stopped bool
+	// noticesAt is when the instance notices that it is isolated, 0 when it is not, and nextReport when it reports it.
+	noticesAt, nextReport clock.Moment
+	wasIsolated           bool
 }
 
 const simulatedStep = 25 * clock.Millisecond
@@ -125,6 +138,29 @@
 		fleet.send(instance, address, delivery{heartbeat: heartbeat})
 	}
 	fleet.stepLoad(instance)
+	fleet.stepReach(instance)
+}
+
+// stepReach lets an instance notice and report whether it is isolated.
+func (fleet *fleet) stepReach(instance *simulatedInstance) {
+	now := fleet.clock.Now()
+	isolated := fleet.isolated != nil && fleet.isolated(instance.number)
+	switch {
+	case !isolated:
+		instance.noticesAt = 0
+	case instance.noticesAt == 0:
+		instance.noticesAt = now.Add(400*clock.Millisecond + clock.Milliseconds(fleet.random.Float64()*400))
+	}
+	noticed := isolated && now >= instance.noticesAt
+	instance.members.SetIsolated(noticed)
+	instance.members.UpdateReach()
+	if now < instance.nextReport || !noticed && !instance.wasIsolated {
+		return
+	}
+	instance.nextReport, instance.wasIsolated = now.Add(200*clock.Millisecond), noticed
+	for _, member := range instance.members.Alive() {
+		fleet.send(instance, member.Address, delivery{reach: &reachDelivery{sender: instance.options.Self.Name, incarnation: instance.options.Incarnation, isolated: noticed}})
+	}
 }
 
 // stepLoad updates the load of an instance and sends the reports that are due.
@@ -162,6 +198,8 @@
 		case instance.stopped:
 		case delivery.load != nil:
 			instance.members.ReceiveLoad(*delivery.load)
+		case delivery.reach != nil:
+			instance.members.ReceiveReach(delivery.reach.sender, delivery.reach.incarnation, delivery.reach.isolated)
 		default:
 			instance.members.Receive(delivery.heartbeat)
 		}
--- a/internal/membership/promotion.go
+++ b/internal/membership/promotion.go
@@ -40,17 +40,17 @@
 }
 
 // promoted reports whether a serving instance has recently promoted this one. Promotions that are out of date, or that are based on
-// fewer serving instances than are known here, are ignored.
+// fewer serving instances than are known here, are ignored, unless it may take the place of isolated instances that are not known here.
 func (members *Members) promoted() bool {
 	now := members.options.Clock.Now()
 	candidates, needed := members.ownCandidates()
 	serving := 0
 	for _, candidate := range candidates {
-		if candidate.serving && candidate.identity.Size >= members.options.Self.Size {
+		if candidate.serving && !candidate.isolated && candidate.identity.Size >= members.options.Self.Size {
 			serving++
 		}
 	}
-	return serving < needed && slices.ContainsFunc(members.ServingPeers(), func(peer *Member) bool {
+	return (serving < needed || members.anyIsolated) && slices.ContainsFunc(members.ServingPeers(), func(peer *Member) bool {
 		return now.Since(peer.lastSeen) < promotionValidity && slices.Contains(peer.Promoted, members.options.Self.Name)
 	})
 }
--- a/internal/membership/ranking.go
+++ b/internal/membership/ranking.go
@@ -15,9 +15,11 @@
 	ranking := members.roster.currentRanking(members)
 	var serving []Identity
 	for dataCentre, candidates := range ranking.byDataCentre {
-		for _, candidate := range candidates[:ranking.needed[dataCentre]] {
-			if candidate.serving {
+		left := ranking.needed[dataCentre]
+		for _, candidate := range candidates {
+			if candidate.serving && left > 0 {
 				serving = append(serving, candidate.identity)
+				left--
 			}
 		}
 	}
@@ -29,6 +31,8 @@
 type rankedInstance struct {
 	identity      Identity
 	serving, seed bool
+	// isolated instances reach no backend server. They rank last.
+	isolated bool
 	// member is nil for this instance itself.
 	member *Member
 }
@@ -71,18 +75,23 @@
 		byDataCentre[candidate.identity.DataCentre] = append(byDataCentre[candidate.identity.DataCentre], candidate)
 	}
 	if members.state != Leaving {
-		add(rankedInstance{identity: members.options.Self, serving: members.state == Serving, seed: members.isSeed(members.self)})
+		add(rankedInstance{
+			identity: members.options.Self, serving: members.state == Serving, seed: members.isSeed(members.self), isolated: members.reach.ranksLast,
+		})
 	}
 	for _, member := range members.roster.listAlive() {
 		// Joining members count, as they go to standby within a moment. Otherwise all instances that restart together would each
 		// rank themselves first, since they finish joining at the same time.
 		if member.State != Leaving {
-			add(rankedInstance{identity: member.Identity, serving: member.State == Serving, seed: members.isSeed(member.Address), member: member})
+			add(rankedInstance{
+				identity: member.Identity, serving: member.State == Serving, seed: members.isSeed(member.Address), isolated: member.reach.ranksLast, member: member,
+			})
 		}
 	}
 	for _, candidates := range byDataCentre {
 		slices.SortFunc(candidates, func(left, right rankedInstance) int {
 			return cmp.Or(
+				boolOrder(left.isolated)-boolOrder(right.isolated),
 				right.identity.Size-left.identity.Size,
 				boolOrder(right.serving)-boolOrder(left.serving),
 				boolOrder(left.seed)-boolOrder(right.seed),
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -55,7 +55,7 @@
 // update sets the member's state from its heartbeat.
 func (member *Member) update(heartbeat Heartbeat) {
 	if member.Incarnation != heartbeat.Incarnation {
-		member.load = reportedLoad{}
+		member.load, member.reach = reportedLoad{}, reachState{}
 	}
 	member.Identity = heartbeat.Identity
 	member.State = heartbeat.State
