Relay requests of services that an instance cannot reach through other instances

Its only way to a server was its own.

Such a request now goes through an instance that reaches the service, chosen among those that serve: at once when this instance has found the service unreachable, else when it cannot connect and suspects so. Waiting requests and first attempts of requests that may be repeated are given up for it. The other instance handles it as if the caller had connected there, with the deadline, the soft deadline, the number of servers and the service that the first one passes on; it checks the key itself, sends the team's name, keeps limits and rests of servers, counts the request towards one retry budget, and never relays it further. The quota is charged by the first. A broken path, or an outcome that is not understood, promises nothing; a request that certainly was not sent goes to one more instance, and is then refused at once. Headers of the relay count at the port for other instances only, are replaced there and removed everywhere else. With regions named in the settings, requests stay in theirs.

--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jaywheel/jaywheel/internal/relay"
 	"github.com/jaywheel/jaywheel/internal/routing"
 	"github.com/jaywheel/jaywheel/internal/service"
 	"github.com/jaywheel/jaywheel/internal/trace"
@@ -38,6 +39,12 @@
 	attemptTime  clock.Milliseconds
 	// permit is the permit held now; its Target is nil if none is held.
 	permit service.Permit
+	// relayed is what the instance that received the request from the caller has added to it, nil if this is that instance.
+	relayed *relay.Request
+	// relayState is what has been done to relay the request from here.
+	relayState relayState
+	// counted means that the request has been counted towards the retry budget.
+	counted bool
 	// mustClose means that the caller's connection is closed after this request.
 	mustClose bool
 }
@@ -75,7 +82,6 @@
 		return
 	}
 	defer call.body.expireOnDone(ctx)()
-	call.route.Service.Budget.Deposit()
 	call.forward(ctx)
 }
 
@@ -106,7 +112,7 @@
 	if hasDotSegment(call.request.URL.Path) {
 		return newRejection(http.StatusBadRequest, outcome.ReasonBadRequest, errDotSegment)
 	}
-	route, err := call.table.Route(call.request.Host, call.request.Method, call.request.URL.Path)
+	route, err := call.findRoute()
 	switch {
 	case errors.Is(err, routing.ErrNoService):
 		return newRejection(http.StatusNotFound, outcome.ReasonNoService, err)
@@ -126,7 +132,7 @@
 	call.deadline = call.started.Add(min(timeout, route.Class.Settings.Timeout))
 	call.softDeadline = call.deadline
 	if softTimeout := route.Class.Settings.SoftTimeout; softTimeout > 0 {
-		call.softDeadline = min(route.Service.SoftDeadline(route.Class.Name, call.started, softTimeout, timeout), call.deadline)
+		call.softDeadline = min(call.softDeadlineOf(softTimeout, timeout), call.deadline)
 	}
 	if errorResponse := call.checkOverload(); errorResponse != nil {
 		return errorResponse
@@ -137,6 +143,14 @@
 	return call.chargeQuota()
 }
 
+// softDeadlineOf returns the time until which a response has its full value.
+func (call *call) softDeadlineOf(softTimeout, timeout clock.Milliseconds) clock.Moment {
+	if call.relayed != nil {
+		return call.started.Add(call.relayed.SoftTimeout)
+	}
+	return call.route.Service.SoftDeadline(call.route.Class.Name, call.started, softTimeout, timeout)
+}
+
 // newRejection returns the error response for a request that was not sent to any backend server.
 func newRejection(status int, reason outcome.Reason, cause error) *errorResponse {
 	return &errorResponse{status: status, outcome: outcome.NotRun, reason: reason, cause: cause}
@@ -211,6 +225,10 @@
 		header.Set(outcome.HeaderReason, string(reason))
 	}
 	header.Set(dialect.RequestIDHeader, string(call.id))
+	relay.RemoveHeaders(header)
+	if call.relayed != nil {
+		relay.SetOutcome(header, result, reason)
+	}
 	if call.mustClose || call.handler.draining() {
 		header.Set("Connection", "close")
 	}
@@ -249,6 +267,9 @@
 		call.storeTrace(&requestTrace)
 		return
 	}
+	if call.relayed != nil {
+		requestTrace.Origin = call.relayed.Origin
+	}
 	requestTrace.Service = call.route.Service.Name
 	requestTrace.Class = call.route.Class.Name
 	requestTrace.Revision = call.route.Service.Settings.Revision
--- a/internal/caller/forward.go
+++ b/internal/caller/forward.go
@@ -17,7 +17,14 @@
 	// failedAttempt is the last attempt answered with a server error; its response is forwarded if no retry gets a better one.
 	var failedAttempt *attempt
 	for {
+		if call.relayFirst(ctx, failedAttempt) {
+			return
+		}
+		call.countRequest()
 		if errorResponse := call.acquirePermit(ctx); errorResponse != nil {
+			if call.relaysRefused(errorResponse) && call.relay(ctx, failedAttempt) {
+				return
+			}
 			if failedAttempt != nil {
 				call.forwardResponse(*failedAttempt)
 				return
@@ -31,6 +38,9 @@
 			call.forwardResponse(attempt)
 			return
 		}
+		if call.relaysUnconnected(&attempt) && call.relay(ctx, failedAttempt) {
+			return
+		}
 		if !call.mayRetry(ctx, &attempt) {
 			call.finishAttempts(ctx, &attempt, failedAttempt)
 			return
@@ -49,6 +59,14 @@
 	}
 }
 
+// countRequest counts the request towards the retry budget, unless that has been done.
+func (call *call) countRequest() {
+	if !call.counted {
+		call.counted = true
+		call.route.Service.Budget.Deposit()
+	}
+}
+
 // finishAttempts ends a request that is not retried, with a backend server's response if there is one.
 func (call *call) finishAttempts(ctx context.Context, lastAttempt, failedAttempt *attempt) {
 	if lastAttempt.answered() {
@@ -176,6 +194,9 @@
 	if limit == 0 {
 		limit = call.route.Service.Settings.Retry.Attempts
 	}
+	if call.relayed != nil {
+		limit = min(limit, call.relayed.Attempts)
+	}
 	return min(limit, trace.MaxAttempts)
 }
 
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -48,6 +48,8 @@
 	Lateness func() clock.Milliseconds
 	// OnRequestDone is called with the trace of each completed request. It must not block. It may be nil.
 	OnRequestDone func(*trace.Request)
+	// Relay forwards requests of services that this instance cannot reach through other instances; nil if none are relayed.
+	Relay *Relay
 	// OnStatement is called when a backend server's response has changed what is known of it. It must not block. It may be nil.
 	OnStatement func(service.StatementChange)
 }
--- a/internal/caller/headers.go
+++ b/internal/caller/headers.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/net/http/httpguts"
 
+	"github.com/jaywheel/jaywheel/internal/relay"
 	"github.com/jaywheel/jaywheel/internal/service"
 )
 
@@ -36,20 +37,8 @@
 func (call *call) outgoing(target *service.Target) *http.Request {
 	incoming := call.request
 	dialect := call.handler.options.Dialect
-	header := incoming.Header.Clone()
-	wantsTrailers := httpguts.HeaderValuesContainsToken(header["Te"], "trailers")
-	removeHopByHop(header)
-	removeReserved(header, dialect.IsReservedHeader)
+	header := call.outgoingHeader()
 	call.setTeamHeader(header)
-	if wantsTrailers {
-		header.Set("Te", "trailers")
-	}
-	if _, present := header["User-Agent"]; !present {
-		// Otherwise net/http would add its own User-Agent.
-		header["User-Agent"] = nil
-	}
-	header.Set(dialect.RequestIDHeader, string(call.id))
-	header.Set(dialect.TimeoutHeader, strconv.FormatInt(max(int64(call.deadline.Since(call.now())), 1), 10))
 	if dialect.TargetHeader != "" {
 		header.Set(dialect.TargetHeader, string(target.Name))
 	}
@@ -62,11 +51,37 @@
 			header.Add("X-Forwarded-For", callerIP)
 		}
 	}
+	return call.outgoingRequest(target.Address, header)
+}
+
+// outgoingHeader returns the header of a request to a backend server or to another instance, without what only one of them gets.
+func (call *call) outgoingHeader() http.Header {
+	dialect := call.handler.options.Dialect
+	header := call.request.Header.Clone()
+	wantsTrailers := httpguts.HeaderValuesContainsToken(header["Te"], "trailers")
+	removeHopByHop(header)
+	removeReserved(header, dialect.IsReservedHeader)
+	relay.RemoveHeaders(header)
+	if wantsTrailers {
+		header.Set("Te", "trailers")
+	}
+	if _, present := header["User-Agent"]; !present {
+		// Otherwise net/http would add its own User-Agent.
+		header["User-Agent"] = nil
+	}
+	header.Set(dialect.RequestIDHeader, string(call.id))
+	header.Set(dialect.TimeoutHeader, strconv.FormatInt(max(int64(call.deadline.Since(call.now())), 1), 10))
+	return header
+}
+
+// outgoingRequest returns the caller's request with the given header, for the IP address and port.
+func (call *call) outgoingRequest(address string, header http.Header) *http.Request {
+	incoming := call.request
 	body, length := call.body.reader(incoming.ContentLength)
-	outgoing := &http.Request{
+	return &http.Request{
 		Method: incoming.Method,
 		URL: &url.URL{
-			Scheme: "http", Host: target.Address,
+			Scheme: "http", Host: address,
 			Path: incoming.URL.Path, RawPath: incoming.URL.RawPath,
 			RawQuery: incoming.URL.RawQuery, ForceQuery: incoming.URL.ForceQuery,
 		},
@@ -74,7 +89,6 @@
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Trailer: incoming.Trailer,
 	}
-	return outgoing
 }
 
 // removeReserved removes headers that only jaywheel may set, so that neither callers nor backend servers can forge them.
--- a/internal/caller/hedge.go
+++ b/internal/caller/hedge.go
@@ -36,7 +36,7 @@
 	first := call.permit
 	call.permit = service.Permit{}
 	cancelFirst := call.sendAsync(ctx, first, results)
-	second, winner := call.awaitFirst(ctx, first, results)
+	second, winner := call.awaitFirst(ctx, first, cancelFirst, results)
 	if winner != nil {
 		return *winner
 	}
@@ -106,8 +106,9 @@
 }
 
 // awaitFirst waits for the first request. It returns a permit for the hedged request if the first one is slow or overdue, or
-// else the result of the first one.
-func (call *call) awaitFirst(ctx context.Context, first service.Permit, results <-chan attempt) (service.Permit, *attempt) {
+// else the result of the first one. It cancels the first one if the service turns out to be unreachable: the request is then
+// relayed.
+func (call *call) awaitFirst(ctx context.Context, first service.Permit, cancelFirst context.CancelFunc, results <-chan attempt) (service.Permit, *attempt) {
 	expected := call.route.Service.Scheduler.ExpectedDuration(call.route.Class.Name)
 	latestStart := call.softDeadline.Add(-service.CallerNetworkDelay - hedgeMarginFactor*expected)
 	overdueAt := call.now().Add(hedgeOverdueFactor * expected)
@@ -120,6 +121,11 @@
 		case <-timer.C:
 		}
 		now := call.now()
+		if call.unreachable() {
+			cancelFirst()
+			result := <-results
+			return service.Permit{}, &result
+		}
 		if ctx.Err() == nil && call.quotaAllowsRetry() && !call.keyRevoked() && (now >= overdueAt || first.Slow()) {
 			permitRequest := call.permitRequest()
 			permitRequest.PreviousTarget = first.Target
--- a/internal/caller/identity.go
+++ b/internal/caller/identity.go
@@ -106,6 +106,11 @@
 	if call.identity.team == nil || quota == nil {
 		return nil
 	}
+	if call.relayed != nil {
+		// The instance that received the request has counted it. Further attempts are counted here.
+		call.identity.quotaCharged = true
+		return nil
+	}
 	wait, admitted := quota.Admit(call.identity.team.Name)
 	if !admitted {
 		return &errorResponse{status: http.StatusTooManyRequests, reason: outcome.ReasonTeamLimit, retryAfter: wait, cause: errTeamLimit}
@@ -123,7 +128,7 @@
 
 // refundQuota takes back the charge for a request that has not run and will not run.
 func (call *call) refundQuota() {
-	if call.identity.quotaCharged {
+	if call.identity.quotaCharged && call.relayed == nil {
 		call.identity.quotaCharged = false
 		call.handler.options.Quota.Return(call.identity.team.Name)
 	}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -13,6 +13,22 @@
 // NewServer returns an HTTP server for callers that serves HTTP/1.1 and unencrypted HTTP/2, with limits that keep slow or hostile
 // callers from affecting others.
 func NewServer(handler *Handler, limits settings.Callers, events *expvar.Map) *http.Server {
+	return newServer(handler.baseContext, handler, limits, events)
+}
+
+// NewPeerServer returns an HTTP server for other instances, which relay callers' requests to it. It passes all other requests to next.
+func NewPeerServer(handler *Handler, next http.Handler, limits settings.Callers, events *expvar.Map) *http.Server {
+	relayedOrNext := func(writer http.ResponseWriter, request *http.Request) {
+		if isRelayed(request) {
+			handler.serveRelayed(writer, request)
+			return
+		}
+		next.ServeHTTP(writer, request)
+	}
+	return newServer(handler.baseContext, http.HandlerFunc(relayedOrNext), limits, events)
+}
+
+func newServer(baseContext context.Context, handler http.Handler, limits settings.Callers, events *expvar.Map) *http.Server {
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
@@ -26,7 +42,7 @@
 			return context.WithValue(ctx, connectionKey{}, connection)
 		},
 		ConnState:   handleConnState,
-		BaseContext: func(net.Listener) context.Context { return handler.baseContext },
+		BaseContext: func(net.Listener) context.Context { return baseContext },
 		ErrorLog:    log.New(errorCounter{events: events}, "", 0),
 	}
 }
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -16,6 +16,7 @@
 	"github.com/jaywheel/jaywheel/internal/membership"
 	"github.com/jaywheel/jaywheel/internal/metrics"
 	"github.com/jaywheel/jaywheel/internal/quota"
+	"github.com/jaywheel/jaywheel/internal/relay"
 	"github.com/jaywheel/jaywheel/internal/routing"
 	"github.com/jaywheel/jaywheel/internal/sensing"
 	"github.com/jaywheel/jaywheel/internal/service"
@@ -138,6 +139,10 @@
 	// CheckConnection connects to a backend server and passes the result to RecordConnect, without blocking. If it is nil, the instance
 	// does not determine which services it can reach.
 	CheckConnection func(settings.TargetName)
+	// SetRelayPeers sets the instances through which requests may be relayed. It may be nil.
+	SetRelayPeers func([]relay.Peer)
+	// Regions are the regions of data centres; empty if they are not known.
+	Regions map[settings.DataCentreName]settings.RegionName
 }
 
 // CatalogReader has the functions of the catalog reader that the control loop calls.
@@ -211,6 +216,9 @@
 	loadMeter       loadMeter
 	downLog         downLog
 	reach           reachState
+	// relayPeersSet is whether instances for relayed requests have been set, nextRelayPeers when they are next set.
+	relayPeersSet  bool
+	nextRelayPeers clock.Moment
 }
 
 type targetRef struct {
--- a/internal/fleet/reach.go
+++ b/internal/fleet/reach.go
@@ -5,6 +5,7 @@
 
 	"github.com/jaywheel/jaywheel/internal/membership"
 	"github.com/jaywheel/jaywheel/internal/reachability"
+	"github.com/jaywheel/jaywheel/internal/relay"
 	"github.com/jaywheel/jaywheel/internal/routing"
 	"github.com/jaywheel/jaywheel/internal/sensing"
 	"github.com/jaywheel/jaywheel/internal/service"
@@ -19,6 +20,8 @@
 	reachReportTimeout = 1200 * clock.Millisecond
 	// reachRepetitions is how often the report is repeated that all services can be reached again.
 	reachRepetitions = 3
+	// relayPeersInterval is the interval at which the instances for relayed requests are determined.
+	relayPeersInterval = 30 * clock.Millisecond
 	// checkRequestInterval is the shortest interval between two rounds of checks because of the reports of other instances.
 	checkRequestInterval = 2 * clock.Second
 	// verificationInterval is the shortest interval between two probes of a backend server that its owner reports as down, and
@@ -70,6 +73,16 @@
 	controller.reach.tracker.RecordConnect(name, connected)
 }
 
+// Unreachable reports whether this instance cannot reach the service.
+func (controller *Controller) Unreachable(name settings.ServiceName) bool {
+	return controller.reach.tracker.Unreachable(name)
+}
+
+// Doubtful reports whether this instance cannot reach the service, or suspects so.
+func (controller *Controller) Doubtful(name settings.ServiceName) bool {
+	return controller.reach.tracker.Doubtful(name)
+}
+
 // setReachTargets passes the usable servers to the tracker.
 func (controller *Controller) setReachTargets(configs map[settings.ServiceName][]service.TargetConfig) {
 	targets := make(map[settings.ServiceName][]settings.TargetName, len(configs))
@@ -108,11 +121,12 @@
 		controller.publish()
 	}
 	controller.reportReach(now)
+	controller.setRelayPeers()
 }
 
 // applyReachChange applies that this instance can no longer reach a service, or can again.
 func (controller *Controller) applyReachChange(now clock.Moment, change reachability.Change) {
-	event, message := EventServiceUnreachable, "this instance cannot reach the service"
+	event, message := EventServiceUnreachable, "this instance cannot reach the service; requests go through other instances"
 	if change.Reachable {
 		event, message = EventServiceReachable, "this instance reaches the service again"
 	}
@@ -126,7 +140,9 @@
 	}
 	if change.Reachable {
 		state.scheduler.ForgetFailures()
+		return
 	}
+	state.scheduler.RefuseWaiting()
 }
 
 // reportReach reports the services that this instance cannot reach to all other instances.
@@ -230,6 +246,37 @@
 	}
 }
 
+// setRelayPeers passes the instances through which requests can be relayed to the relay client, none while all services are reached.
+func (controller *Controller) setRelayPeers() {
+	now := controller.options.Clock.Now()
+	if controller.options.SetRelayPeers == nil || now < controller.nextRelayPeers || !controller.reach.tracker.AnyDoubtful() && !controller.relayPeersSet {
+		return
+	}
+	controller.nextRelayPeers = now.Add(relayPeersInterval)
+	controller.relayPeersSet = controller.reach.tracker.AnyDoubtful()
+	if !controller.relayPeersSet {
+		controller.options.SetRelayPeers(nil)
+		return
+	}
+	var peers []relay.Peer
+	for _, member := range controller.members.Alive() {
+		if member.State != membership.Serving && member.State != membership.Standby || member.Sequence == 0 || !controller.sameRegion(member.Identity.DataCentre) {
+			continue
+		}
+		peer := relay.Peer{
+			Name: member.Identity.Name, Address: member.Address.String(), Local: member.Identity.DataCentre == controller.options.Self.DataCentre,
+			Serving: member.State == membership.Serving, Unreachable: map[settings.ServiceName]bool{},
+		}
+		for name := range controller.services {
+			if !controller.instanceReaches(member.Identity.Name, name) {
+				peer.Unreachable[name] = true
+			}
+		}
+		peers = append(peers, peer)
+	}
+	controller.options.SetRelayPeers(peers)
+}
+
 // receiveDown applies the report of its owner that a backend server is down. The owner may be the one that has lost the path to the
 // server, so this instance probes it as well.
 func (controller *Controller) receiveDown(now clock.Moment, ref targetRef) {
@@ -269,3 +316,9 @@
 	delete(controller.reach.verifiedAt, name)
 	delete(controller.reach.nextVerification, name)
 }
+
+// sameRegion reports whether requests may be relayed to instances in the data centre: those of a region may have to stay in it.
+func (controller *Controller) sameRegion(dataCentre settings.DataCentreName) bool {
+	regions := controller.options.Regions
+	return len(regions) == 0 || regions[dataCentre] == regions[controller.options.Self.DataCentre]
+}
--- a/internal/fleet/reach_test.go
+++ b/internal/fleet/reach_test.go
@@ -135,7 +135,7 @@
 			fixture.receiveReach(number, false, "lookups")
 		}
 	}
-	require.True(t, fixture.controller.reach.tracker.Unreachable("lookups"))
+	require.True(t, fixture.controller.Unreachable("lookups"))
 	require.Equal(t, before, fixture.owned(1), "owners stay as they are while no instance reaches the service")
 }
 
@@ -202,7 +202,7 @@
 			}
 			require.Len(t, down, testCase.reported)
 			require.Equal(t, testCase.reach, reports > 0)
-			require.Equal(t, testCase.reach, fixture.controller.reach.tracker.Unreachable("lookups"))
+			require.Equal(t, testCase.reach, fixture.controller.Unreachable("lookups"))
 		})
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"github.com/jaywheel/jaywheel/internal/metrics"
 	"github.com/jaywheel/jaywheel/internal/operator"
 	"github.com/jaywheel/jaywheel/internal/quota"
+	"github.com/jaywheel/jaywheel/internal/relay"
 	"github.com/jaywheel/jaywheel/internal/sensing"
 	"github.com/jaywheel/jaywheel/internal/supervisor"
 	"github.com/jaywheel/jaywheel/internal/trace"
@@ -54,6 +55,8 @@
 	// callerConnectionShare is the share of the file descriptors available to callers' connections; the rest is for connections
 	// to backend servers.
 	callerConnectionShare = 0.6
+	// peerConnectionShare is the same for connections of other instances.
+	peerConnectionShare = 0.15
 )
 
 // Platform is the platform-specific behaviour of an instance: reading the store, the HTTP headers and paths used with
@@ -96,8 +99,10 @@
 	datagrams    *instance.Transport
 	traces       *trace.Ring
 	quota        *quota.Limiter
+	relay        *relay.Client
 	updates      updateCache
 	callerServer *httppart.Server
+	peerServer   *httppart.Server
 	handler      *caller.Handler
 	httpServers  []namedServer
 	tree         *supervisor.Tree
@@ -125,6 +130,7 @@
 	gateway.servers = backendserver.NewServers(gateway.clock)
 	gateway.servers.OnConnect, gateway.servers.Dial = gateway.recordConnect, options.DialServer
 	gateway.quota = quota.NewLimiter(quota.Options{Clock: gateway.clock, Rand: rand.New(rand.NewPCG(options.Seed, 1))})
+	gateway.relay = relay.NewClient(relay.Options{Clock: gateway.clock, Rand: rand.New(rand.NewPCG(options.Seed, 2))})
 	gateway.makeControl()
 	if err := gateway.makeHTTPServers(); err != nil {
 		gateway.closeHTTPServers()
@@ -173,7 +179,7 @@
 		ProcessorTime: processorTime, SentBytes: func() int64 { return gateway.eventCount(caller.EventSentBytes) },
 		LinkRate: gatewaySettings.LinkMegabits * bytesPerMillisecond,
 		Send:     gateway.datagrams.Send, SetJobs: gateway.prober.Set, Verify: gateway.prober.Verify,
-		CheckConnection: gateway.checkConnection,
+		CheckConnection: gateway.checkConnection, SetRelayPeers: gateway.relay.SetPeers, Regions: gatewaySettings.Regions,
 	})
 	peers := &peerReader{http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	gateway.reader = catalog.NewReader(catalog.Options{
@@ -196,14 +202,18 @@
 		MaxConnections: int(callerConnectionShare * float64(gatewaySettings.MaxDescriptors)), MaxHeaderSize: maxHeaderBytes, HeaderTimeout: headerTimeout,
 		IdleTimeout: idleTimeout, MaxStall: maxStall,
 	}
+	peerLimits := limits
+	peerLimits.MaxConnections = int(peerConnectionShare * float64(gatewaySettings.MaxDescriptors))
 	gateway.handler = caller.NewHandler(caller.Options{
 		Table: gateway.controller.Table, AwaitTable: gateway.controller.AwaitTable, Servers: gateway.servers, Registry: gateway.registry, Traces: gateway.traces,
 		Quota: gateway.quota, KeyFreshness: gateway.controller.KeyStatus,
 		Clock: gateway.clock, Instance: gatewaySettings.Instance, MaxStall: maxStall, Dialect: gateway.options.Platform.Dialect,
+		Relay:       &caller.Relay{Client: gateway.relay, Unreachable: gateway.controller.Unreachable, Doubtful: gateway.controller.Doubtful},
 		OnStatement: gateway.controller.RecordStatement, Lateness: gateway.controller.Lateness,
 		OnRequestDone: newRequestLog(gateway.options.Log, gateway.clock, &gateway.registry.Events).write,
 	})
 	events := &gateway.registry.Events
+	peerServer := caller.NewPeerServer(gateway.handler, http.HandlerFunc(gateway.serveCatalog), peerLimits, events)
 	serverConfigs := []struct {
 		name    string
 		address string
@@ -213,7 +223,7 @@
 		{"callers", gatewaySettings.CallerAddress, caller.NewServer(gateway.handler, limits, events), caller.NewListenFunc(limits, events)},
 		{"directory", gatewaySettings.DirectoryAddress, newShortRequestServer(gateway.options.Platform.Directory(gateway.controller.Addresses)), httppart.Listen},
 		{"readiness", gatewaySettings.ReadyAddress, newShortRequestServer(gateway.options.Platform.Readiness(gateway.controller.Ready)), httppart.Listen},
-		{"peers", gatewaySettings.PeerAddress, newShortRequestServer(http.HandlerFunc(gateway.serveCatalog)), httppart.Listen},
+		{"peers", gatewaySettings.PeerAddress, peerServer, caller.NewListenFunc(peerLimits, events)},
 		{"operators", gatewaySettings.OperatorAddress, newShortRequestServer(gateway.operatorHandler()), httppart.Listen},
 	}
 	for _, config := range serverConfigs {
@@ -223,10 +233,13 @@
 		}
 		gateway.httpServers = append(gateway.httpServers, namedServer{name: config.name, Server: server})
 	}
-	gateway.callerServer = gateway.httpServers[0].Server
+	gateway.callerServer, gateway.peerServer = gateway.httpServers[0].Server, gateway.httpServers[peerServerIndex].Server
 	return nil
 }
 
+// peerServerIndex is the position of the server for other instances among the HTTP servers.
+const peerServerIndex = 3
+
 // maxShortHeaderBytes limits the header of a request that needs only a path.
 const maxShortHeaderBytes = 8 << 10
 
@@ -275,6 +288,7 @@
 // Serve runs the instance until the context ends, which is not an error.
 func (gateway *Gateway) Serve(ctx context.Context) error {
 	defer gateway.servers.Close()
+	defer gateway.relay.Close()
 	err := gateway.tree.Serve(ctx)
 	if ctx.Err() != nil {
 		return nil
--- a/internal/gateway/leave.go
+++ b/internal/gateway/leave.go
@@ -46,7 +46,7 @@
 	case <-ctx.Done():
 		return errors.Wrap(ctx.Err(), "wait for cached addresses to expire")
 	}
-	err := gateway.callerServer.Shutdown(ctx)
+	err := gateway.shutdown(ctx)
 	if gateway.handler.InFlight() == 0 {
 		// The connections that are still open are idle.
 		return nil
@@ -54,6 +54,13 @@
 	return errors.Wrap(err, "wait for requests in flight")
 }
 
+// shutdown stops accepting requests of callers and those that other instances relay, and waits for those in flight.
+func (gateway *Gateway) shutdown(ctx context.Context) error {
+	peerResult := make(chan error, 1)
+	go func() { peerResult <- gateway.peerServer.Shutdown(ctx) }()
+	return errors.Join(gateway.callerServer.Shutdown(ctx), <-peerResult)
+}
+
 // unhandledRequests returns the number of connections so far that were closed within a request that no handler received.
 func (gateway *Gateway) unhandledRequests() int64 {
 	return gateway.eventCount(caller.EventUnfinished)
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -56,6 +56,9 @@
 		attempts.Object(attemptFields{&requestTrace.Attempts[index]})
 	}
 	line.Array("attempts", attempts)
+	if requestTrace.Origin != "" {
+		line.Str("origin", string(requestTrace.Origin))
+	}
 	if requestTrace.Error != "" {
 		line.Str("problem", requestTrace.Error)
 	}
@@ -74,6 +77,9 @@
 		Int("considered", attemptFields.Considered).Int("taken", attemptFields.InFlight).Float64("slowdown", attemptFields.Slowdown).
 		Float64("readingAgeMs", float64(attemptFields.LoadReadingAge)).Float64("waitedMs", float64(attemptFields.QueueWait)).
 		Float64("tookMs", float64(attemptFields.Duration))
+	if attemptFields.Relay != "" {
+		event.Str("relay", string(attemptFields.Relay))
+	}
 	if attemptFields.ServerLimit != nil {
 		event.Float64("serverLimit", *attemptFields.ServerLimit)
 	}
--- a/internal/routing/entry.go
+++ b/internal/routing/entry.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"sync"
+
+	"github.com/jaywheel/jaywheel/pkg/settings"
 )
 
 // Entry is a route by host and path prefix. Its requests go to one service or are split among several.
@@ -80,3 +82,20 @@
 	}
 	return Route{}, ErrNoService
 }
+
+// RouteTo returns the route of the entry that matches the host and path, to the given service rather than the one whose turn it is.
+// It reports whether the entry has that service.
+func (table *Table) RouteTo(host, path string, name settings.ServiceName) (Route, bool) {
+	for _, entry := range table.entries[hostName(host)] {
+		if !strings.HasPrefix(path, entry.Prefix) {
+			continue
+		}
+		for index := range entry.Services {
+			if service := entry.Services[index].Service; service.Name == name {
+				return Route{Service: service, Class: entry.Class, Public: entry.Public}, true
+			}
+		}
+		return Route{}, false
+	}
+	return Route{}, false
+}
--- a/internal/service/dispatcher.go
+++ b/internal/service/dispatcher.go
@@ -17,6 +17,8 @@
 var (
 	// ErrNoTarget is returned when the service has no backend server.
 	ErrNoTarget = errors.New("no backend server")
+	// ErrUnreachable is returned when this instance cannot reach the backend servers of the service.
+	ErrUnreachable = errors.New("this instance cannot reach the backend servers")
 	// ErrQueueFull is returned when the queue is full, or too long for the request to be served in time.
 	ErrQueueFull = errors.New("queue full")
 	// ErrQueueWait is returned when a request has waited for the maximum time.
--- a/internal/service/scheduler.go
+++ b/internal/service/scheduler.go
@@ -214,6 +214,13 @@
 	scheduler.serveWaiting(now)
 }
 
+// RefuseWaiting refuses all waiting requests: this instance cannot reach the targets.
+func (scheduler *Scheduler) RefuseWaiting() {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	scheduler.refuseAll(ErrUnreachable)
+}
+
 // DownTargets is how many targets of a service are down.
 type DownTargets struct {
 	// Own are those that probes of this instance fail to reach, Reported those that are down by the word of other instances, Total is
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -37,6 +37,8 @@
 type Attempt struct {
 	Target     settings.TargetName     `json:"target"`
 	DataCentre settings.DataCentreName `json:"dataCentre"`
+	// Relay is the instance through which the request was relayed, empty if it was sent from here.
+	Relay settings.InstanceName `json:"relay,omitempty"`
 	// Considered is the number of targets with a free permit from which the target was selected. 0 means that there was none,
 	// and the request waited until this target had a free permit.
 	Considered int `json:"considered"`
@@ -79,7 +81,9 @@
 	Reason   outcome.Reason       `json:"reason"`
 	Status   int                  `json:"status"`
 	Duration clock.Milliseconds   `json:"whole"`
-	Error    string               `json:"error,omitempty"`
+	// Origin is the instance that relayed the request to this one, empty if it came from a caller.
+	Origin settings.InstanceName `json:"origin,omitempty"`
+	Error  string                `json:"error,omitempty"`
 }
 
 // Ring is a ring buffer of the most recent traces. It is safe for concurrent use.
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -17,6 +17,9 @@
 	DataCentre DataCentreName `json:"dataCentre" jsonschema:"minLength=1"`
 	// Region is the region of the data centre.
 	Region RegionName `json:"region,omitempty"`
+	// Regions are the regions of all data centres. Requests are relayed only to instances in data centres of the same region; without
+	// this field, all data centres count as one region.
+	Regions map[DataCentreName]RegionName `json:"regions,omitempty"`
 	// CallerAddress is the IP address and port to which callers connect.
 	CallerAddress string `json:"callerAddress" jsonschema:"minLength=1"`
 	// ReadyAddress is the IP address and port that serves the platform's readiness check.
