--- a/cmd/fleet.go
+++ b/cmd/fleet.go
@@ -223,6 +223,9 @@
 		if line.status.Version < newest {
 			problems = append(problems, problem{name, fmt.Sprintf("%s has configuration %d in force, others %d", name, line.status.Version, newest)})
 		}
+		if len(line.status.Unreachable) > 0 {
+			problems = append(problems, problem{name, fmt.Sprintf("%s cannot reach the servers of %v", name, line.status.Unreachable)})
+		}
 		for _, peer := range line.status.Peers {
 			if peer.State == "lost" && answering[string(peer.Name)] {
 				problems = append(problems, problem{name, fmt.Sprintf("%s has lost sight of %s, which answers", name, peer.Name)})
--- a/cmd/fleet_test.go
+++ b/cmd/fleet_test.go
@@ -15,6 +15,7 @@
 	"github.com/jaywheel/jaywheel/internal/fleet"
 	"github.com/jaywheel/jaywheel/internal/operator"
 	"github.com/jaywheel/jaywheel/internal/service"
+	"github.com/jaywheel/jaywheel/pkg/settings"
 )
 
 // statusServer starts a server that responds with the status of an instance at the given address.
@@ -58,6 +59,12 @@
 				Instance: "entry-2", State: "serving", Version: 7, Peers: []fleet.PeerStatus{{Name: "entry-1", State: "lost"}},
 			}, "", ExitFailure, []string{"entry-2 has lost sight of entry-1, which answers"},
 		},
+		{
+			"an instance that cannot reach servers",
+			fleet.Status{Instance: "entry-2", State: "serving", Version: 7, Unreachable: []settings.ServiceName{"browsing", "payments"}},
+			"", ExitFailure,
+			[]string{"entry-2 cannot reach the servers of [browsing payments]"},
+		},
 		{
 			"one does not answer",
 			fleet.Status{Instance: "entry-2", State: "serving", Version: 7},
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -26,8 +26,10 @@
 	Reads    bool             `json:"reads"`
 	Revision catalog.Revision `json:"revision"`
 	Version  catalog.Version  `json:"version"`
-	Peers    []PeerStatus     `json:"peers"`
-	Services []ServiceStatus  `json:"services"`
+	// Unreachable are the services that the instance cannot reach; their requests are relayed.
+	Unreachable []settings.ServiceName `json:"unreachable,omitempty"`
+	Peers       []PeerStatus           `json:"peers"`
+	Services    []ServiceStatus        `json:"services"`
 	// Teams are the teams with a rate limit that sent requests to this instance, those with the most refused requests first.
 	Teams []quota.Usage `json:"teams,omitempty"`
 }
@@ -76,6 +78,7 @@
 	status := Status{
 		Instance: controller.options.Self.Name, DataCentre: controller.options.Self.DataCentre, State: state.String(), Ready: controller.Ready(),
 		Leaving: state == membership.Leaving, Reads: controller.role != catalog.RoleFollower,
+		Unreachable: slices.Sorted(slices.Values(controller.reach.tracker.UnreachableServices())),
 	}
 	if controller.view != nil {
 		status.Revision = controller.view.Revision
