Keep isolated instances from taking each other's place

An instance that hears of others that cannot reach a service checks three of its servers itself, within 0.3 s; isolated instances are neither promoted nor follow a promotion while any instance reaches the servers; one that stops serving repeats its report to all; one failed server without any other tried is enough for a round of checks. Instances that do not serve report once a second, to those that serve: with 200 isolated ones five reports a second to all would be 300,000 datagrams a second. Owners and addresses are computed at most every 50 ms for all reports.

--- a/internal/fleet/reach.go
+++ b/internal/fleet/reach.go
@@ -14,16 +14,23 @@
 )
 
 const (
-	// reachReportInterval is the interval at which an instance reports the services that it cannot reach.
-	reachReportInterval = 200 * clock.Millisecond
-	// reachReportTimeout is how long a report counts.
-	reachReportTimeout = 1200 * clock.Millisecond
-	// reachRepetitions is how often the report is repeated that all services can be reached again.
+	// reachReportInterval is the interval at which a serving instance reports the services that it cannot reach to the others that serve,
+	// standbyReachReportInterval the interval of all other reports.
+	reachReportInterval        = 200 * clock.Millisecond
+	standbyReachReportInterval = clock.Second
+	// reachRepetitions is how many reports go to all instances after a change.
 	reachRepetitions = 3
+	// reachPublishInterval is the shortest interval between two computations of owners and addresses because of reports: those of a whole
+	// data centre arrive within a moment.
+	reachPublishInterval = 50 * clock.Millisecond
 	// relayPeersInterval is the interval at which the instances for relayed requests are determined.
 	relayPeersInterval = 30 * clock.Millisecond
-	// checkRequestInterval is the shortest interval between two rounds of checks because of the reports of other instances.
-	checkRequestInterval = 2 * clock.Second
+	// checkRequestInterval is the interval between two rounds of checks because of the reports of other instances, at instances that
+	// serve or are next to serve; standbyCheckRequestInterval that at all others, of which the first round begins within
+	// maxCheckDelay.
+	checkRequestInterval        = 2 * clock.Second
+	standbyCheckRequestInterval = 5 * clock.Second
+	maxCheckDelay               = 300 * clock.Millisecond
 	// verificationInterval is the shortest interval between two probes of a backend server that its owner reports as down, and
 	// verificationValidity how long the owner's report is ignored after the server has responded to one.
 	verificationInterval = clock.Second
@@ -49,13 +56,18 @@
 type reachState struct {
 	tracker *reachability.Tracker
 	peers   map[settings.InstanceName]peerReach
-	// nextReport is when the next report of this instance is due, repetitions how many more reports are due although it reaches all
-	// services.
-	nextReport  clock.Moment
-	repetitions int
-	sequence    uint64
-	// nextCheckRequest is when reports of other instances may next cause checks.
-	nextCheckRequest clock.Moment
+	// nextReport is when the next report of this instance is due, nextWideReport when the next one to those that need fewer is, and
+	// repetitions how many more reports go to all after a change.
+	nextReport     clock.Moment
+	nextWideReport clock.Moment
+	repetitions    int
+	sequence       uint64
+	// changed is whether owners and addresses have to be computed anew, nextPublish when they may be.
+	changed     bool
+	nextPublish clock.Moment
+	// checkRequestedAt is when checks that the reports of other instances have caused are due, 0 if none are, and nextCheckRequest when
+	// reports may next cause some.
+	checkRequestedAt, nextCheckRequest clock.Moment
 	// verifiedAt is when a server that its owner reports as down last responded to this instance, nextVerification when it may be
 	// probed again. Both are guarded by latestMutex.
 	verifiedAt, nextVerification map[settings.TargetName]clock.Moment
@@ -109,15 +121,19 @@
 	for _, change := range changes {
 		controller.applyReachChange(now, change)
 	}
-	expired := false
+	reach.changed = reach.changed || len(changes) > 0
 	for name, peer := range reach.peers {
-		if now.Since(peer.receivedAt) > reachReportTimeout {
+		member, known := controller.members.Member(name)
+		if !known || now.Since(peer.receivedAt) > controller.members.ReachTimeout(member) {
 			delete(reach.peers, name)
-			expired = true
+			reach.changed = true
 		}
 	}
+	controller.requestChecks(now)
 	controller.members.SetIsolated(reach.tracker.Isolated())
-	if controller.members.UpdateReach() || expired || len(changes) > 0 {
+	reach.changed = controller.members.UpdateReach() || reach.changed
+	if reach.changed && now >= reach.nextPublish {
+		reach.changed, reach.nextPublish = false, now.Add(reachPublishInterval)
 		controller.publish()
 	}
 	controller.reportReach(now)
@@ -145,7 +161,8 @@
 	state.scheduler.RefuseWaiting()
 }
 
-// reportReach reports the services that this instance cannot reach to all other instances.
+// reportReach reports the services that this instance cannot reach: often among serving instances, which decide who serves, and once
+// a second between serving instances and the others. A change is reported to all at once.
 func (controller *Controller) reportReach(now clock.Moment) {
 	reach := &controller.reach
 	unreachable := reach.tracker.UnreachableServices()
@@ -153,9 +170,14 @@
 		return
 	}
 	reach.nextReport = now.Add(reachReportInterval)
-	if len(unreachable) == 0 {
+	changed := reach.repetitions > 0
+	wide := changed || now >= reach.nextWideReport
+	if changed {
 		reach.repetitions--
 	}
+	if wide {
+		reach.nextWideReport = now.Add(standbyReachReportInterval)
+	}
 	reach.sequence++
 	report := &ReachReport{
 		Sender: controller.options.Self.Name, Incarnation: controller.options.Incarnation, Sequence: reach.sequence,
@@ -166,8 +188,12 @@
 	}
 	slices.Sort(report.Unreachable)
 	report.Unreachable = report.Unreachable[:min(len(report.Unreachable), maxReportedServices)]
+	serving := controller.members.State() == membership.Serving
 	for _, member := range controller.members.Alive() {
-		controller.send(member.Address, &Message{Reach: report})
+		often := serving && member.State == membership.Serving
+		if often || wide && (changed || serving || member.State == membership.Serving) {
+			controller.send(member.Address, &Message{Reach: report})
+		}
 	}
 }
 
@@ -186,17 +212,34 @@
 		incarnation: report.Incarnation, unreachable: report.Unreachable, isolated: report.Isolated, sequence: report.Sequence, receivedAt: now,
 	}
 	if !slices.Equal(before.unreachable, report.Unreachable) || before.isolated != report.Isolated {
-		controller.membershipDirty = true
-		controller.publish()
+		reach.changed = true
+	}
+	if len(report.Unreachable) == 0 || now < reach.nextCheckRequest {
+		return
 	}
-	if len(report.Unreachable) == 0 || now < reach.nextCheckRequest || controller.members.State() != membership.Serving && !controller.members.TopRanked() {
+	if controller.members.State() == membership.Serving || controller.members.TopRanked() {
+		reach.checkRequestedAt, reach.nextCheckRequest = now, now.Add(checkRequestInterval)
 		return
 	}
-	reach.nextCheckRequest = now.Add(checkRequestInterval)
-	services := make([]settings.ServiceName, 0, len(report.Unreachable))
+	reach.checkRequestedAt = now.Add(maxCheckDelay * clock.Milliseconds(controller.options.Rand.Float64()))
+	reach.nextCheckRequest = now.Add(standbyCheckRequestInterval)
+}
+
+// requestChecks checks the services that other instances cannot reach, if that is due.
+func (controller *Controller) requestChecks(now clock.Moment) {
+	reach := &controller.reach
+	if reach.checkRequestedAt == 0 || now < reach.checkRequestedAt {
+		return
+	}
+	reach.checkRequestedAt = 0
+	var services []settings.ServiceName
 	for name := range controller.services {
-		if slices.Contains(report.Unreachable, serviceKeyOf(name)) {
-			services = append(services, name)
+		key := serviceKeyOf(name)
+		for _, peer := range reach.peers {
+			if slices.Contains(peer.unreachable, key) {
+				services = append(services, name)
+				break
+			}
 		}
 	}
 	reach.tracker.Check(services)
--- a/internal/fleet/tick.go
+++ b/internal/fleet/tick.go
@@ -106,6 +106,10 @@
 func (controller *Controller) changeState(state membership.State) {
 	controller.options.Log.Info().Stringer("before", controller.members.State()).Stringer("now", state).Msg("state")
 	controller.members.SetState(state)
+	if controller.reach.tracker.Isolated() {
+		// Instances on standby hear of the end of serving only when they miss heartbeats.
+		controller.reach.repetitions = reachRepetitions
+	}
 	if state == membership.Serving {
 		controller.servingSince = controller.options.Clock.Now()
 		controller.loadMeter.reset(controller.servingSince)
--- a/internal/fleet/virtual_checks_test.go
+++ b/internal/fleet/virtual_checks_test.go
@@ -53,6 +53,7 @@
 	versions   []acknowledged
 	worstCase  worstCase
 	statements *statementChecks
+	reach      *reachChecks
 }
 
 type acknowledged struct {
@@ -84,6 +85,7 @@
 	checks := &checks{
 		fleet: fleet, sent: map[settings.TargetName][]clock.Moment{}, unservedSince: map[settings.DataCentreName]clock.Moment{},
 		misdirectedSince: map[*machine]clock.Moment{}, statements: newStatementChecks(),
+		reach: newReachChecks(fleet),
 	}
 	checks.list = []namedCheck{
 		{"configuration never older", checks.neverOlder},
@@ -97,6 +99,8 @@
 		{"answers contain a running instance", checks.answersNameRunningInstance},
 		{"few instances serve", checks.fewServe},
 		{"settled", checks.settled},
+		{"callers are sent to instances that reach servers", checks.reach.advertised},
+		{"servers are owned by instances that reach them", checks.reach.owned},
 		{"limits of servers", func(clock.Moment) string { return checks.statements.exceeded }},
 		{"servers that said that they leave", func(clock.Moment) string { return checks.statements.leavingBroken }},
 		{"rests of servers", func(clock.Moment) string { return checks.statements.restBroken }},
@@ -115,6 +119,7 @@
 }
 
 func (checks *checks) record(now clock.Moment) {
+	checks.reach.record(now)
 	store := checks.fleet.store
 	if known := len(checks.versions); known == 0 || checks.versions[known-1].version < store.version {
 		checks.versions = append(checks.versions, acknowledged{version: store.version, at: now})
--- a/internal/membership/promotion.go
+++ b/internal/membership/promotion.go
@@ -18,7 +18,7 @@
 	ranking := members.roster.currentRanking(members)
 	for dataCentre, candidates := range ranking.byDataCentre {
 		for _, candidate := range candidates[:ranking.needed[dataCentre]] {
-			if !candidate.serving {
+			if useless := candidate.isolated && ranking.anyReaches; !candidate.serving && !useless {
 				promoted = append(promoted, candidate.identity.Name)
 			}
 		}
@@ -44,6 +44,9 @@
 func (members *Members) promoted() bool {
 	now := members.options.Clock.Now()
 	candidates, needed := members.ownCandidates()
+	if members.reach.ranksLast && members.roster.currentRanking(members).anyReaches {
+		return false
+	}
 	serving := 0
 	for _, candidate := range candidates {
 		if candidate.serving && !candidate.isolated && candidate.identity.Size >= members.options.Self.Size {
--- a/internal/membership/ranking.go
+++ b/internal/membership/ranking.go
@@ -44,6 +44,8 @@
 	// is the number that should serve in each data centre at the present load.
 	perDataCentre, minimum int
 	needed                 map[settings.DataCentreName]int
+	// anyReaches is whether any instance that could serve is not isolated.
+	anyReaches bool
 	// sizes are the sizes of all candidates in the order in which they begin to serve as load increases.
 	sizes []int
 	// topRanked are the first members of each data centre, spare candidates included. toPromote are the members that should serve
@@ -104,6 +106,9 @@
 		byDataCentre: byDataCentre, perDataCentre: (minServing + dataCentres - 1) / dataCentres, topRanked: map[*Member]bool{}, toPromote: map[*Member]bool{},
 		needed: map[settings.DataCentreName]int{},
 	}
+	for _, candidates := range byDataCentre {
+		ranking.anyReaches = ranking.anyReaches || slices.ContainsFunc(candidates, func(candidate rankedInstance) bool { return !candidate.isolated })
+	}
 	ranking.addSurplus(members.load.wantedServing)
 	for dataCentre, candidates := range byDataCentre {
 		ranking.classify(candidates, ranking.needed[dataCentre])
--- a/internal/membership/reach.go
+++ b/internal/membership/reach.go
@@ -8,11 +8,26 @@
 const (
 	// isolationSettleTime is how long an instance that serves must be isolated before others take its place: if no instance reaches
 	// the backend servers, the others notice meanwhile, and nobody takes anybody's place.
-	isolationSettleTime = 600 * clock.Millisecond
-	// reachTimeout is the time after which the last report of an instance no longer counts.
+	isolationSettleTime = 800 * clock.Millisecond
+	// reachTimeout is the time after which the last report of one serving instance to another no longer counts. Others report less often,
+	// and theirs count for standbyTimeout.
 	reachTimeout = 1200 * clock.Millisecond
 )
 
+// ReachTimeout returns how long a report of the member counts.
+func (members *Members) ReachTimeout(member *Member) clock.Milliseconds {
+	if members.state == Serving && member.State == Serving {
+		return reachTimeout
+	}
+	return standbyTimeout
+}
+
+// Member returns the other instance with the given name, and whether it is known.
+func (members *Members) Member(name settings.InstanceName) (*Member, bool) {
+	member, known := members.roster.byName[name]
+	return member, known
+}
+
 // reachState is what an instance reports of the backend servers that it cannot reach.
 type reachState struct {
 	isolated      bool
@@ -68,7 +83,7 @@
 	changed := members.reach.updateRank(now, members.state)
 	members.anyIsolated = members.reach.isolated
 	for _, member := range members.roster.all {
-		if member.reach.isolated && now.Since(member.reach.receivedAt) > reachTimeout {
+		if member.reach.isolated && now.Since(member.reach.receivedAt) > members.ReachTimeout(member) {
 			member.reach.isolated = false
 		}
 		if member.reach.updateRank(now, member.State) {
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -30,11 +30,13 @@
 const (
 	// evidenceAge is how long the result of an attempt to reach a target counts.
 	evidenceAge = 1500 * clock.Millisecond
-	// minFailing is the minimum number of targets that cannot be reached for a service to be suspected, if it has as many: a single
+	// minFailing is the minimum number of targets that cannot be reached for a service to be unreachable, if it has as many: a single
 	// target that cannot be reached has probably failed itself.
 	minFailing = 2
-	// maxChecks is the maximum number of targets in a round of checks.
-	maxChecks = 8
+	// maxChecks is the maximum number of targets in a round of checks, maxRequestedChecks that in a round which only another instance has
+	// caused: a whole fleet may check at once then.
+	maxChecks          = 8
+	maxRequestedChecks = 3
 	// roundTimeout is the time after which a round is decided without the checks that have no result yet. It is longer than the
 	// timeout for connecting.
 	roundTimeout = 300 * clock.Millisecond
@@ -268,18 +270,21 @@
 	if service.roundOpen && (now.Since(service.roundStart) >= roundTimeout || !service.checking()) {
 		service.decide()
 	}
-	suspicious := service.mostFail(service.evidence(now))
+	failing, reached := service.evidence(now)
+	suspicious := failing > reached
 	due := !service.roundOpen && service.roundDue(now, suspicious)
-	if due && service.status == reachable && suspicious {
-		service.status = suspected
-	}
 	if service.roundOpen || due || service.status != reachable || service.requested || service.anyFailing(now) {
 		tracker.active.Store(true)
 	}
-	if !due {
+	switch {
+	case !due:
 		return nil
+	case service.status == reachable && !suspicious:
+		return tracker.startRound(now, service, maxRequestedChecks)
+	case service.status == reachable:
+		service.status = suspected
 	}
-	return tracker.startRound(now, service)
+	return tracker.startRound(now, service, maxChecks)
 }
 
 // roundDue reports whether a round of checks is to begin.
@@ -295,12 +300,12 @@
 	}
 }
 
-// startRound chooses the targets of a round of checks.
-func (tracker *Tracker) startRound(now clock.Moment, service *serviceState) []settings.TargetName {
+// startRound chooses the targets of a round of checks, at most as many as the given size.
+func (tracker *Tracker) startRound(now clock.Moment, service *serviceState, size int) []settings.TargetName {
 	service.roundStart, service.roundOpen, service.requested = now, true, false
 	service.roundInterval = min(max(2*service.roundInterval, minRoundInterval), maxRoundInterval)
-	checks := make([]settings.TargetName, 0, maxChecks)
-	for _, index := range tracker.random.Perm(len(service.targets))[:min(len(service.targets), maxChecks)] {
+	checks := make([]settings.TargetName, 0, size)
+	for _, index := range tracker.random.Perm(len(service.targets))[:min(len(service.targets), size)] {
 		service.targets[index].checking = true
 		checks = append(checks, service.targets[index].name)
 	}
@@ -366,7 +371,7 @@
 	return failing, reached
 }
 
-// mostFail reports whether that many targets that cannot be reached, and that many that can, make the service doubtful.
+// mostFail reports whether that many targets of a round that cannot be reached, and that many that can, make the service unreachable.
 func (service *serviceState) mostFail(failing, reached int) bool {
 	return failing >= min(minFailing, len(service.targets)) && failing > reached
 }
