Do not take a lack of processor time for a lost path

An instance without processor time lets its own connections and probes time out. It would have taken that for a lost path to the servers, relayed its requests, which costs others more, and taken itself out of address answers. While work waits for the processor, nothing is decided, and a round of checks whose results have not been read within 0.3 s is decided only after four updates. TestOverloadedInstanceDoesNotCountAsCutOff and TestLateProcessDecidesNothing fail without it.

--- a/internal/fleet/reach.go
+++ b/internal/fleet/reach.go
@@ -114,14 +114,10 @@
 		return
 	}
 	reach := &controller.reach
-	checks, changes := reach.tracker.Update()
-	for _, name := range checks {
-		controller.options.CheckConnection(name)
+	if controller.Lateness() == 0 {
+		// While work waits for the processor, attempts to reach servers time out here, whatever the servers and the network do.
+		controller.updateTracker(now)
 	}
-	for _, change := range changes {
-		controller.applyReachChange(now, change)
-	}
-	reach.changed = reach.changed || len(changes) > 0
 	for name, peer := range reach.peers {
 		member, known := controller.members.Member(name)
 		if !known || now.Since(peer.receivedAt) > controller.members.ReachTimeout(member) {
@@ -140,6 +136,18 @@
 	controller.setRelayPeers()
 }
 
+// updateTracker starts the checks that are due, and applies the changes that earlier ones have shown.
+func (controller *Controller) updateTracker(now clock.Moment) {
+	checks, changes := controller.reach.tracker.Update()
+	for _, name := range checks {
+		controller.options.CheckConnection(name)
+	}
+	for _, change := range changes {
+		controller.applyReachChange(now, change)
+	}
+	controller.reach.changed = controller.reach.changed || len(changes) > 0
+}
+
 // applyReachChange applies that this instance can no longer reach a service, or can again.
 func (controller *Controller) applyReachChange(now clock.Moment, change reachability.Change) {
 	event, message := EventServiceUnreachable, "this instance cannot reach the service; requests go through other instances"
--- a/internal/fleet/reach_test.go
+++ b/internal/fleet/reach_test.go
@@ -249,3 +249,19 @@
 	report()
 	require.Equal(t, 1, scheduler.DownTargets().Reported)
 }
+
+// Guards against an overloaded instance whose attempts time out for want of processor time, and which then relays its requests and takes
+// itself out of address answers.
+func TestOverloadedInstanceDoesNotCountAsCutOff(t *testing.T) {
+	const late = 200
+	fixture := newReachFixture(t)
+	for _, server := range fixture.controller.view.Servers {
+		fixture.unreachable[server.Name] = true
+	}
+	fixture.controller.lateness.Store(late)
+	fixture.run(3 * clock.Second)
+	require.False(t, fixture.controller.Unreachable("lookups"))
+	fixture.controller.lateness.Store(0)
+	fixture.run(3 * clock.Second)
+	require.True(t, fixture.controller.Unreachable("lookups"))
+}
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -40,6 +40,9 @@
 	// roundTimeout is the time after which a round is decided without the checks that have no result yet. It is longer than the
 	// timeout for connecting.
 	roundTimeout = 300 * clock.Millisecond
+	// minRoundUpdates is the minimum number of updates before that. A process without processor time learns of connections late, and
+	// its updates are rare.
+	minRoundUpdates = 4
 	// minRoundInterval is the time between two rounds of a service that has just become unreachable. It doubles with each round, up
 	// to maxRoundInterval.
 	minRoundInterval = 250 * clock.Millisecond
@@ -87,9 +90,11 @@
 type serviceState struct {
 	status  status
 	targets []*targetState
-	// roundStart is when the current or last round of checks began, 0 if there was none; roundOpen is whether it is undecided.
+	// roundStart is when the current or last round of checks began, 0 if there was none; roundOpen is whether it is undecided, and
+	// roundUpdates the number of updates since it began.
 	roundStart    clock.Moment
 	roundOpen     bool
+	roundUpdates  int
 	roundInterval clock.Milliseconds
 	// requested is whether a round is due although nothing failed here.
 	requested bool
@@ -267,7 +272,9 @@
 
 // updateService decides on the state of one service, and returns the targets to check.
 func (tracker *Tracker) updateService(now clock.Moment, service *serviceState) []settings.TargetName {
-	if service.roundOpen && (now.Since(service.roundStart) >= roundTimeout || !service.checking()) {
+	service.roundUpdates++
+	expired := now.Since(service.roundStart) >= roundTimeout && service.roundUpdates >= minRoundUpdates
+	if service.roundOpen && (expired || !service.checking()) {
 		service.decide()
 	}
 	failing, reached := service.evidence(now)
@@ -302,7 +309,7 @@
 
 // startRound chooses the targets of a round of checks, at most as many as the given size.
 func (tracker *Tracker) startRound(now clock.Moment, service *serviceState, size int) []settings.TargetName {
-	service.roundStart, service.roundOpen, service.requested = now, true, false
+	service.roundStart, service.roundOpen, service.roundUpdates, service.requested = now, true, 0, false
 	service.roundInterval = min(max(2*service.roundInterval, minRoundInterval), maxRoundInterval)
 	checks := make([]settings.TargetName, 0, size)
 	for _, index := range tracker.random.Perm(len(service.targets))[:min(len(service.targets), size)] {
--- a/internal/reachability/tracker_test.go
+++ b/internal/reachability/tracker_test.go
@@ -170,3 +170,28 @@
 	network.run(2 * clock.Second)
 	require.False(t, network.tracker.AnyDoubtful())
 }
+
+// Guards against a process without processor time that takes its own lateness for a lost path.
+func TestLateProcessDecidesNothing(t *testing.T) {
+	network := newNetwork(15, 6)
+	network.run(2 * clock.Second)
+	// The process stops while it waits for probes and connections; all time out before their results are read.
+	for _, name := range append(names("look", 15), names("pay", 6)...) {
+		network.tracker.RecordConnect(name, false)
+		network.tracker.RecordProbe(name, false)
+	}
+	checks, _ := network.tracker.Update()
+	require.NotEmpty(t, checks)
+	network.clock.Advance(2 * roundTimeout)
+	_, changes := network.tracker.Update()
+	require.Empty(t, changes, "the results of checks have not been read")
+	for _, name := range checks {
+		network.tracker.RecordConnect(name, true)
+	}
+	for range minRoundUpdates {
+		network.clock.Advance(step)
+		_, changes = network.tracker.Update()
+		require.Empty(t, changes)
+	}
+	require.False(t, network.tracker.AnyDoubtful())
+}
