--- a/internal/fleet/reach.go
+++ b/internal/fleet/reach.go
@@ -5,9 +5,7 @@
 
 	"github.com/jaywheel/jaywheel/internal/membership"
 	"github.com/jaywheel/jaywheel/internal/reachability"
-	"github.com/jaywheel/jaywheel/internal/relay"
 	"github.com/jaywheel/jaywheel/internal/routing"
-	"github.com/jaywheel/jaywheel/internal/sensing"
 	"github.com/jaywheel/jaywheel/internal/service"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
@@ -23,18 +21,12 @@
 	// reachPublishInterval is the shortest interval between two computations of owners and addresses because of reports: those of a whole
 	// data centre arrive within a moment.
 	reachPublishInterval = 50 * clock.Millisecond
-	// relayPeersInterval is the interval at which the instances for relayed requests are determined.
-	relayPeersInterval = 30 * clock.Millisecond
 	// checkRequestInterval is the interval between two rounds of checks because of the reports of other instances, at instances that
 	// serve or are next to serve; standbyCheckRequestInterval that at all others, of which the first round begins within
 	// maxCheckDelay.
 	checkRequestInterval        = 2 * clock.Second
 	standbyCheckRequestInterval = 5 * clock.Second
 	maxCheckDelay               = 300 * clock.Millisecond
-	// verificationInterval is the shortest interval between two probes of a backend server that its owner reports as down, and
-	// verificationValidity how long the owner's report is ignored after the server has responded to one.
-	verificationInterval = clock.Second
-	verificationValidity = 1500 * clock.Millisecond
 )
 
 // Event names of services that an instance cannot reach.
@@ -148,7 +140,7 @@
 	controller.reach.changed = controller.reach.changed || len(changes) > 0
 }
 
-// applyReachChange applies that this instance can no longer reach a service, or can again.
+// applyReachChange acts on the loss of the path to a service, or on its return.
 func (controller *Controller) applyReachChange(now clock.Moment, change reachability.Change) {
 	event, message := EventServiceUnreachable, "this instance cannot reach the service; requests go through other instances"
 	if change.Reachable {
@@ -296,80 +288,3 @@
 		}
 	}
 }
-
-// setRelayPeers passes the instances through which requests can be relayed to the relay client, none while all services are reached.
-func (controller *Controller) setRelayPeers() {
-	now := controller.options.Clock.Now()
-	if controller.options.SetRelayPeers == nil || now < controller.nextRelayPeers || !controller.reach.tracker.AnyDoubtful() && !controller.relayPeersSet {
-		return
-	}
-	controller.nextRelayPeers = now.Add(relayPeersInterval)
-	controller.relayPeersSet = controller.reach.tracker.AnyDoubtful()
-	if !controller.relayPeersSet {
-		controller.options.SetRelayPeers(nil)
-		return
-	}
-	var peers []relay.Peer
-	for _, member := range controller.members.Alive() {
-		if member.State != membership.Serving && member.State != membership.Standby || member.Sequence == 0 || !controller.sameRegion(member.Identity.DataCentre) {
-			continue
-		}
-		peer := relay.Peer{
-			Name: member.Identity.Name, Address: member.Address.String(), Local: member.Identity.DataCentre == controller.options.Self.DataCentre,
-			Serving: member.State == membership.Serving, Unreachable: map[settings.ServiceName]bool{},
-		}
-		for name := range controller.services {
-			if !controller.instanceReaches(member.Identity.Name, name) {
-				peer.Unreachable[name] = true
-			}
-		}
-		peers = append(peers, peer)
-	}
-	controller.options.SetRelayPeers(peers)
-}
-
-// receiveDown applies the report of its owner that a backend server is down. The owner may be the one that has lost the path to the
-// server, so this instance probes it as well.
-func (controller *Controller) receiveDown(now clock.Moment, ref targetRef) {
-	state := controller.services[ref.service]
-	controller.latestMutex.Lock()
-	verified := now.Since(controller.reach.verifiedAt[ref.name]) <= verificationValidity && controller.reach.verifiedAt[ref.name] > 0
-	due := now >= controller.reach.nextVerification[ref.name] && !controller.reach.tracker.Unreachable(ref.service)
-	if due {
-		controller.reach.nextVerification[ref.name] = now.Add(verificationInterval)
-	}
-	controller.latestMutex.Unlock()
-	if !verified {
-		controller.setDown(state.scheduler, ref.name, true, service.FromPeer)
-	}
-	server, known := controller.knownServers[ref.name]
-	if due && known && controller.options.Verify != nil && state.limits.ProbePath != "" {
-		controller.options.Verify(controller.probeJob(&server, state, true))
-	}
-}
-
-// recordVerification records a probe of a server that its owner reports as down.
-func (controller *Controller) recordVerification(scheduler *service.Scheduler, result sensing.Result) {
-	if result.Err != nil {
-		return
-	}
-	controller.latestMutex.Lock()
-	controller.reach.verifiedAt[result.Target] = controller.options.Clock.Now()
-	controller.latestMutex.Unlock()
-	scheduler.Observe(result.Target, result.Health.LoadReading)
-	controller.setDown(scheduler, result.Target, false, service.FromProbe)
-}
-
-// forgetVerification forgets the probes of a server that is gone.
-func (controller *Controller) forgetVerification(name settings.TargetName) {
-	controller.latestMutex.Lock()
-	defer controller.latestMutex.Unlock()
-	delete(controller.reach.verifiedAt, name)
-	delete(controller.reach.nextVerification, name)
-}
-
-// sameRegion reports whether requests may be relayed to instances in the data centre: those of a region may have to stay in it.
-func (controller *Controller) sameRegion(dataCentre settings.DataCentreName) bool {
-	regions := controller.options.Regions
-	return len(regions) == 0 || regions[dataCentre] == regions[controller.options.Self.DataCentre]
-}
--- /dev/null
+++ b/internal/fleet/verification.go
@@ -0,0 +1,55 @@
+package fleet
+
+import (
+	"github.com/jaywheel/jaywheel/internal/sensing"
+	"github.com/jaywheel/jaywheel/internal/service"
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
+// verificationInterval is the shortest interval between two probes of a backend server that its owner reports as down, and
+// verificationValidity how long the owner's report is ignored after the server has responded to one.
+const (
+	verificationInterval = clock.Second
+	verificationValidity = 1500 * clock.Millisecond
+)
+
+// receiveDown applies the report of its owner that a backend server is down. The owner may be the one that has lost the path to the
+// server, so this instance probes it as well.
+func (controller *Controller) receiveDown(now clock.Moment, ref targetRef) {
+	state := controller.services[ref.service]
+	controller.latestMutex.Lock()
+	verified := now.Since(controller.reach.verifiedAt[ref.name]) <= verificationValidity && controller.reach.verifiedAt[ref.name] > 0
+	due := now >= controller.reach.nextVerification[ref.name] && !controller.reach.tracker.Unreachable(ref.service)
+	if due {
+		controller.reach.nextVerification[ref.name] = now.Add(verificationInterval)
+	}
+	controller.latestMutex.Unlock()
+	if !verified {
+		controller.setDown(state.scheduler, ref.name, true, service.FromPeer)
+	}
+	server, known := controller.knownServers[ref.name]
+	if due && known && controller.options.Verify != nil && state.limits.ProbePath != "" {
+		controller.options.Verify(controller.probeJob(&server, state, true))
+	}
+}
+
+// recordVerification records a probe of a server that its owner reports as down.
+func (controller *Controller) recordVerification(scheduler *service.Scheduler, result sensing.Result) {
+	if result.Err != nil {
+		return
+	}
+	controller.latestMutex.Lock()
+	controller.reach.verifiedAt[result.Target] = controller.options.Clock.Now()
+	controller.latestMutex.Unlock()
+	scheduler.Observe(result.Target, result.Health.LoadReading)
+	controller.setDown(scheduler, result.Target, false, service.FromProbe)
+}
+
+// forgetVerification forgets the probes of a server that is gone.
+func (controller *Controller) forgetVerification(name settings.TargetName) {
+	controller.latestMutex.Lock()
+	defer controller.latestMutex.Unlock()
+	delete(controller.reach.verifiedAt, name)
+	delete(controller.reach.nextVerification, name)
+}
