--- a/internal/fleet/reach_test.go
+++ b/internal/fleet/reach_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jaywheel/jaywheel/internal/membership"
+	"github.com/jaywheel/jaywheel/internal/relay"
 	"github.com/jaywheel/jaywheel/internal/sensing"
 	"github.com/jaywheel/jaywheel/internal/service"
 	"github.com/jaywheel/jaywheel/pkg/clock"
@@ -265,3 +266,30 @@
 	fixture.run(3 * clock.Second)
 	require.True(t, fixture.controller.Unreachable("lookups"))
 }
+
+// Guards against requests that leave their region on the way through another instance.
+func TestRelayedRequestsStayInTheirRegion(t *testing.T) {
+	cases := []struct {
+		name    string
+		regions map[settings.DataCentreName]settings.RegionName
+		peers   int
+	}{
+		{"no regions known", nil, 3},
+		{"one region", map[settings.DataCentreName]settings.RegionName{"dc-0": "sofia", "dc-1": "sofia", "dc-2": "sofia", "dc-3": "sofia"}, 3},
+		{"two regions", map[settings.DataCentreName]settings.RegionName{"dc-0": "sofia", "dc-1": "plovdiv", "dc-2": "sofia", "dc-3": "plovdiv"}, 1},
+		{"a data centre that is not listed", map[settings.DataCentreName]settings.RegionName{"dc-0": "sofia", "dc-1": "sofia"}, 1},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			fixture := newReachFixture(t)
+			var peers []relay.Peer
+			fixture.controller.options.Regions = testCase.regions
+			fixture.controller.options.SetRelayPeers = func(set []relay.Peer) { peers = set }
+			for _, server := range fixture.controller.view.Servers {
+				fixture.unreachable[server.Name] = true
+			}
+			fixture.run(2 * clock.Second)
+			require.Len(t, peers, testCase.peers)
+		})
+	}
+}
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -207,7 +207,9 @@
 	tracker.active.Store(false)
 	var checks []settings.TargetName
 	var changes []Change
-	for name, service := range tracker.services {
+	// A fixed order makes the choice of targets repeatable.
+	for _, name := range slices.Sorted(maps.Keys(tracker.services)) {
+		service := tracker.services[name]
 		before := service.status
 		checks = append(checks, tracker.updateService(now, service)...)
 		if service.status == before || before != unreachable && service.status != unreachable {
