Serve pipelined requests of one connection at the same time

What callers saw: of six lookups sent at once on a connection, the first of 600 ms, the last reached its server after 685 ms.

Cause: net/http reads a request only when the previous response has been written.

Change: a well-formed GET or HEAD without a body that arrives behind a request in progress is served by the same HTTP server over a connection in memory; responses are held and sent in order. internal/pipeline decides, without I/O. Requests that must not run twice wait for their turn. Connection: close goes with the last request that was passed on. The head guard now follows bodies of known length, and keeps its place behind pipelined requests and within a chunked one.

--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -52,6 +52,9 @@
 func printTrace(out io.Writer, requestTrace trace.Request) {
 	fmt.Fprintf(out, "request %s, %s %s/%s, settings revision %d, timeout %s\n",
 		requestTrace.ID, requestTrace.Method, requestTrace.Service, requestTrace.Class, requestTrace.Revision, formatMilliseconds(requestTrace.Timeout))
+	if requestTrace.Behind > 0 {
+		fmt.Fprintf(out, "pipelined: %d earlier requests of its connection were in progress, whose responses were sent first\n", requestTrace.Behind)
+	}
 	for number, attempt := range requestTrace.Attempts {
 		fmt.Fprintf(out, "%d. %s\n", number+1, describeChoice(attempt))
 		connection := "a new connection"
--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -73,8 +73,7 @@
 // checkCaller returns errCallerGone if the caller has disconnected. Requests of multiplexed connections are cancelled by the HTTP
 // server alone.
 func (call *call) checkCaller() error {
-	guarded, found := call.request.Context().Value(connectionKey{}).(*guardedConnection)
-	if found && call.request.ProtoMajor == 1 && guarded.disconnected() {
+	if call.position.disconnected() {
 		return errCallerGone
 	}
 	return nil
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -26,7 +26,10 @@
 	table      *routing.Table
 	route      routing.Route
 
-	id       trace.RequestID
+	id trace.RequestID
+	// position is the request's place among those of its connection, and behind the number of earlier ones in progress when it arrived.
+	position position
+	behind   int
 	started  clock.Moment
 	deadline clock.Moment
 	// softDeadline is the time until which a response is worth most; it is never later than deadline.
@@ -134,6 +137,9 @@
 	if softTimeout := route.Class.Settings.SoftTimeout; softTimeout > 0 {
 		call.softDeadline = min(call.softDeadlineOf(softTimeout, timeout), call.deadline)
 	}
+	if errorResponse := call.awaitTurn(); errorResponse != nil {
+		return errorResponse
+	}
 	if errorResponse := call.checkOverload(); errorResponse != nil {
 		return errorResponse
 	}
@@ -143,6 +149,24 @@
 	return call.chargeQuota()
 }
 
+// awaitTurn lets a request that must not run twice wait until all earlier ones of its connection have been answered. If one of their
+// responses closed the connection, the request would count as not read, and the caller would send it again.
+func (call *call) awaitTurn() *errorResponse {
+	if call.route.Class.Settings.Idempotent || call.position.request == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(call.request.Context(), call.deadline.Since(call.now()).Duration())
+	defer cancel()
+	if call.position.awaitTurn(ctx) {
+		return nil
+	}
+	reason := outcome.ReasonDeadline
+	if call.request.Context().Err() != nil {
+		reason = outcome.ReasonCallerGone
+	}
+	return newRejection(http.StatusServiceUnavailable, reason, errTurn)
+}
+
 // softDeadlineOf returns the time until which a response has its full value.
 func (call *call) softDeadlineOf(softTimeout, timeout clock.Milliseconds) clock.Moment {
 	if call.relayed != nil {
@@ -158,6 +182,7 @@
 
 var (
 	errDotSegment = errors.New("path contains a \".\" or \"..\" segment")
+	errTurn       = errors.New("earlier requests of the connection were not answered in time")
 	errTimeout    = errors.New("timeout is not a positive whole number of milliseconds")
 )
 
@@ -229,7 +254,7 @@
 	if call.relayed != nil {
 		relay.SetOutcome(header, result, reason)
 	}
-	if call.mustClose || call.handler.draining() {
+	if (call.mustClose || call.handler.draining()) && call.position.endConnection() {
 		header.Set("Connection", "close")
 	}
 }
@@ -251,7 +276,7 @@
 	elapsed := call.now().Since(call.started)
 	requestTrace := trace.Request{
 		ID: call.id, Started: time.Now().Add(-elapsed.Duration()), Method: call.request.Method,
-		Attempts: call.attempts, Outcome: result, Reason: reason, Status: status, Duration: elapsed,
+		Attempts: call.attempts, Outcome: result, Reason: reason, Status: status, Duration: elapsed, Behind: call.behind,
 	}
 	if cause != nil {
 		requestTrace.Error = cause.Error()
--- a/internal/caller/connection.go
+++ b/internal/caller/connection.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/jaywheel/jaywheel/internal/pipeline"
 )
 
 // guardedConnection is a caller's connection whose request heads are inspected by a headGuard. After closeWhenIdle, it
@@ -27,9 +29,26 @@
 	// multiplexed means that the connection carries several requests at once (HTTP/2).
 	multiplexed atomic.Bool
 
+	// pipelining and server serve requests that the caller sends before earlier ones have been answered.
+	pipelining *pipelining
+	server     *http.Server
+
 	mutex   sync.Mutex
 	state   http.ConnState
 	closing bool
+	// handling means that a handler has got a request that the HTTP server has read from the connection, and accepted that net/http has
+	// found the same end of it as the guard.
+	handling, accepted bool
+	// ended means that no further request is read.
+	ended bool
+	// resetting means that the connection is closed with a TCP reset.
+	resetting bool
+	// readAborted means that reads fail at once.
+	readAborted bool
+	// lingerUntil is until when bytes are discarded before the connection is closed, zero before that has begun.
+	lingerUntil time.Time
+	// pipeline is nil unless requests have been received behind the one that is being handled.
+	pipeline *requestPipeline
 }
 
 // beginRequest records that a request is being handled.
@@ -37,6 +56,15 @@
 	guardedConnection.unhandledBytes.Store(false)
 	if request.ProtoMajor > 1 {
 		guardedConnection.markMultiplexed()
+		return
+	}
+	guardedConnection.mutex.Lock()
+	defer guardedConnection.mutex.Unlock()
+	guardedConnection.handling = true
+	guardedConnection.accepted = request.ProtoAtLeast(1, 1) && !request.Close && guardedConnection.guard.agreesWith(request)
+	if requestPipeline := guardedConnection.pipeline; requestPipeline != nil {
+		requestPipeline.handled, _ = requestPipeline.sequence.Start()
+		requestPipeline.notify()
 	}
 }
 
@@ -55,8 +83,23 @@
 
 // Read implements net.Conn.
 func (guardedConnection *guardedConnection) Read(buffer []byte) (int, error) {
+	if guardedConnection.pipeline != nil || guardedConnection.pipelining.enabled() && guardedConnection.guard.complete() {
+		return guardedConnection.readBehind(buffer)
+	}
+	return guardedConnection.readRequest(buffer)
+}
+
+// readRequest reads bytes of the current request. Bytes behind its end are kept for later if requests may be pipelined.
+func (guardedConnection *guardedConnection) readRequest(buffer []byte) (int, error) {
 	count, err := guardedConnection.TCPConn.Read(buffer)
-	guardedConnection.guard.observe(buffer[:count])
+	if used := guardedConnection.guard.observe(buffer[:count]); used < count {
+		if guardedConnection.pipelining.enabled() {
+			guardedConnection.holdBack(buffer[used:count])
+			count = used
+		} else {
+			guardedConnection.guard.desynchronized = true
+		}
+	}
 	if count > 0 {
 		guardedConnection.unhandledBytes.Store(true)
 	}
@@ -88,6 +131,15 @@
 	if guardedConnection.closing && guardedConnection.awaitsRequest() {
 		deadline = pastDeadline
 	}
+	guardedConnection.readAborted = !deadline.IsZero() && !deadline.After(time.Now())
+	if requestPipeline := guardedConnection.pipeline; requestPipeline != nil {
+		if !guardedConnection.readAborted && !deadline.IsZero() && len(requestPipeline.behind) > 0 {
+			// The connection is not idle before the requests in progress have been answered.
+			requestPipeline.idleTimeout = time.Until(deadline)
+			deadline = time.Time{}
+		}
+		requestPipeline.notify()
+	}
 	return guardedConnection.TCPConn.SetReadDeadline(deadline)
 }
 
@@ -96,6 +148,11 @@
 
 // awaitsRequest reports whether the connection waits for a request of which no byte has arrived.
 func (guardedConnection *guardedConnection) awaitsRequest() bool {
+	if requestPipeline := guardedConnection.pipeline; requestPipeline != nil {
+		if requestPipeline.sequence.InProgress() > 0 || len(requestPipeline.unread) > 0 {
+			return false
+		}
+	}
 	return guardedConnection.state != http.StateActive && !guardedConnection.unhandledBytes.Load() && !guardedConnection.hasUnreadBytes()
 }
 
@@ -149,6 +206,9 @@
 	if state == http.StateIdle {
 		// The next bytes are the head of a request.
 		guardedConnection.guard.reset()
+		if guardedConnection.endHandling() {
+			defer guardedConnection.sendResponses()
+		}
 	}
 	guardedConnection.mutex.Lock()
 	defer guardedConnection.mutex.Unlock()
@@ -160,19 +220,78 @@
 	}
 }
 
+// endHandling records that the HTTP server has sent the response to the request that it has read from the connection. It reports whether
+// requests are behind that one.
+func (guardedConnection *guardedConnection) endHandling() bool {
+	guardedConnection.mutex.Lock()
+	defer guardedConnection.mutex.Unlock()
+	guardedConnection.handling, guardedConnection.accepted = false, false
+	requestPipeline := guardedConnection.pipeline
+	if requestPipeline == nil {
+		return false
+	}
+	requestPipeline.sequence.Finish(requestPipeline.handled, pipeline.Answered)
+	requestPipeline.sequence.Advance()
+	requestPipeline.notify()
+	return true
+}
+
 // handleConnState is the ConnState hook of the HTTP server.
 func handleConnState(connection net.Conn, state http.ConnState) {
-	if guarded, isGuarded := connection.(*guardedConnection); isGuarded {
-		guarded.setState(state)
+	switch connection := connection.(type) {
+	case *guardedConnection:
+		connection.setState(state)
+	case *pipelinedRequest:
+		if state == http.StateIdle {
+			connection.finish(pipeline.Answered)
+		}
 	}
 }
 
+// reset makes the connection close with a TCP reset.
+func (guardedConnection *guardedConnection) reset() {
+	guardedConnection.mutex.Lock()
+	defer guardedConnection.mutex.Unlock()
+	guardedConnection.resetting = true
+	// An error does not matter: the connection is closed in any case.
+	_ = guardedConnection.SetLinger(0)
+}
+
 // Close implements net.Conn.
 func (guardedConnection *guardedConnection) Close() error {
-	defer guardedConnection.releaseToken()
 	defer guardedConnection.untrack()
 	if guardedConnection.unhandledBytes.Swap(false) {
 		guardedConnection.onUnfinished()
 	}
+	if guardedConnection.endPipeline() {
+		// The responses that have been sent would be lost with a reset.
+		go func() {
+			defer guardedConnection.releaseToken()
+			_, _ = io.Copy(io.Discard, guardedConnection.TCPConn)
+			_ = guardedConnection.TCPConn.Close()
+		}()
+		return nil
+	}
+	defer guardedConnection.releaseToken()
 	return guardedConnection.TCPConn.Close()
 }
+
+// endPipeline cancels the requests in progress behind the one that the HTTP server reads itself. It reports whether the connection has
+// to be read on for a moment before it is closed, which would otherwise reset it, and ends its sending side in that case.
+func (guardedConnection *guardedConnection) endPipeline() bool {
+	guardedConnection.mutex.Lock()
+	defer guardedConnection.mutex.Unlock()
+	requestPipeline := guardedConnection.pipeline
+	if requestPipeline == nil {
+		return false
+	}
+	if len(requestPipeline.unread) > 0 {
+		guardedConnection.pipelining.events.Add(EventPipelineUnread, 1)
+	}
+	guardedConnection.abandonLocked()
+	if guardedConnection.resetting || !guardedConnection.lingerUntil.IsZero() || !guardedConnection.hasUnreadBytes() {
+		return false
+	}
+	return guardedConnection.TCPConn.CloseWrite() == nil &&
+		guardedConnection.TCPConn.SetReadDeadline(time.Now().Add(lingerTimeout.Duration())) == nil
+}
--- a/internal/caller/fixture_test.go
+++ b/internal/caller/fixture_test.go
@@ -29,6 +29,8 @@
 	traces   *trace.Ring
 	handler  *Handler
 	address  string
+	// listener is set by newPipelinedFixture alone.
+	listener *Listener
 }
 
 // fixtureMaxStall is the MaxStall of new fixtures; a test may change it before it creates one.
@@ -129,6 +131,8 @@
 	status  int
 	header  http.Header
 	trailer http.Header
+	// closes means that the connection closes after the response; only pipelinedCaller sets it.
+	closes  bool
 	body    string
 	outcome outcome.Outcome
 	reason  outcome.Reason
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -131,7 +131,9 @@
 		started:    handler.options.Clock.Now(),
 		id:         handler.requestID(request),
 		table:      handler.options.Table(),
+		position:   positionOf(request),
 	}
+	call.behind = call.position.behind()
 	if call.table == nil && handler.options.AwaitTable != nil {
 		call.table = handler.options.AwaitTable(request.Context())
 	}
--- a/internal/caller/headguard.go
+++ b/internal/caller/headguard.go
@@ -4,11 +4,16 @@
 	"bytes"
 	"net/http"
 	"slices"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 )
 
-const contentLengthHeader = "content-length"
+// Names of the headers that determine the length of a body.
+const (
+	contentLengthHeader    = "content-length"
+	transferEncodingHeader = "transfer-encoding"
+)
 
 // http2Preface is the first line on an HTTP/2 connection, which carries several requests at once.
 const http2Preface = "PRI * HTTP/2.0"
@@ -19,44 +24,68 @@
 // Transfer-Encoding, so a handler cannot see it. A request with both can smuggle another request past two servers that
 // disagree about which header applies, and is rejected.
 //
-// headGuard inspects heads only while it knows where they begin. When bytes past the end of a head have been read, from a body
-// or a pipelined request, it stops inspecting the connection, and the connection is closed after its next chunked request.
+// headGuard also finds the end of a request whose body has a known length. When bytes of a chunked body have been read, it no longer
+// knows where the next head begins: it stops inspecting the connection, which is closed after its next chunked request whose head has not
+// been inspected.
 type headGuard struct {
-	// scanning means that the next bytes belong to a head.
-	scanning bool
+	// scanning means that the next bytes belong to a head, inspected that all of the current request's head has been or will be inspected.
+	scanning, inspected bool
 	// desynchronized means that the guard no longer knows where the next head begins.
 	desynchronized   bool
 	sawContentLength bool
 	// sawPreface means that the first line was the HTTP/2 preface.
-	sawPreface       bool
-	lines            int
-	linePrefix       [len(contentLengthHeader) + 1]byte
-	linePrefixLength int
+	sawPreface bool
+	// unknownLength means that the end of the body cannot be told from the head.
+	unknownLength bool
+	// bodyLength is the length of the body in bytes, bodyLeft the part of it that has not been read.
+	bodyLength, bodyLeft int64
+	lines                int
+	linePrefix           [maxLinePrefix]byte
+	linePrefixLength     int
 }
 
+// maxLinePrefix is the stored length of a line's start: a Content-Length of any body that is accepted fits into it.
+const maxLinePrefix = len(contentLengthHeader) + 32
+
 // reset prepares the guard for the next request on the connection.
 func (headGuard *headGuard) reset() {
 	headGuard.scanning = !headGuard.desynchronized
-	headGuard.sawContentLength = false
+	headGuard.inspected = headGuard.scanning
+	headGuard.sawContentLength, headGuard.unknownLength = false, false
+	headGuard.bodyLength, headGuard.bodyLeft = 0, 0
 	headGuard.lines = 0
 	headGuard.linePrefixLength = 0
 }
 
-// observe inspects bytes as they are read.
-func (headGuard *headGuard) observe(data []byte) {
+// observe inspects bytes as they are read, and returns how many of them belong to the current request. All bytes count as part of
+// it if its end is not known.
+func (headGuard *headGuard) observe(data []byte) int {
+	count := len(data)
 	for headGuard.scanning && len(data) > 0 {
 		end := bytes.IndexByte(data, '\n')
 		if end < 0 {
 			headGuard.appendPrefix(data)
-			return
+			return count
 		}
 		headGuard.appendPrefix(data[:end])
 		headGuard.endLine()
 		data = data[end+1:]
 	}
-	if len(data) > 0 {
+	if len(data) == 0 {
+		return count
+	}
+	if headGuard.desynchronized || headGuard.unknownLength || headGuard.sawPreface {
 		headGuard.desynchronized = true
+		return count
 	}
+	body := min(int64(len(data)), headGuard.bodyLeft)
+	headGuard.bodyLeft -= body
+	return count - len(data) + int(body)
+}
+
+// complete reports whether the current request is known to have been read to its end.
+func (headGuard *headGuard) complete() bool {
+	return !headGuard.scanning && !headGuard.desynchronized && !headGuard.unknownLength && !headGuard.sawPreface && headGuard.bodyLeft == 0
 }
 
 // appendPrefix appends to the stored start of the current line.
@@ -66,16 +95,35 @@
 
 func (headGuard *headGuard) endLine() {
 	line := bytes.TrimRight(headGuard.linePrefix[:headGuard.linePrefixLength], "\r")
+	overlong := headGuard.linePrefixLength == maxLinePrefix
 	headGuard.linePrefixLength = 0
-	if len(line) > 0 {
-		headGuard.lines++
-		headGuard.sawPreface = headGuard.sawPreface || headGuard.lines == 1 && string(line) == http2Preface
-		name, _, hasColon := bytes.Cut(line, []byte(":"))
-		headGuard.sawContentLength = headGuard.sawContentLength || hasColon && bytes.EqualFold(name, []byte(contentLengthHeader))
+	if len(line) == 0 {
+		// Empty lines before the request line are allowed; one after it ends the head.
+		headGuard.scanning = headGuard.lines == 0
 		return
 	}
-	// Empty lines before the request line are allowed; one after it ends the head.
-	headGuard.scanning = headGuard.lines == 0
+	headGuard.lines++
+	headGuard.sawPreface = headGuard.sawPreface || headGuard.lines == 1 && string(line) == http2Preface
+	name, value, hasColon := bytes.Cut(line, []byte(":"))
+	switch {
+	case hasColon && bytes.EqualFold(name, []byte(contentLengthHeader)):
+		headGuard.readContentLength(value, overlong)
+	case bytes.EqualFold(bytes.TrimSpace(name), []byte(transferEncodingHeader)):
+		headGuard.unknownLength = true
+	}
+}
+
+// readContentLength reads the length of the body. More than one Content-Length, or one that is not a plain number, leaves it unknown.
+func (headGuard *headGuard) readContentLength(value []byte, overlong bool) {
+	length, err := strconv.ParseUint(string(bytes.Trim(value, " \t")), 10, 63)
+	headGuard.unknownLength = headGuard.unknownLength || headGuard.sawContentLength || overlong || err != nil
+	headGuard.sawContentLength = true
+	headGuard.bodyLength, headGuard.bodyLeft = int64(length), int64(length)
+}
+
+// agreesWith reports whether net/http has read the same end of the current request from its head.
+func (headGuard *headGuard) agreesWith(request *http.Request) bool {
+	return !headGuard.unknownLength && len(request.TransferEncoding) == 0 && request.ContentLength == headGuard.bodyLength
 }
 
 // checkFraming returns an error for a request that has both Content-Length and Transfer-Encoding. It also reports whether the
@@ -91,5 +139,5 @@
 	if guarded.guard.sawContentLength {
 		return true, errAmbiguousFraming
 	}
-	return guarded.guard.desynchronized, nil
+	return !guarded.guard.inspected, nil
 }
--- a/internal/caller/listener.go
+++ b/internal/caller/listener.go
@@ -33,6 +33,7 @@
 	closeOnce    sync.Once
 	onUnfinished func()
 	onSent       func(int64)
+	pipelining   *pipelining
 
 	mutex sync.Mutex
 	// open contains the open connections that are not known to be multiplexed.
@@ -56,7 +57,7 @@
 	return &Listener{
 		TCPListener: listener, tokens: make(chan struct{}, limits.MaxConnections), closed: make(chan struct{}), drained: make(chan struct{}),
 		open: map[*guardedConnection]struct{}{}, onUnfinished: func() { events.Add(EventUnfinished, 1) },
-		onSent: func(count int64) { events.Add(EventSentBytes, count) },
+		onSent: func(count int64) { events.Add(EventSentBytes, count) }, pipelining: newPipelining(limits, events),
 	}, nil
 }
 
@@ -87,7 +88,8 @@
 		return nil, err
 	}
 	guarded := &guardedConnection{
-		TCPConn: connection, onUnfinished: listener.onUnfinished, onSent: listener.onSent, releaseToken: sync.OnceFunc(func() { <-listener.tokens }),
+		TCPConn: connection, pipelining: listener.pipelining, onUnfinished: listener.onUnfinished,
+		onSent: listener.onSent, releaseToken: sync.OnceFunc(func() { <-listener.tokens }),
 	}
 	guarded.untrack = func() { listener.untrack(guarded) }
 	guarded.guard.reset()
--- /dev/null
+++ b/internal/caller/readbehind.go
@@ -0,0 +1,233 @@
+package caller
+
+import (
+	"io"
+	"net"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/jaywheel/jaywheel/internal/pipeline"
+)
+
+// step is what the goroutine does next that reads a connection behind a request.
+type step int
+
+const (
+	// stepDeliver passes bytes on to the HTTP server.
+	stepDeliver step = iota
+	// stepReceive receives bytes of requests behind those in progress.
+	stepReceive
+	// stepDiscard receives bytes of requests that will not be read.
+	stepDiscard
+	// stepLinger does so before the connection is closed.
+	stepLinger
+	// stepWait waits for a change without receiving.
+	stepWait
+)
+
+// readBehind reads the connection while the HTTP server has a complete request, or requests behind one are in progress. It starts the
+// requests that it receives, and returns bytes only when the HTTP server may read the next request itself. net/http calls it while a
+// request is handled, to notice a disconnect, and between requests.
+func (guardedConnection *guardedConnection) readBehind(buffer []byte) (int, error) {
+	for {
+		started, next := guardedConnection.takeRequests()
+		guardedConnection.serve(started)
+		switch next {
+		case stepDeliver:
+			if count := guardedConnection.deliver(buffer); count > 0 {
+				return count, nil
+			}
+			return guardedConnection.readRequest(buffer)
+		case stepWait:
+			if err := guardedConnection.awaitChange(); err != nil {
+				return 0, err
+			}
+		case stepReceive, stepDiscard, stepLinger:
+			if err := guardedConnection.receive(buffer, next); err != nil {
+				return 0, err
+			}
+		}
+	}
+}
+
+// takeRequests starts the received requests that may be served at the same time as those in progress, and decides what to do next. Both
+// happen under one lock: a request that ends in between would leave one unstarted that has been received already.
+func (guardedConnection *guardedConnection) takeRequests() (connectionList, step) {
+	guardedConnection.mutex.Lock()
+	defer guardedConnection.mutex.Unlock()
+	return guardedConnection.startRequests(), guardedConnection.nextStep()
+}
+
+// nextStep decides what to do next. The mutex must be held.
+func (guardedConnection *guardedConnection) nextStep() step {
+	requestPipeline := guardedConnection.pipeline
+	ended, behind := guardedConnection.ended, 0
+	if requestPipeline != nil {
+		ended, behind = ended || requestPipeline.sequence.Ended(), len(requestPipeline.behind)
+	}
+	switch {
+	case !guardedConnection.guard.complete() && behind == 0 && (guardedConnection.handling || !ended):
+		return stepDeliver
+	case ended && behind == 0 && !guardedConnection.handling:
+		return stepLinger
+	case ended:
+		return stepDiscard
+	case requestPipeline == nil || len(requestPipeline.unread) == 0:
+		return stepReceive
+	default:
+		return guardedConnection.nextStepUnread()
+	}
+}
+
+// nextStepUnread decides what to do next while bytes have been received that belong to no request that has been started.
+func (guardedConnection *guardedConnection) nextStepUnread() step {
+	requestPipeline := guardedConnection.pipeline
+	switch {
+	case guardedConnection.guard.complete() && !guardedConnection.accepted, requestPipeline.sequential, len(requestPipeline.unread) >= maxUnreadBytes:
+		return stepWait
+	case requestPipeline.sequence.MayStart():
+		requestPipeline.full = false
+		return stepReceive
+	}
+	if !requestPipeline.full {
+		requestPipeline.full = true
+		guardedConnection.pipelining.events.Add(EventPipelineFull, 1)
+	}
+	return stepWait
+}
+
+// deliver passes bytes of the next request on to the HTTP server. The pipeline ends with the last of them.
+func (guardedConnection *guardedConnection) deliver(buffer []byte) int {
+	guardedConnection.mutex.Lock()
+	defer guardedConnection.mutex.Unlock()
+	requestPipeline := guardedConnection.pipeline
+	if requestPipeline == nil {
+		return 0
+	}
+	count := copy(buffer, requestPipeline.unread)
+	count = guardedConnection.guard.observe(buffer[:count])
+	requestPipeline.unread = requestPipeline.unread[count:]
+	requestPipeline.sequential = false
+	if len(requestPipeline.unread) == 0 && requestPipeline.sequence.InProgress() == 0 {
+		guardedConnection.pipeline = nil
+	}
+	if count > 0 {
+		guardedConnection.unhandledBytes.Store(true)
+	}
+	return count
+}
+
+// awaitChange waits until the connection may be read on. It returns an error if net/http has aborted the read or the caller has left.
+func (guardedConnection *guardedConnection) awaitChange() error {
+	timer := time.NewTimer(disconnectPollInterval.Duration())
+	defer timer.Stop()
+	guardedConnection.mutex.Lock()
+	wake, aborted := guardedConnection.pipeline.wake, guardedConnection.readAborted
+	guardedConnection.mutex.Unlock()
+	if aborted {
+		return os.ErrDeadlineExceeded
+	}
+	select {
+	case <-wake:
+	case <-timer.C:
+		if guardedConnection.disconnected() {
+			guardedConnection.abandonRequests()
+			return io.EOF
+		}
+	}
+	return nil
+}
+
+// receive receives bytes behind the requests in progress. The buffer is used as long as no request is known to come, so that a
+// connection with one request at a time needs no other.
+func (guardedConnection *guardedConnection) receive(buffer []byte, next step) error {
+	guardedConnection.mutex.Lock()
+	if requestPipeline := guardedConnection.pipeline; requestPipeline != nil {
+		if requestPipeline.buffer == nil {
+			requestPipeline.buffer = make([]byte, pipelineReadBytes)
+		}
+		buffer = requestPipeline.buffer
+	}
+	if next == stepLinger {
+		if guardedConnection.lingerUntil.IsZero() {
+			guardedConnection.lingerUntil = time.Now().Add(lingerTimeout.Duration())
+		}
+		_ = guardedConnection.TCPConn.SetReadDeadline(guardedConnection.lingerUntil)
+	}
+	guardedConnection.mutex.Unlock()
+	count, err := guardedConnection.TCPConn.Read(buffer)
+	if count > 0 && next == stepReceive {
+		guardedConnection.holdBack(buffer[:count])
+	}
+	switch {
+	case err == nil:
+		return nil
+	case !isTimeout(err):
+		guardedConnection.abandonRequests()
+		return err
+	case next == stepLinger:
+		return io.EOF
+	default:
+		guardedConnection.mutex.Lock()
+		defer guardedConnection.mutex.Unlock()
+		if guardedConnection.nextStep() == stepLinger {
+			return nil
+		}
+		return err
+	}
+}
+
+func isTimeout(err error) bool {
+	netError, isNetError := err.(net.Error) //nolint:errorlint // net returns it bare.
+	return isNetError && netError.Timeout()
+}
+
+// startRequests returns the received requests that may be served at the same time as those in progress, as connections that the HTTP server
+// has to serve. The mutex must be held.
+func (guardedConnection *guardedConnection) startRequests() connectionList {
+	var started connectionList
+	requestPipeline := guardedConnection.pipeline
+	for requestPipeline != nil && len(requestPipeline.unread) > 0 && guardedConnection.mayStartBehind() {
+		length, framing := pipeline.Split(requestPipeline.unread, guardedConnection.pipelining.maxHeadBytes)
+		requestPipeline.sequential = framing == pipeline.Sequential
+		if framing != pipeline.Concurrent {
+			break
+		}
+		number, _ := requestPipeline.sequence.Start()
+		request := &pipelinedRequest{
+			connection: guardedConnection, pipeline: requestPipeline, number: number, unread: slices.Clone(requestPipeline.unread[:length]),
+		}
+		requestPipeline.unread = requestPipeline.unread[length:]
+		requestPipeline.behind = append(requestPipeline.behind, request)
+		started = append(started, request)
+	}
+	return started
+}
+
+// serve lets the HTTP server serve requests. It returns as soon as it has begun to do so.
+func (guardedConnection *guardedConnection) serve(started connectionList) {
+	if len(started) == 0 {
+		return
+	}
+	guardedConnection.pipelining.events.Add(EventPipelined, int64(len(started)))
+	// The list ends with an error when all of its connections have been accepted.
+	_ = guardedConnection.server.Serve(&started)
+	// A server that shuts down serves no further ones; the connection ends before them.
+	for _, unserved := range started {
+		_ = unserved.Close()
+	}
+}
+
+// mayStartBehind reports whether another request may be started while one is in progress: net/http must have read the same request from
+// the bytes before it. The mutex must be held.
+func (guardedConnection *guardedConnection) mayStartBehind() bool {
+	requestPipeline := guardedConnection.pipeline
+	if guardedConnection.ended || guardedConnection.closing || !requestPipeline.sequence.MayStart() {
+		return false
+	}
+	if guardedConnection.handling {
+		return guardedConnection.accepted && guardedConnection.guard.complete()
+	}
+	return len(requestPipeline.behind) > 0
+}
--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -87,7 +87,7 @@
 		reason = outcome.ReasonCallerGone
 	}
 	call.record(status, outcome.Unknown, reason, err)
-	resetConnection(call.request)
+	call.position.abort()
 	panic(http.ErrAbortHandler)
 }
 
@@ -203,13 +203,3 @@
 
 // connectionKey is the context key of the caller's connection.
 type connectionKey struct{}
-
-// resetConnection makes the caller's HTTP/1 connection close with a TCP reset. A response that is delimited by the end of its
-// connection, as in HTTP/1.0, would otherwise look complete.
-func resetConnection(request *http.Request) {
-	connection, found := request.Context().Value(connectionKey{}).(*guardedConnection)
-	if found && request.ProtoMajor == 1 {
-		// An error does not matter: the connection is closed in any case.
-		_ = connection.SetLinger(0)
-	}
-}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -39,6 +39,9 @@
 		IdleTimeout:       limits.IdleTimeout.Duration(),
 		MaxHeaderBytes:    int(limits.MaxHeaderSize),
 		ConnContext: func(ctx context.Context, connection net.Conn) context.Context {
+			if guarded, isGuarded := connection.(*guardedConnection); isGuarded {
+				guarded.server, _ = ctx.Value(http.ServerContextKey).(*http.Server)
+			}
 			return context.WithValue(ctx, connectionKey{}, connection)
 		},
 		ConnState:   handleConnState,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -200,9 +200,10 @@
 	gatewaySettings := gateway.options.Settings
 	limits := settings.Callers{
 		MaxConnections: int(callerConnectionShare * float64(gatewaySettings.MaxDescriptors)), MaxHeaderSize: maxHeaderBytes, HeaderTimeout: headerTimeout,
-		IdleTimeout: idleTimeout, MaxStall: maxStall,
+		IdleTimeout: idleTimeout, MaxStall: maxStall, MaxPipelined: gatewaySettings.MaxPipelined, MaxPipelinedHeld: gatewaySettings.MaxPipelinedHeld,
 	}
 	peerLimits := limits
+	peerLimits.MaxPipelined = 0
 	peerLimits.MaxConnections = int(peerConnectionShare * float64(gatewaySettings.MaxDescriptors))
 	gateway.handler = caller.NewHandler(caller.Options{
 		Table: gateway.controller.Table, AwaitTable: gateway.controller.AwaitTable, Servers: gateway.servers, Registry: gateway.registry, Traces: gateway.traces,
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -81,6 +81,8 @@
 	Reason   outcome.Reason       `json:"reason"`
 	Status   int                  `json:"status"`
 	Duration clock.Milliseconds   `json:"whole"`
+	// Behind is the number of earlier requests of the caller's connection whose responses had not been sent when this one arrived.
+	Behind int `json:"behind,omitempty"`
 	// Origin is the instance that relayed the request to this one, empty if it came from a caller.
 	Origin settings.InstanceName `json:"origin,omitempty"`
 	Error  string                `json:"error,omitempty"`
--- a/pkg/settings/defaults.go
+++ b/pkg/settings/defaults.go
@@ -51,6 +51,9 @@
 	setDefault(&class.MaxBodySize, 1<<20)
 }
 
+// defaultPipelinedHeld holds the responses of a dozen lookups, of some 5 KB each, with room for larger ones.
+const defaultPipelinedHeld Bytes = 256 << 10
+
 // ApplyDefaults sets the fields that have their zero value to their defaults, for a Process that is built in code.
 // LoadProcess calls it by itself.
 func (process *Process) ApplyDefaults() {
@@ -61,5 +64,6 @@
 	setDefault(&process.Callers.HeaderTimeout, 5*clock.Second)
 	setDefault(&process.Callers.IdleTimeout, 2*clock.Minute)
 	setDefault(&process.Callers.MaxStall, 10*clock.Second)
+	setDefault(&process.Callers.MaxPipelinedHeld, defaultPipelinedHeld)
 	setDefault(&process.LogLevel, "info")
 }
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -42,6 +42,12 @@
 	LinkMegabits float64 `json:"linkMegabits,omitempty" jsonschema:"minimum=0"`
 	// MaxDescriptors (descriptorsMost) is the number of file descriptors that the process may use.
 	MaxDescriptors int `json:"descriptorsMost,omitempty" jsonschema:"minimum=64,default=4096"`
+	// MaxPipelined (pipelinedMost) is the largest number of requests of one caller's connection that are served at the same time. With 0
+	// or 1, a request is read only when the one before it has been answered.
+	MaxPipelined int `json:"pipelinedMost,omitempty" jsonschema:"minimum=0,maximum=1000"`
+	// MaxPipelinedHeld (pipelinedHeldMost) is the largest size of the responses that one connection holds until earlier ones have been
+	// sent.
+	MaxPipelinedHeld Bytes `json:"pipelinedHeldMost,omitempty" jsonschema:"default=256KiB"`
 	// FleetBootstrap (fleetStarts) states that all instances of the fleet start for the first time, so that no caller waits for
 	// this instance yet.
 	FleetBootstrap bool `json:"fleetStarts,omitempty"`
@@ -102,6 +108,7 @@
 func (gateway *Gateway) ApplyDefaults() {
 	setDefault(&gateway.Cores, 1)
 	setDefault(&gateway.MaxDescriptors, 4096)
+	setDefault(&gateway.MaxPipelinedHeld, defaultPipelinedHeld)
 	setDefault(&gateway.Bounds.DrainTimeout, 6*clock.Second)
 	setDefault(&gateway.Bounds.MaxAddressTTL, 5*clock.Second)
 	setDefault(&gateway.Bounds.RetryShare, 0.2)
--- a/pkg/settings/types.go
+++ b/pkg/settings/types.go
@@ -239,4 +239,10 @@
 	IdleTimeout clock.Milliseconds `json:"idleMost,omitempty" jsonschema:"default=2m"`
 	// MaxStall (stallMost) is the longest pause in the transfer of a body, in either direction.
 	MaxStall clock.Milliseconds `json:"stallMost,omitempty" jsonschema:"default=10s"`
+	// MaxPipelined (pipelinedMost) is the largest number of requests of one connection that are served at the same time. With 0 or 1,
+	// a request is read only when the one before it has been answered.
+	MaxPipelined int `json:"pipelinedMost,omitempty" jsonschema:"minimum=0,maximum=1000"`
+	// MaxPipelinedHeld (pipelinedHeldMost) is the largest size of the responses that one connection holds until earlier ones have been
+	// sent.
+	MaxPipelinedHeld Bytes `json:"pipelinedHeldMost,omitempty" jsonschema:"default=256KiB"`
 }
