Take callers' connections for a resource

Cause: at the limit of its callers' connections an instance accepted none. Requests behind it were neither read nor refused, nothing was logged, and no other instance began to serve.

Change: idle connections are closed, longest idle first, while few are free. With all in use, new ones wait for 100 ms; after that requests are refused with 503 and Retry-After, and what exceeds even that is closed unread. The part of the connections in use counts as utilization, as processor and link do.

--- a/cmd/fleet.go
+++ b/cmd/fleet.go
@@ -28,7 +28,7 @@
 
 Columns: ready = the readiness check succeeds; reads = the instance reads the store itself; version = configuration in force;
 revision = newest known change of the store; in flight = requests at backend servers; waiting = requests that wait for a permit;
-peers = number of other instances that it knows.
+connections = open connections of callers, and how many may be open before requests are refused; peers = number of other instances that it knows.
 
   jaywheel fleet --operator 10.1.0.34:8544
   jaywheel fleet --operator 10.1.0.34:8544 --state serving
@@ -182,7 +182,7 @@
 
 func printFleet(out io.Writer, lines []fleetLine) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "instance\tdata centre\tstate\tready\treads\tversion\trevision\tin flight\twaiting\tpeers")
+	fmt.Fprintln(table, "instance\tdata centre\tstate\tready\treads\tversion\trevision\tin flight\twaiting\tconnections\tpeers")
 	for _, line := range lines {
 		status := line.status
 		if line.err != nil {
@@ -196,8 +196,8 @@
 				inFlight += target.OwnInFlight
 			}
 		}
-		fmt.Fprintf(table, "%s\t%s\t%s\t%t\t%t\t%d\t%d\t%d\t%d\t%d\n", status.Instance, status.DataCentre, status.State, status.Ready, status.Reads,
-			status.Version, status.Revision, inFlight, waiting, len(status.Peers))
+		fmt.Fprintf(table, "%s\t%s\t%s\t%t\t%t\t%d\t%d\t%d\t%d\t%d/%d\t%d\n", status.Instance, status.DataCentre, status.State, status.Ready, status.Reads,
+			status.Version, status.Revision, inFlight, waiting, status.Connections.Open, status.Connections.Limit, len(status.Peers))
 	}
 	return errors.Wrap(table.Flush(), "write table")
 }
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -104,6 +104,9 @@
 
 // accept validates, routes and authenticates the request, sets its deadlines and charges it to its team's rate limit.
 func (call *call) accept() *errorResponse {
+	if errorResponse := call.checkConnections(); errorResponse != nil {
+		return errorResponse
+	}
 	if call.table == nil {
 		return &errorResponse{status: http.StatusServiceUnavailable, reason: outcome.ReasonNoSettings, retryAfter: noSettingsRetryAfter}
 	}
--- a/internal/caller/connection.go
+++ b/internal/caller/connection.go
@@ -18,8 +18,12 @@
 type guardedConnection struct {
 	*net.TCPConn
 	guard headGuard
-	// untrack removes the connection from those that its listener waits for; releaseToken lets the listener accept another one.
-	untrack, releaseToken func()
+	// untrack removes the connection from those that its listener waits for; release ends its count among connections.
+	untrack, release func()
+	connections      *Connections
+	// beyondLimit means that more connections than allowed were open when this one was accepted. It belongs to the goroutine that handles
+	// the connection's requests.
+	beyondLimit bool
 	// onSent is called with the number of bytes written.
 	onSent func(int64)
 	// onUnfinished is called when the connection is closed within a request that was never handled.
@@ -36,6 +40,8 @@
 	mutex   sync.Mutex
 	state   http.ConnState
 	closing bool
+	// since is when the connection was accepted or became idle.
+	since time.Time
 	// handling means that a handler has got a request that the HTTP server has read from the connection, and accepted that net/http has
 	// found the same end of it as the guard.
 	handling, accepted bool
@@ -212,7 +218,7 @@
 	}
 	guardedConnection.mutex.Lock()
 	defer guardedConnection.mutex.Unlock()
-	guardedConnection.state = state
+	guardedConnection.changeState(state)
 	if state == http.StateActive && guardedConnection.closing {
 		// The request was read while closeWhenIdle set the deadline. Its body may still arrive, and a failed read would be
 		// treated as a disconnect of the caller.
@@ -220,6 +226,36 @@
 	}
 }
 
+// changeState sets the state and counts the connection as active or idle. The mutex must be held.
+func (guardedConnection *guardedConnection) changeState(state http.ConnState) {
+	wasActive := guardedConnection.state == http.StateActive
+	guardedConnection.state = state
+	switch {
+	case state == http.StateActive && !wasActive:
+		guardedConnection.connections.active.Add(1)
+	case state != http.StateActive && wasActive:
+		guardedConnection.connections.active.Add(-1)
+	}
+	if state == http.StateIdle {
+		guardedConnection.since = time.Now()
+	}
+}
+
+// idleSince returns since when the connection has been waiting for a request, and whether it may be closed for that. A new connection may
+// not be closed before its caller has had time to send a request.
+func (guardedConnection *guardedConnection) idleSince(now time.Time) (time.Time, bool) {
+	guardedConnection.mutex.Lock()
+	defer guardedConnection.mutex.Unlock()
+	switch {
+	case guardedConnection.closing || guardedConnection.pipeline != nil:
+		return time.Time{}, false
+	case guardedConnection.state == http.StateIdle:
+		return guardedConnection.since, true
+	default:
+		return guardedConnection.since, guardedConnection.state == http.StateNew && now.Sub(guardedConnection.since) > newConnectionTimeout.Duration()
+	}
+}
+
 // endHandling records that the HTTP server has sent the response to the request that it has read from the connection. It reports whether
 // requests are behind that one.
 func (guardedConnection *guardedConnection) endHandling() bool {
@@ -266,13 +302,13 @@
 	if guardedConnection.endPipeline() {
 		// The responses that have been sent would be lost with a reset.
 		go func() {
-			defer guardedConnection.releaseToken()
+			defer guardedConnection.release()
 			_, _ = io.Copy(io.Discard, guardedConnection.TCPConn)
 			_ = guardedConnection.TCPConn.Close()
 		}()
 		return nil
 	}
-	defer guardedConnection.releaseToken()
+	defer guardedConnection.release()
 	return guardedConnection.TCPConn.Close()
 }
 
--- /dev/null
+++ b/internal/caller/connections.go
@@ -0,0 +1,177 @@
+package caller
+
+import (
+	"expvar"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
+// Events of callers' connections that exceed what the instance can keep open.
+const (
+	// EventConnectionsClosedIdle counts idle connections that were closed because few more could be opened.
+	EventConnectionsClosedIdle = "caller.connectionsClosedIdle"
+	// EventConnectionsRefused counts requests that were refused because too many connections were open.
+	EventConnectionsRefused = "caller.connectionsRefused"
+	// EventConnectionsDropped counts connections that were closed at once because too many were open even for refusing a request.
+	EventConnectionsDropped = "caller.connectionsDropped"
+)
+
+// reservedConnectionShare is the share of the connections that is kept for new callers: idle connections are closed to keep it free, and
+// when that does not suffice, requests on it are refused.
+const reservedConnectionShare = 1.0 / 16
+
+// maxFullTime is how long all connections may be in use before requests on further ones are refused. Until then new callers wait to be
+// accepted, so that a short burst is served.
+const maxFullTime = 100 * clock.Millisecond
+
+// Connections counts the connections of an instance's callers against their limit. It is safe for concurrent use.
+type Connections struct {
+	limit, reserve int64
+	open, active   atomic.Int64
+	events         *expvar.Map
+	// released is signalled when a connection ends.
+	released chan struct{}
+}
+
+// NewConnections returns a count of connections of which at most limits.MaxConnections may be open.
+func NewConnections(limits settings.Callers, events *expvar.Map) *Connections {
+	reserve := int64(reservedConnectionShare * float64(limits.MaxConnections))
+	return &Connections{limit: int64(limits.MaxConnections) - reserve, reserve: max(reserve, 1), events: events, released: make(chan struct{}, 1)}
+}
+
+// ConnectionUse is how many connections of callers are open.
+type ConnectionUse struct {
+	// Open is the number of open connections, Active the number of those on which a request is being handled.
+	Open   int `json:"open"`
+	Active int `json:"active"`
+	// Limit is the number of connections that may be open before requests are refused.
+	Limit int
+	// Refused is the number of requests refused and connections closed at once since the start, because too many were open.
+	Refused int64
+}
+
+// Use returns how many connections are open.
+func (connections *Connections) Use() ConnectionUse {
+	return ConnectionUse{
+		Open: int(connections.open.Load()), Active: int(connections.active.Load()), Limit: int(connections.limit),
+		Refused: eventCount(connections.events, EventConnectionsRefused) + eventCount(connections.events, EventConnectionsDropped),
+	}
+}
+
+// eventCount returns the value of an event counter.
+func eventCount(events *expvar.Map, name string) int64 {
+	count, counted := events.Get(name).(*expvar.Int)
+	if !counted {
+		return 0
+	}
+	return count.Value()
+}
+
+// admit counts a new connection. It reports false, and does not count it, if not even a refusal can be sent on it.
+func (connections *Connections) admit() bool {
+	if connections.open.Add(1) <= connections.limit+connections.reserve {
+		return true
+	}
+	connections.open.Add(-1)
+	connections.events.Add(EventConnectionsDropped, 1)
+	return false
+}
+
+// release counts the end of a connection.
+func (connections *Connections) release() {
+	connections.open.Add(-1)
+	select {
+	case connections.released <- struct{}{}:
+	default:
+	}
+}
+
+// full reports whether all connections that may be open are open.
+func (connections *Connections) full() bool {
+	return connections.open.Load() >= connections.limit
+}
+
+// overLimit reports whether more connections are open than may be, so that requests on further ones are refused.
+func (connections *Connections) overLimit() bool {
+	return connections.open.Load() > connections.limit
+}
+
+// scarce reports whether the connections kept for new callers are in use, so that idle ones have to be closed.
+func (connections *Connections) scarce() bool {
+	return connections.open.Load() > connections.limit-connections.reserve
+}
+
+// idleConnection is a connection that waits for a request.
+type idleConnection struct {
+	connection *guardedConnection
+	since      time.Time
+}
+
+// longestIdle returns the count connections that have been idle for the longest time.
+func longestIdle(idle []idleConnection, count int) []idleConnection {
+	slices.SortFunc(idle, func(left, right idleConnection) int { return left.since.Compare(right.since) })
+	return idle[:min(count, len(idle))]
+}
+
+// awaitConnection waits until another connection may be opened, or all have been in use for maxFullTime, or the listener is closed.
+func (listener *Listener) awaitConnection() {
+	if !listener.connections.full() {
+		listener.fullSince = time.Time{}
+		return
+	}
+	if listener.fullSince.IsZero() {
+		listener.fullSince = time.Now()
+	}
+	timer := time.NewTimer(time.Until(listener.fullSince.Add(maxFullTime.Duration())))
+	defer timer.Stop()
+	for listener.connections.full() {
+		select {
+		case <-listener.connections.released:
+		case <-timer.C:
+			return
+		case <-listener.closed:
+			return
+		}
+	}
+	listener.fullSince = time.Time{}
+}
+
+// closeLongestIdle closes the connections that have been idle for the longest time, if connections are scarce.
+func (listener *Listener) closeLongestIdle() {
+	if !listener.connections.scarce() {
+		return
+	}
+	listener.mutex.Lock()
+	defer listener.mutex.Unlock()
+	// All connections are searched, so that this is done only once for several new ones.
+	listener.acceptedScarce++
+	if listener.acceptedScarce < listener.connections.reserve/2 {
+		return
+	}
+	listener.acceptedScarce = 0
+	now := time.Now()
+	var idle []idleConnection
+	for guarded := range listener.open {
+		if since, isIdle := guarded.idleSince(now); isIdle {
+			idle = append(idle, idleConnection{connection: guarded, since: since})
+		}
+	}
+	closed := longestIdle(idle, int(listener.connections.reserve))
+	for _, entry := range closed {
+		entry.connection.closeWhenIdle(true)
+	}
+	listener.connections.events.Add(EventConnectionsClosedIdle, int64(len(closed)))
+}
+
+// exceedsLimit reports whether the connection was accepted beyond the limit and no other one has been closed since.
+func (guardedConnection *guardedConnection) exceedsLimit() bool {
+	if !guardedConnection.beyondLimit {
+		return false
+	}
+	guardedConnection.beyondLimit = guardedConnection.connections.overLimit()
+	return guardedConnection.beyondLimit
+}
--- a/internal/caller/listener.go
+++ b/internal/caller/listener.go
@@ -25,12 +25,15 @@
 	acceptQueuePollInterval = 2 * clock.Millisecond
 )
 
-// Listener accepts callers' connections, at most as many at once as there are tokens.
+// Listener accepts callers' connections. When few more can be opened it closes idle ones, and when too many are in use, requests on
+// further ones are refused.
 type Listener struct {
 	*net.TCPListener
-	tokens       chan struct{}
-	closed       chan struct{}
-	closeOnce    sync.Once
+	connections *Connections
+	closed      chan struct{}
+	closeOnce   sync.Once
+	// fullSince is since when all connections have been in use, zero while they are not. It belongs to the goroutine that accepts.
+	fullSince    time.Time
 	onUnfinished func()
 	onSent       func(int64)
 	pipelining   *pipelining
@@ -39,6 +42,8 @@
 	// open contains the open connections that are not known to be multiplexed.
 	open                map[*guardedConnection]struct{}
 	accepting, draining bool
+	// acceptedScarce is the number of connections accepted while they were scarce since idle ones were last searched for.
+	acceptedScarce int64
 	// drained is closed when the listener is draining and no connection is open.
 	drained chan struct{}
 }
@@ -46,6 +51,10 @@
 // Listen listens for callers on the TCP address, and limits the number of open connections to limits.MaxConnections. It counts
 // EventUnfinished and EventSentBytes in events. It returns an error if the address cannot be resolved or listened on.
 func Listen(address string, limits settings.Callers, events *expvar.Map) (*Listener, error) {
+	return listen(address, limits, NewConnections(limits, events), events)
+}
+
+func listen(address string, limits settings.Callers, connections *Connections, events *expvar.Map) (*Listener, error) {
 	resolved, err := net.ResolveTCPAddr("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
@@ -55,16 +64,17 @@
 		return nil, errors.Wrap(err, "listen for callers")
 	}
 	return &Listener{
-		TCPListener: listener, tokens: make(chan struct{}, limits.MaxConnections), closed: make(chan struct{}), drained: make(chan struct{}),
+		TCPListener: listener, connections: connections, closed: make(chan struct{}), drained: make(chan struct{}),
 		open: map[*guardedConnection]struct{}{}, onUnfinished: func() { events.Add(EventUnfinished, 1) },
 		onSent: func(count int64) { events.Add(EventSentBytes, count) }, pipelining: newPipelining(limits, events),
 	}, nil
 }
 
-// NewListenFunc returns a function that listens for callers, in the form that a supervised HTTP server takes.
-func NewListenFunc(limits settings.Callers, events *expvar.Map) func(address string) (httppart.Listener, error) {
+// NewListenFunc returns a function that listens for callers, in the form that a supervised HTTP server takes. All its listeners count
+// their connections in connections.
+func NewListenFunc(limits settings.Callers, connections *Connections, events *expvar.Map) func(address string) (httppart.Listener, error) {
 	return func(address string) (httppart.Listener, error) {
-		listener, err := Listen(address, limits, events)
+		listener, err := listen(address, limits, connections, events)
 		if err != nil {
 			return httppart.Listener{}, err
 		}
@@ -72,31 +82,51 @@
 	}
 }
 
-// Accept implements net.Listener. At the limit it accepts no connection until another one is closed, so that a flood of
-// connections only fills the kernel's queue.
+// Accept implements net.Listener.
 func (listener *Listener) Accept() (net.Conn, error) {
-	select {
-	case listener.tokens <- struct{}{}:
-	case <-listener.closed:
-		return nil, net.ErrClosed
+	for {
+		listener.awaitConnection()
+		guarded, err := listener.acceptOne()
+		if err != nil {
+			return nil, err
+		}
+		if guarded != nil {
+			return guarded, nil
+		}
 	}
+}
+
+// acceptOne accepts a connection. It returns nil if it had to close it at once.
+func (listener *Listener) acceptOne() (*guardedConnection, error) {
 	listener.setAccepting(true)
 	defer listener.setAccepting(false)
 	connection, err := listener.AcceptTCP()
 	if err != nil {
-		<-listener.tokens
 		return nil, err
 	}
+	admitted := listener.connections.admit()
+	listener.closeLongestIdle()
+	if !admitted {
+		// No request has been read. An error does not matter.
+		_ = connection.Close()
+		return nil, nil
+	}
+	return listener.track(connection), nil
+}
+
+// track adds an accepted connection to those that are open.
+func (listener *Listener) track(connection *net.TCPConn) *guardedConnection {
 	guarded := &guardedConnection{
-		TCPConn: connection, pipelining: listener.pipelining, onUnfinished: listener.onUnfinished,
-		onSent: listener.onSent, releaseToken: sync.OnceFunc(func() { <-listener.tokens }),
+		TCPConn: connection, connections: listener.connections, pipelining: listener.pipelining, onUnfinished: listener.onUnfinished,
+		onSent: listener.onSent, release: sync.OnceFunc(listener.connections.release), since: time.Now(),
+		beyondLimit: listener.connections.overLimit(),
 	}
 	guarded.untrack = func() { listener.untrack(guarded) }
 	guarded.guard.reset()
 	listener.mutex.Lock()
 	defer listener.mutex.Unlock()
 	listener.open[guarded] = struct{}{}
-	return guarded, nil
+	return guarded
 }
 
 func (listener *Listener) setAccepting(accepting bool) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -130,7 +130,7 @@
 	operators := operator.NewHandler(operator.Options{Status: entry.operatorStatus, Registry: entry.registry, Traces: traces})
 	var err error
 	entry.callers, err = httppart.New(caller.NewServer(entry.handler, process.Callers, &entry.registry.Events), process.CallerAddress,
-		caller.NewListenFunc(process.Callers, &entry.registry.Events))
+		caller.NewListenFunc(process.Callers, caller.NewConnections(process.Callers, &entry.registry.Events), &entry.registry.Events))
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -128,6 +128,8 @@
 	// that the link of this instance carries, 0 if it is not known.
 	SentBytes func() int64
 	LinkRate  float64
+	// Connections returns how many connections of callers are open; nil if it is not known.
+	Connections func() ConnectionUse
 	// Quota enforces the rate limits of teams; nil if there are none.
 	Quota *quota.Limiter
 	// Send sends a datagram to a peer.
@@ -217,9 +219,11 @@
 	lateTickAt clock.Moment
 	lateTickBy clock.Milliseconds
 	loadMeter  loadMeter
-	downLog    downLog
-	coldLog    coldLog
-	reach      reachState
+	// refusesConnections means that requests were refused lately because too many connections of callers are open.
+	refusesConnections bool
+	downLog            downLog
+	coldLog            coldLog
+	reach              reachState
 	// relayPeersSet is whether instances for relayed requests have been set, nextRelayPeers when they are next set.
 	relayPeersSet  bool
 	nextRelayPeers clock.Moment
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -25,14 +25,36 @@
 	sent                        int64
 }
 
-// loadMeter measures how much of its processor and of its link this instance uses, and whether work waits for the processor.
+// ConnectionUse is how many connections of callers an instance has open.
+type ConnectionUse struct {
+	// Open is the number of open connections, Active the number of those on which a request is being handled.
+	Open   int `json:"open"`
+	Active int `json:"active"`
+	// Limit is the number of connections that may be open before requests are refused.
+	Limit int `json:"limit"`
+	// Refused is the number of requests refused and connections closed at once since the start, because too many were open.
+	Refused int64 `json:"refused"`
+}
+
+// utilization returns the part of the connections that is in use. Idle ones do not count, since they are closed for others.
+func (connectionUse ConnectionUse) utilization() float64 {
+	if connectionUse.Limit <= 0 {
+		return 0
+	}
+	return float64(connectionUse.Active) / float64(connectionUse.Limit)
+}
+
+// loadMeter measures how much of its processor, of its link and of its connections this instance uses, and whether work waits for the
+// processor.
 type loadMeter struct {
 	// capacity is the part of a core that the instance may use.
 	capacity      float64
 	processorTime func() clock.Milliseconds
 	// linkRate is the number of bytes per millisecond that the link carries, 0 if it is not known.
-	linkRate      float64
-	sentBytes     func() int64
+	linkRate  float64
+	sentBytes func() int64
+	// connections is how many connections of callers were open at the end of the last interval.
+	connections   ConnectionUse
 	samples       [loadSamples]loadSample
 	position      int
 	lastSample    clock.Moment
@@ -78,8 +100,8 @@
 	return true
 }
 
-// utilization returns the utilization of the processor or of the link, whichever is higher, over the last intervals. The processor
-// counts as fully used while work waits for it.
+// utilization returns the utilization of the processor or of the link over the last intervals, or that of the connections at the end of
+// them, whichever is highest. The processor counts as fully used while work waits for it.
 func (loadMeter *loadMeter) utilization() membership.Utilization {
 	var length, processor clock.Milliseconds
 	var sent int64
@@ -95,6 +117,7 @@
 	if loadMeter.linkRate > 0 {
 		used = max(used, float64(sent)/float64(length)/loadMeter.linkRate)
 	}
+	used = max(used, loadMeter.connections.utilization())
 	if loadMeter.sustainedLateness() > 0 {
 		used = 1
 	}
@@ -117,9 +140,26 @@
 	return clock.Milliseconds(controller.lateness.Load())
 }
 
+// updateConnections measures the use of callers' connections, and logs when requests are refused for want of them.
+func (controller *Controller) updateConnections() {
+	if controller.options.Connections == nil {
+		return
+	}
+	before := controller.loadMeter.connections
+	use := controller.options.Connections()
+	controller.loadMeter.connections = use
+	short, wasShort := use.Refused > before.Refused, controller.refusesConnections
+	controller.refusesConnections = short
+	if short != wasShort {
+		controller.options.Log.Warn().Bool("refusing", short).Int("open", use.Open).Int("active", use.Active).Int("limit", use.Limit).Int64("refused", use.Refused).
+			Msg("callers' connections")
+	}
+}
+
 // updateLoad measures the load, determines how many instances should serve, and reports both to the other instances.
 func (controller *Controller) updateLoad(now clock.Moment) {
 	if controller.options.ProcessorTime != nil && controller.loadMeter.sample(now) {
+		controller.updateConnections()
 		controller.members.SetUtilization(controller.loadMeter.utilization())
 		controller.lateness.Store(int64(controller.loadMeter.sustainedLateness()))
 	}
--- a/internal/fleet/load_test.go
+++ b/internal/fleet/load_test.go
@@ -56,6 +56,30 @@
 	}
 }
 
+// Guards against an instance that runs out of callers' connections although its processor and its link are hardly used, and against one
+// that counts connections that callers keep open without using them.
+func TestLoadMeterCountsConnections(t *testing.T) {
+	cases := []struct {
+		name        string
+		use         ConnectionUse
+		utilization membership.Utilization
+	}{
+		{"limit not known", ConnectionUse{Open: 10, Active: 10}, 0},
+		{"idle", ConnectionUse{Open: 100, Active: 10, Limit: 100}, 100},
+		{"three quarters in use", ConnectionUse{Open: 80, Active: 75, Limit: 100}, 750},
+		{"beyond the limit", ConnectionUse{Open: 106, Active: 106, Limit: 100}, 1000},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			meter := newLoadMeter(Options{Self: membership.Identity{Size: 320}})
+			meter.reset(0)
+			require.True(t, meter.sample(clock.Moment(0).Add(loadSampleInterval)))
+			meter.connections = testCase.use
+			require.Equal(t, testCase.utilization, meter.utilization())
+		})
+	}
+}
+
 // Guards against an instance that owns so many servers that probing them leaves no processor time for requests.
 func TestProbesStayWithinTheirShareOfTheProcessor(t *testing.T) {
 	cases := []struct {
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -28,8 +28,10 @@
 	Version  catalog.Version  `json:"version"`
 	// Unreachable are the services that the instance cannot reach; their requests are relayed.
 	Unreachable []settings.ServiceName `json:"unreachable,omitempty"`
-	Peers       []PeerStatus           `json:"peers"`
-	Services    []ServiceStatus        `json:"services"`
+	// Connections is how many connections of callers are open.
+	Connections ConnectionUse   `json:"connections"`
+	Peers       []PeerStatus    `json:"peers"`
+	Services    []ServiceStatus `json:"services"`
 	// Teams are the teams with a rate limit that sent requests to this instance, those with the most refused requests first.
 	Teams []quota.Usage `json:"teams,omitempty"`
 }
@@ -80,6 +82,9 @@
 		Leaving: state == membership.Leaving, Reads: controller.role != catalog.RoleFollower,
 		Unreachable: slices.Sorted(slices.Values(controller.reach.tracker.UnreachableServices())),
 	}
+	if controller.options.Connections != nil {
+		status.Connections = controller.options.Connections()
+	}
 	if controller.view != nil {
 		status.Revision = controller.view.Revision
 		if controller.view.Configuration != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,6 +104,7 @@
 	callerServer *httppart.Server
 	peerServer   *httppart.Server
 	handler      *caller.Handler
+	connections  *caller.Connections
 	httpServers  []namedServer
 	tree         *supervisor.Tree
 	// bounds and storeAddress come from the settings that were loaded last.
@@ -131,6 +132,7 @@
 	gateway.servers.OnConnect, gateway.servers.Dial = gateway.recordConnect, options.DialServer
 	gateway.quota = quota.NewLimiter(quota.Options{Clock: gateway.clock, Rand: rand.New(rand.NewPCG(options.Seed, 1))})
 	gateway.relay = relay.NewClient(relay.Options{Clock: gateway.clock, Rand: rand.New(rand.NewPCG(options.Seed, 2))})
+	gateway.connections = caller.NewConnections(callerLimits(options.Settings), &gateway.registry.Events)
 	gateway.makeControl()
 	if err := gateway.makeHTTPServers(); err != nil {
 		gateway.closeHTTPServers()
@@ -177,8 +179,8 @@
 		Rand:    rand.New(rand.NewPCG(gateway.options.Seed, 0)),
 		Servers: gateway.servers, Registry: gateway.registry, Log: gateway.options.Log, Quota: gateway.quota,
 		ProcessorTime: processorTime, SentBytes: func() int64 { return gateway.eventCount(caller.EventSentBytes) },
-		LinkRate: gatewaySettings.LinkMegabits * bytesPerMillisecond,
-		Send:     gateway.datagrams.Send, SetJobs: gateway.prober.Set, Verify: gateway.prober.Verify,
+		LinkRate: gatewaySettings.LinkMegabits * bytesPerMillisecond, Connections: func() fleet.ConnectionUse { return fleet.ConnectionUse(gateway.connections.Use()) },
+		Send: gateway.datagrams.Send, SetJobs: gateway.prober.Set, Verify: gateway.prober.Verify,
 		CheckConnection: gateway.checkConnection, SetRelayPeers: gateway.relay.SetPeers, Regions: gatewaySettings.Regions,
 	})
 	peers := &peerReader{http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
@@ -198,10 +200,7 @@
 // makeHTTPServers creates the HTTP servers and binds their addresses.
 func (gateway *Gateway) makeHTTPServers() error {
 	gatewaySettings := gateway.options.Settings
-	limits := settings.Callers{
-		MaxConnections: int(callerConnectionShare * float64(gatewaySettings.MaxDescriptors)), MaxHeaderSize: maxHeaderBytes, HeaderTimeout: headerTimeout,
-		IdleTimeout: idleTimeout, MaxStall: maxStall, MaxPipelined: gatewaySettings.MaxPipelined, MaxPipelinedHeld: gatewaySettings.MaxPipelinedHeld,
-	}
+	limits := callerLimits(gatewaySettings)
 	peerLimits := limits
 	peerLimits.MaxPipelined = 0
 	peerLimits.MaxConnections = int(peerConnectionShare * float64(gatewaySettings.MaxDescriptors))
@@ -221,10 +220,10 @@
 		server  *http.Server
 		listen  func(string) (httppart.Listener, error)
 	}{
-		{"callers", gatewaySettings.CallerAddress, caller.NewServer(gateway.handler, limits, events), caller.NewListenFunc(limits, events)},
+		{"callers", gatewaySettings.CallerAddress, caller.NewServer(gateway.handler, limits, events), caller.NewListenFunc(limits, gateway.connections, events)},
 		{"directory", gatewaySettings.DirectoryAddress, newShortRequestServer(gateway.options.Platform.Directory(gateway.controller.Addresses)), httppart.Listen},
 		{"readiness", gatewaySettings.ReadyAddress, newShortRequestServer(gateway.options.Platform.Readiness(gateway.controller.Ready)), httppart.Listen},
-		{"peers", gatewaySettings.PeerAddress, peerServer, caller.NewListenFunc(peerLimits, events)},
+		{"peers", gatewaySettings.PeerAddress, peerServer, caller.NewListenFunc(peerLimits, caller.NewConnections(peerLimits, events), events)},
 		{"operators", gatewaySettings.OperatorAddress, newShortRequestServer(gateway.operatorHandler()), httppart.Listen},
 	}
 	for _, config := range serverConfigs {
@@ -238,6 +237,14 @@
 	return nil
 }
 
+// callerLimits returns the limits of callers' connections.
+func callerLimits(gatewaySettings *settings.Gateway) settings.Callers {
+	return settings.Callers{
+		MaxConnections: int(callerConnectionShare * float64(gatewaySettings.MaxDescriptors)), MaxHeaderSize: maxHeaderBytes, HeaderTimeout: headerTimeout,
+		IdleTimeout: idleTimeout, MaxStall: maxStall, MaxPipelined: gatewaySettings.MaxPipelined, MaxPipelinedHeld: gatewaySettings.MaxPipelinedHeld,
+	}
+}
+
 // peerServerIndex is the position of the server for other instances among the HTTP servers.
 const peerServerIndex = 3
 
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -57,6 +57,7 @@
 	ReasonUnauthorized     Reason = "unauthorized"
 	ReasonTeamLimit        Reason = "teamLimit"
 	ReasonOverloaded       Reason = "overloaded"
+	ReasonConnections      Reason = "tooManyConnections"
 )
 
 // Headers between callers, instances and backend servers.
