Ask other backend servers before a request starts on a slow one

A request waited for a fast server only if that paid off within the 150 ms that a slow interval may last.

Change: while servers of unknown state can be asked, the wait for a fast one is that for their answer, 50 ms. Servers are asked as before, at most once in 400 ms each.

--- a/internal/service/unknown.go
+++ b/internal/service/unknown.go
@@ -1,6 +1,8 @@
 package service
 
 import (
+	"slices"
+
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
@@ -24,6 +26,9 @@
 type unknownTargets struct {
 	requestProbes func()
 	nextCheck     clock.Moment
+	// askable is whether there are targets of unknown state that can be probed at once, determined anew at nextAskableCheck.
+	askable          bool
+	nextAskableCheck clock.Moment
 	// requestedAt is when probes were last requested while most targets were of unknown state, 0 if they never were.
 	requestedAt clock.Moment
 }
@@ -63,6 +68,18 @@
 	}
 }
 
+// mayAskOthers reports whether targets of unknown state can be probed at once, one of which may be better than those that are known.
+func (scheduler *Scheduler) mayAskOthers(now clock.Moment) bool {
+	unknown := &scheduler.unknown
+	if now >= unknown.nextAskableCheck {
+		unknown.nextAskableCheck = now.Add(unknownCheckInterval)
+		unknown.askable = slices.ContainsFunc(scheduler.ordered, func(candidate *candidate) bool {
+			return now >= candidate.nextProbeRequest && candidate.unknown(now)
+		})
+	}
+	return unknown.askable
+}
+
 // TakeUnknown returns targets of unknown state that requests wait for, those of the local data centre first. They are not returned
 // again for a while.
 func (scheduler *Scheduler) TakeUnknown() []settings.TargetName {
--- a/internal/service/waitforfast.go
+++ b/internal/service/waitforfast.go
@@ -63,6 +63,10 @@
 // before its deadline.
 func (scheduler *Scheduler) shouldWaitForFast(now clock.Moment, waiter *rankedWaiter, slow *candidate, duration clock.Milliseconds) bool {
 	wait := slow.timeUntilFast(now)
+	if wait > unknownProbeTime && scheduler.mayAskOthers(now) {
+		// Most targets are fast at any moment, so that one of those that are asked probably is.
+		wait = unknownProbeTime
+	}
 	if now.Add(wait) >= waiter.waitDeadline {
 		return now.Add(duration) > waiter.request.Deadline
 	}
