Leave retries to the most urgent requests while they are short

Cause: the retry budget knows neither the priority of a request nor whether it has failed or only takes long.

Change: while the budget is short, an eighth of its capacity is left to requests of a more urgent priority, and another to failed requests rather than hedged ones. While it is not short nothing changes.

--- a/internal/caller/forward.go
+++ b/internal/caller/forward.go
@@ -63,7 +63,7 @@
 func (call *call) countRequest() {
 	if !call.counted {
 		call.counted = true
-		call.route.Service.Budget.Deposit()
+		call.route.Service.Budget.Deposit(call.route.Class.Settings.Priority)
 	}
 }
 
@@ -186,7 +186,7 @@
 	if attempt.budgetExempt {
 		return true
 	}
-	return call.attemptNumber() == 0 && call.route.Service.Budget.TryWithdraw()
+	return call.attemptNumber() == 0 && call.route.Service.Budget.TryWithdraw(service.Retry{Priority: call.route.Class.Settings.Priority})
 }
 
 func (call *call) maxAttempts() int {
--- a/internal/caller/hedge.go
+++ b/internal/caller/hedge.go
@@ -143,7 +143,7 @@
 	if !acquired {
 		return service.Permit{}, false
 	}
-	if !call.route.Service.Budget.TryWithdraw() {
+	if !call.route.Service.Budget.TryWithdraw(service.Retry{Priority: call.route.Class.Settings.Priority, Hedged: true}) {
 		second.Release(service.Cancelled)
 		return service.Permit{}, false
 	}
--- a/internal/caller/relay_test.go
+++ b/internal/caller/relay_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jaywheel/jaywheel/internal/relay"
+	"github.com/jaywheel/jaywheel/internal/service"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/outcome"
 	"github.com/jaywheel/jaywheel/pkg/settings"
@@ -313,13 +314,13 @@
 	peer := newFixture(t, fixtureService(), startBackend(t, func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusOK) }))
 	origin := newRelayFixture(t, fixtureService(), startPeer(t, peer))
 	budgetOf := func(fixture *fixture) func() int {
-		service, _ := fixture.table.Service("booking")
-		for service.Budget.TryWithdraw() {
+		booking, _ := fixture.table.Service("booking")
+		for booking.Budget.TryWithdraw(service.Retry{}) {
 			continue
 		}
 		return func() int {
 			count := 0
-			for service.Budget.TryWithdraw() {
+			for booking.Budget.TryWithdraw(service.Retry{}) {
 				count++
 			}
 			return count
--- a/internal/fleet/budget_test.go
+++ b/internal/fleet/budget_test.go
@@ -62,11 +62,11 @@
 					addBudgets(testCase.serving)
 				}
 				budget := budgets[random.IntN(len(budgets))]
-				budget.Deposit()
+				budget.Deposit(0)
 				requestTimes = append(requestTimes, now)
 				// In ten of every twenty seconds all requests are retried as often as the budget allows, after saved retries have filled up.
 				failing := int(now/clock.Moment(window))%2 == 1
-				for failing && budget.TryWithdraw() {
+				for failing && budget.TryWithdraw(service.Retry{}) {
 					retryTimes = append(retryTimes, now)
 				}
 			}
--- a/internal/service/dispatcher_test.go
+++ b/internal/service/dispatcher_test.go
@@ -330,8 +330,8 @@
 	budget := NewRetryBudget(0.1)
 	spent := 0
 	for range 1000 {
-		budget.Deposit()
-		if budget.TryWithdraw() {
+		budget.Deposit(0)
+		if budget.TryWithdraw(Retry{}) {
 			spent++
 		}
 	}
--- a/internal/service/retrybudget.go
+++ b/internal/service/retrybudget.go
@@ -1,6 +1,10 @@
 package service
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
 
 // thousandthsPerRetry is the cost of one retry. The budget counts in thousandths of a retry.
 const thousandthsPerRetry = 1000
@@ -9,12 +13,31 @@
 // accumulate enough retries for a retry storm.
 const maxBudget = 10 * thousandthsPerRetry
 
+// While a budget is short, reserveStep of its capacity is left to more useful retries: to those of requests with a more urgent priority, and
+// to those of requests that failed rather than hedged requests. It is short from the moment at which the retry of a failed request is
+// denied until plentyShare of its capacity has accumulated again.
+const (
+	reserveStep = 0.125
+	plentyShare = 0.5
+)
+
 // RetryBudget limits retries to a share of the requests of callers, retries not counted. Without a limit, retries multiply the
 // load exactly when backend servers fail because they are overloaded. It is safe for concurrent use.
 type RetryBudget struct {
 	thousandths atomic.Int64
 	perRequest  atomic.Int64
 	capacity    atomic.Int64
+	// priorities has a bit for each priority of which there have been requests.
+	priorities atomic.Uint32
+	short      atomic.Bool
+}
+
+// Retry is what a retry is for.
+type Retry struct {
+	// Priority is that of the request.
+	Priority settings.Priority
+	// Hedged means that the request has not failed, but takes long.
+	Hedged bool
 }
 
 // NewRetryBudget returns a full budget to which each request of a caller adds the given ratio of a retry, from 0 to 1.
@@ -47,19 +70,29 @@
 	budget.perRequest.Store(int64(ratio * thousandthsPerRetry))
 }
 
-// Deposit adds the share of a retry that one request of a caller contributes.
-func (budget *RetryBudget) Deposit() {
-	if budget.thousandths.Load() < budget.capacity.Load() {
-		budget.thousandths.Add(budget.perRequest.Load())
+// Deposit adds the share of a retry that one request of a caller contributes, and takes note of its priority.
+func (budget *RetryBudget) Deposit(priority settings.Priority) {
+	if bit := uint32(1) << priority; budget.priorities.Load()&bit == 0 {
+		budget.priorities.Or(bit)
+	}
+	balance, capacity := budget.thousandths.Load(), budget.capacity.Load()
+	if balance < capacity {
+		balance = budget.thousandths.Add(budget.perRequest.Load())
+	}
+	if float64(balance) >= plentyShare*float64(capacity) && budget.short.Load() {
+		budget.short.Store(false)
 	}
 }
 
-// TryWithdraw removes one retry from the budget, and reports whether one was available.
-func (budget *RetryBudget) TryWithdraw() bool {
+// TryWithdraw removes one retry from the budget, and reports whether one was available beyond what is reserved for more useful ones.
+func (budget *RetryBudget) TryWithdraw(retry Retry) bool {
 	for {
-		balance := budget.thousandths.Load()
-		remaining := min(balance, budget.capacity.Load()+budget.perRequest.Load()) - thousandthsPerRetry
-		if remaining < 0 {
+		balance, capacity := budget.thousandths.Load(), budget.capacity.Load()
+		remaining := min(balance, capacity+budget.perRequest.Load()) - thousandthsPerRetry
+		if remaining < budget.reserved(retry, capacity) {
+			if remaining < 0 && !retry.Hedged {
+				budget.short.Store(true)
+			}
 			return false
 		}
 		if budget.thousandths.CompareAndSwap(balance, remaining) {
@@ -67,3 +100,18 @@
 		}
 	}
 }
+
+// reserved returns the part of the capacity that the retry must leave to others.
+func (budget *RetryBudget) reserved(retry Retry, capacity int64) int64 {
+	if !budget.short.Load() {
+		return 0
+	}
+	steps := 0.0
+	if moreUrgent := uint32(1)<<retry.Priority - 1; budget.priorities.Load()&moreUrgent != 0 {
+		steps++
+	}
+	if retry.Hedged {
+		steps++
+	}
+	return int64(steps * reserveStep * float64(capacity))
+}
