--- a/internal/caller/connection.go
+++ b/internal/caller/connection.go
@@ -154,10 +154,8 @@
 
 // awaitsRequest reports whether the connection waits for a request of which no byte has arrived.
 func (guardedConnection *guardedConnection) awaitsRequest() bool {
-	if requestPipeline := guardedConnection.pipeline; requestPipeline != nil {
-		if requestPipeline.sequence.InProgress() > 0 || len(requestPipeline.unread) > 0 {
-			return false
-		}
+	if guardedConnection.pipeline != nil && !guardedConnection.pipeline.idle() {
+		return false
 	}
 	return guardedConnection.state != http.StateActive && !guardedConnection.unhandledBytes.Load() && !guardedConnection.hasUnreadBytes()
 }
@@ -247,7 +245,7 @@
 	guardedConnection.mutex.Lock()
 	defer guardedConnection.mutex.Unlock()
 	switch {
-	case guardedConnection.closing || guardedConnection.pipeline != nil:
+	case guardedConnection.closing || guardedConnection.pipeline != nil && !guardedConnection.pipeline.idle():
 		return time.Time{}, false
 	case guardedConnection.state == http.StateIdle:
 		return guardedConnection.since, true
--- a/internal/caller/pipelining.go
+++ b/internal/caller/pipelining.go
@@ -96,6 +96,11 @@
 	return guardedConnection.pipeline
 }
 
+// idle reports whether no request is in progress and none has been received. The connection's mutex must be held.
+func (requestPipeline *requestPipeline) idle() bool {
+	return requestPipeline.sequence.InProgress() == 0 && len(requestPipeline.unread) == 0
+}
+
 // notify wakes everything that waits for a change. The connection's mutex must be held.
 func (requestPipeline *requestPipeline) notify() {
 	requestPipeline.changed.Broadcast()
--- a/internal/caller/readbehind.go
+++ b/internal/caller/readbehind.go
@@ -109,7 +109,7 @@
 	count = guardedConnection.guard.observe(buffer[:count])
 	requestPipeline.unread = requestPipeline.unread[count:]
 	requestPipeline.sequential = false
-	if len(requestPipeline.unread) == 0 && requestPipeline.sequence.InProgress() == 0 {
+	if requestPipeline.idle() {
 		guardedConnection.pipeline = nil
 	}
 	if count > 0 {
--- a/internal/caller/sendinorder.go
+++ b/internal/caller/sendinorder.go
@@ -89,6 +89,7 @@
 // idle timeout. The mutex must be held.
 func (guardedConnection *guardedConnection) endProgress() {
 	requestPipeline := guardedConnection.pipeline
+	guardedConnection.since = time.Now()
 	switch {
 	case guardedConnection.closing, guardedConnection.ended, requestPipeline.sequence.Ended():
 		guardedConnection.ended = true
