Let classes of one priority take turns while they wait

What callers saw: requests of one priority were served in the order of their arrival, so that a class with many of them took the room of one with few.

Change: waiting requests of a rank get turns by class, as in fair queueing by start time; a class's own requests stay in order, and the expected wait by which a request is refused counts those before its turn. With one class in a rank nothing changes.

--- a/internal/service/admission.go
+++ b/internal/service/admission.go
@@ -58,10 +58,10 @@
 // that is not expected to start before its wait deadline is refused immediately: its caller can retry when permits are free, and
 // the request does not delay others that can still be served.
 func (scheduler *Scheduler) enqueue(now clock.Moment, waiter *rankedWaiter) error {
-	if !waiter.late() && now.Add(scheduler.expectedWait(now, waiter.rank)) > waiter.startDeadline {
+	if !waiter.late() && now.Add(scheduler.expectedWait(now, waiter.rank, waiter.classStats)) > waiter.startDeadline {
 		waiter.rank = rankOf(waiter.request, true)
 	}
-	if waiter.late() && scheduler.expectedWait(now, waiter.rank) > waiter.waitDeadline.Since(now)*maxExpectedWaitShare {
+	if waiter.late() && scheduler.expectedWait(now, waiter.rank, waiter.classStats) > waiter.waitDeadline.Since(now)*maxExpectedWaitShare {
 		return &RefusedError{Cause: ErrQueueFull, RetryAfter: scheduler.retryAfter(now)}
 	}
 	scheduler.waiting.push(waiter)
@@ -102,15 +102,15 @@
 	return inFlight, limit
 }
 
-// expectedWait returns the expected queue time of a request of the given rank: the number of requests ahead of it, divided by
+// expectedWait returns the expected queue time of a request of the given rank and class, or of any class if that is nil: the number of requests ahead of it, divided by
 // the rate at which permits are released for its rank. By Little's law that rate is the number of permits in use divided by the
 // mean time that a permit is in use. If all targets limit their rate, it is at least the time until they accept as many requests, and
 // if all rest, the time until one accepts requests. The expected wait is 0 while a fast target is available.
-func (scheduler *Scheduler) expectedWait(now clock.Moment, rank rank) clock.Milliseconds {
+func (scheduler *Scheduler) expectedWait(now clock.Moment, rank rank, classStats *classStats) clock.Milliseconds {
 	if scheduler.anyFastAvailable(now) {
 		return 0
 	}
-	ahead := scheduler.waiting.ahead(rank)
+	ahead := scheduler.waiting.ahead(rank, classStats)
 	availablePermits := float64(max(scheduler.ownInFlight, 1)) * scheduler.rankShares.remaining(rank)
 	if scheduler.unknown.pending(now) {
 		return unknownProbeTime
@@ -138,7 +138,7 @@
 // retryAfterAtLeast returns the expected wait of the lowest rank within the given minimum and maxRetryAfter, plus jitter, so that
 // callers refused together do not retry together.
 func (scheduler *Scheduler) retryAfterAtLeast(now clock.Moment, minimum clock.Milliseconds) clock.Milliseconds {
-	wait := scheduler.expectedWait(now, rankCount-1)
+	wait := scheduler.expectedWait(now, rankCount-1, nil)
 	wait = min(max(wait, minimum), maxRetryAfter)
 	return wait * clock.Milliseconds(1+retryAfterJitter*scheduler.random.Float64())
 }
--- a/internal/service/pendingpermit.go
+++ b/internal/service/pendingpermit.go
@@ -26,7 +26,7 @@
 		return Permit{}, nil, &RefusedError{Cause: ErrNoTarget, RetryAfter: retryAfterNoTarget}
 	}
 	waiter := scheduler.newWaiter(now, request)
-	if scheduler.waiting.ahead(waiter.rank) == 0 {
+	if scheduler.waiting.ahead(waiter.rank, nil) == 0 {
 		if permit, found := scheduler.acquireNow(now, &waiter); found {
 			return permit, nil, nil
 		}
--- a/internal/service/rankedqueue.go
+++ b/internal/service/rankedqueue.go
@@ -41,9 +41,10 @@
 	done          chan scheduledGrant
 	rank          rank
 
-	// queued is true while the element is in a rankedQueue; sequence is the order in which elements were added there.
+	// queued is true while the element is in a rankedQueue; sequence is the order in which elements were added there, and turn that in
+	// which those of its rank are served.
 	queued         bool
-	sequence       int
+	sequence, turn int
 	previous, next *rankedWaiter
 	overdueTimer   timer[rankedWaiter]
 }
@@ -59,10 +60,73 @@
 	return waiter.rank >= firstLateRank
 }
 
-// rankedList is a linked list of the waiting requests of one rank, in the order in which they were added.
+// rankedList is a linked list of the waiting requests of one rank, in the order in which they are served. Classes take turns: of a class with
+// many waiting requests one is served for each of a class with few, so that the first does not take the room of the second.
 type rankedList struct {
 	first, last *rankedWaiter
 	length      int
+	// turn is the highest turn that has been served, lastTurns holds the last turn given to each class with waiting requests.
+	turn      int
+	lastTurns map[*classStats]int
+}
+
+// nextTurn returns the turn that the next request of a class gets.
+func (rankedList *rankedList) nextTurn(classStats *classStats) int {
+	return max(rankedList.turn, rankedList.lastTurns[classStats]) + 1
+}
+
+// countBefore returns the number of requests that are served before a new one with the given turn.
+func (rankedList *rankedList) countBefore(turn int) int {
+	count := rankedList.length
+	for waiter := rankedList.last; waiter != nil && waiter.turn > turn; waiter = waiter.previous {
+		count--
+	}
+	return count
+}
+
+// insert adds a request behind those of the same or an earlier turn.
+func (rankedList *rankedList) insert(waiter *rankedWaiter) {
+	waiter.turn = rankedList.nextTurn(waiter.classStats)
+	if rankedList.lastTurns == nil {
+		rankedList.lastTurns = map[*classStats]int{}
+	}
+	rankedList.lastTurns[waiter.classStats] = waiter.turn
+	before := rankedList.last
+	for before != nil && before.turn > waiter.turn {
+		before = before.previous
+	}
+	waiter.previous = before
+	if before == nil {
+		waiter.next, rankedList.first = rankedList.first, waiter
+	} else {
+		waiter.next, before.next = before.next, waiter
+	}
+	if waiter.next == nil {
+		rankedList.last = waiter
+	} else {
+		waiter.next.previous = waiter
+	}
+	rankedList.length++
+}
+
+// remove removes a request.
+func (rankedList *rankedList) remove(waiter *rankedWaiter) {
+	if waiter.previous == nil {
+		rankedList.first = waiter.next
+	} else {
+		waiter.previous.next = waiter.next
+	}
+	if waiter.next == nil {
+		rankedList.last = waiter.previous
+	} else {
+		waiter.next.previous = waiter.previous
+	}
+	waiter.previous, waiter.next = nil, nil
+	rankedList.length--
+	if rankedList.length == 0 {
+		rankedList.turn = 0
+		clear(rankedList.lastTurns)
+	}
 }
 
 // rankedQueue holds waiting requests by rank.
@@ -76,15 +140,7 @@
 }
 
 func (rankedQueue *rankedQueue) push(waiter *rankedWaiter) {
-	list := &rankedQueue.lists[waiter.rank]
-	waiter.previous, waiter.next = list.last, nil
-	if list.last == nil {
-		list.first = waiter
-	} else {
-		list.last.next = waiter
-	}
-	list.last = waiter
-	list.length++
+	rankedQueue.lists[waiter.rank].insert(waiter)
 	rankedQueue.length++
 	rankedQueue.lastSequence++
 	waiter.queued, waiter.sequence = true, rankedQueue.lastSequence
@@ -94,37 +150,37 @@
 	}
 }
 
+// serve removes a request that gets a permit.
+func (rankedQueue *rankedQueue) serve(waiter *rankedWaiter) {
+	list := &rankedQueue.lists[waiter.rank]
+	list.turn = max(list.turn, waiter.turn)
+	rankedQueue.remove(waiter)
+}
+
 // remove removes waiter from the queue, and reports whether it was in the queue.
 func (rankedQueue *rankedQueue) remove(waiter *rankedWaiter) bool {
 	if !waiter.queued {
 		return false
 	}
-	list := &rankedQueue.lists[waiter.rank]
-	if waiter.previous == nil {
-		list.first = waiter.next
-	} else {
-		waiter.previous.next = waiter.next
-	}
-	if waiter.next == nil {
-		list.last = waiter.previous
-	} else {
-		waiter.next.previous = waiter.previous
-	}
-	waiter.previous, waiter.next = nil, nil
+	rankedQueue.lists[waiter.rank].remove(waiter)
 	waiter.queued = false
-	list.length--
 	rankedQueue.length--
 	rankedQueue.startDeadlines.remove(&waiter.overdueTimer)
 	return true
 }
 
-// ahead returns the number of queued requests that are served before a new request of the given rank.
-func (rankedQueue *rankedQueue) ahead(rank rank) int {
+// ahead returns the number of queued requests that are served before a new request of the given rank and class. Without a class it is the
+// number of all requests of this and more urgent ranks.
+func (rankedQueue *rankedQueue) ahead(rank rank, classStats *classStats) int {
 	ahead := 0
-	for before := range rank + 1 {
+	for before := range rank {
 		ahead += rankedQueue.lists[before].length
 	}
-	return ahead
+	list := &rankedQueue.lists[rank]
+	if classStats == nil {
+		return ahead + list.length
+	}
+	return ahead + list.countBefore(list.nextTurn(classStats))
 }
 
 // each calls visit for the waiting requests in order until it returns false. visit may remove the request that it is called with.
--- a/internal/service/scheduler.go
+++ b/internal/service/scheduler.go
@@ -317,7 +317,7 @@
 			// it. If no fast target is available at all, the remaining requests need not be tried.
 			return scheduler.anyFastAvailable(now)
 		}
-		scheduler.waiting.remove(waiter)
+		scheduler.waiting.serve(waiter)
 		waiter.done <- scheduledGrant{permit: permit}
 		return true
 	})
