Tell callers that neither copy of a hedged request has run

Cause: the record of the first copy stayed "hedged request was sent", which counts as one that may have run.

Change: when the results of both copies are known, the record of the first holds that of the other one.

--- a/internal/caller/hedge.go
+++ b/internal/caller/hedge.go
@@ -40,6 +40,7 @@
 	if winner != nil {
 		return *winner
 	}
+	record := len(call.attempts)
 	call.attempts = append(call.attempts, trace.Attempt{
 		Target: first.Target.Name, DataCentre: first.Target.DataCentre, Considered: first.Considered, InFlight: first.InFlight,
 		QueueWait: first.QueueTime, Slowdown: first.LoadReading.Slowdown, Result: trace.ResultNoResponse, Error: "hedged request was sent",
@@ -57,26 +58,24 @@
 		go awaitLoser(results)
 		return earlier
 	}
-	later := <-results
-	if later.answered() {
-		discardLoser(&earlier)
-		return later
-	}
-	if earlier.answered() {
-		discardLoser(&later)
-		return earlier
-	}
-	return mergeFailures(earlier, later)
+	chosen, other := chooseResult(earlier, <-results)
+	// Both results are known, so that the record need not state that the first request may have run.
+	call.attempts[record] = other.trace
+	discardLoser(&other)
+	return chosen
 }
 
-// mergeFailures returns the attempt that determines the outcome if neither the first nor the hedged request was answered, and
-// discards the other one. The returned attempt has not run only if neither has.
-func mergeFailures(one, other attempt) attempt {
-	if other.notRun && !one.notRun {
-		one, other = other, one
+// chooseResult returns the attempt that determines the outcome, of the first and the hedged request, and the other one. An answered
+// attempt is chosen, the later one if both are. If neither is, the chosen attempt has not run only if neither has.
+func chooseResult(earlier, later attempt) (attempt, attempt) {
+	switch {
+	case later.answered():
+		return later, earlier
+	case earlier.answered(), later.notRun && !earlier.notRun:
+		return earlier, later
+	default:
+		return later, earlier
 	}
-	one.discard()
-	return other
 }
 
 // sendAsync sends the request in a goroutine, under a context of its own that lasts until the attempt is discarded.
--- a/internal/caller/hedge_test.go
+++ b/internal/caller/hedge_test.go
@@ -39,10 +39,11 @@
 	}
 	for _, testCase := range cases {
 		t.Run(testCase.name, func(t *testing.T) {
-			merged := mergeFailures(testCase.one(t), testCase.other(t))
+			merged, other := chooseResult(testCase.one(t), testCase.other(t))
 			require.False(t, merged.answered())
 			require.Equal(t, testCase.notRun, merged.notRun)
 			merged.discard()
+			discardLoser(&other)
 		})
 	}
 }
