Leave an instance out of address answers that can do no more

What callers saw: an instance whose machine turns slow, or whose link or callers' connections are used up, was named like all others and refused or delayed its part of all callers while the others had room.

It decides itself and announces it in its load report, to standby instances as well. While no instance is fully used, nothing changes.

--- a/internal/fleet/addresses.go
+++ b/internal/fleet/addresses.go
@@ -7,6 +7,7 @@
 
 	"github.com/jaywheel/jaywheel/internal/membership"
 	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
 )
 
 // addressBook is the content of address answers.
@@ -27,7 +28,7 @@
 // wait and be refused while there are free permits for callers of the other instances. It is advertised only if there is no other
 // instance.
 //
-// The same holds for an isolated instance, whose requests have to be relayed.
+// The same holds for an isolated instance, whose requests have to be relayed, and for one that can do no more while others can.
 func (controller *Controller) advertised() []membership.Identity {
 	if controller.view == nil {
 		return controller.serving
@@ -43,9 +44,34 @@
 		}
 	}
 	if len(advertised) == 0 {
-		return reaching
+		advertised = reaching
 	}
-	return advertised
+	unrelieved := slices.DeleteFunc(slices.Clone(advertised), func(identity membership.Identity) bool { return controller.members.Relieved(identity.Name) })
+	if len(unrelieved) == 0 {
+		return advertised
+	}
+	return unrelieved
+}
+
+// updateRelieved publishes the addresses again when an instance is relieved or no longer.
+func (controller *Controller) updateRelieved() {
+	var relieved []settings.InstanceName
+	for _, identity := range controller.serving {
+		if controller.members.Relieved(identity.Name) {
+			relieved = append(relieved, identity.Name)
+		}
+	}
+	if slices.Equal(relieved, controller.relieved) {
+		return
+	}
+	controller.relieved = relieved
+	level := zerolog.DebugLevel
+	if controller.members.State() == membership.Serving {
+		level = zerolog.InfoLevel
+	}
+	controller.options.Log.WithLevel(level).Interface("relieved", relieved).Int("utilizationPermille", int(controller.members.Utilization())).
+		Msg("serving instances left out of address answers, because they can do no more")
+	controller.publishAddresses()
 }
 
 func (controller *Controller) publishAddresses() {
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -219,6 +219,8 @@
 	lateTickAt clock.Moment
 	lateTickBy clock.Milliseconds
 	loadMeter  loadMeter
+	// relieved are the serving instances that address answers leave out because they can do no more.
+	relieved []settings.InstanceName
 	// refusesConnections means that requests were refused lately because too many connections of callers are open.
 	refusesConnections bool
 	downLog            downLog
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -172,6 +172,7 @@
 			Int("utilizationPermille", int(controller.members.Utilization())).Msg("number of instances that should serve")
 		controller.publishIfServingChanged()
 	}
+	controller.updateRelieved()
 	for _, address := range controller.members.DueLoadReports() {
 		report := controller.members.NewLoadReport()
 		controller.send(address, &Message{Load: &report})
--- a/internal/membership/load.go
+++ b/internal/membership/load.go
@@ -44,6 +44,8 @@
 	Sender      settings.InstanceName
 	Incarnation Incarnation
 	Sequence    uint64
+	// Utilization is negative if callers should not be sent to the sender for a while: -1 - u for the utilization u. Messages are told
+	// apart by their number of fields, and instances of earlier versions take a negative utilization for 0.
 	Utilization Utilization
 	// WantedServing is the number of instances of the whole fleet that should serve; 0 is the minimum.
 	WantedServing int
@@ -53,6 +55,7 @@
 type reportedLoad struct {
 	utilization   Utilization
 	wantedServing int
+	relieved      bool
 	sequence      uint64
 	receivedAt    clock.Moment
 }
@@ -65,6 +68,7 @@
 	wantedServing, ownWanted int
 	// lowSince is since when fewer instances would suffice, 0 while they would not. grownAt is when ownWanted last increased.
 	lowSince, grownAt clock.Moment
+	relief            relief
 	sequence          uint64
 }
 
@@ -84,14 +88,19 @@
 	if !known || member.Incarnation != report.Incarnation || report.Sequence <= member.load.sequence {
 		return
 	}
+	utilization, relieved := report.Utilization, report.Utilization < 0
+	if relieved {
+		utilization = -1 - utilization
+	}
 	member.load = reportedLoad{
-		utilization: min(max(report.Utilization, 0), FullUtilization), wantedServing: min(max(report.WantedServing, 0), maxServing),
+		utilization: min(utilization, FullUtilization), wantedServing: min(max(report.WantedServing, 0), maxServing), relieved: relieved,
 		sequence: report.Sequence, receivedAt: members.options.Clock.Now(),
 	}
 }
 
 // DueLoadReports returns the addresses to which a load report is due now, and records them as sent. Standby instances get reports only
-// while more than the minimum should serve, and only from the minimum of serving instances; without a report they assume the minimum.
+// while more than the minimum should serve, and only from the minimum of serving instances; without a report they assume the minimum. They
+// also get those of an instance that is relieved, since they tell callers which instances to use.
 func (members *Members) DueLoadReports() []netip.AddrPort {
 	if members.state != Serving {
 		return nil
@@ -101,7 +110,7 @@
 	for _, member := range members.roster.listAlive() {
 		interval := loadReportInterval
 		if member.State != Serving {
-			if members.load.wantedServing == 0 || !members.amongMinimum() {
+			if !members.load.relief.active(now) && (members.load.wantedServing == 0 || !members.amongMinimum()) {
 				continue
 			}
 			interval = standbyInterval
@@ -118,9 +127,13 @@
 // NewLoadReport returns the next load report.
 func (members *Members) NewLoadReport() LoadReport {
 	members.load.sequence++
+	utilization := members.load.utilization
+	if members.load.relief.active(members.options.Clock.Now()) {
+		utilization = -1 - utilization
+	}
 	return LoadReport{
 		Sender: members.options.Self.Name, Incarnation: members.options.Incarnation, Sequence: members.load.sequence,
-		Utilization: members.load.utilization, WantedServing: members.load.ownWanted,
+		Utilization: utilization, WantedServing: members.load.ownWanted,
 	}
 }
 
@@ -134,13 +147,14 @@
 	now := members.options.Clock.Now()
 	if members.state == Serving {
 		members.updateOwnWanted(now)
+		members.updateRelief(now)
 	} else {
-		members.load.ownWanted, members.load.lowSince = 0, 0
+		members.load.ownWanted, members.load.lowSince, members.load.relief = 0, 0, relief{}
 	}
 	// The largest number counts. It falls when all serving instances have seen for a while that fewer suffice.
 	wanted := members.load.ownWanted
 	for _, peer := range members.ServingPeers() {
-		if peer.load.receivedAt > 0 && now.Since(peer.load.receivedAt) < loadReportTimeout {
+		if peer.load.current(now) {
 			wanted = max(wanted, peer.load.wantedServing)
 		}
 	}
@@ -186,7 +200,7 @@
 func (members *Members) servingLoad(now clock.Moment) float64 {
 	load := float64(members.load.utilization) * float64(members.options.Self.Size)
 	for _, peer := range members.ServingPeers() {
-		if peer.load.receivedAt > 0 && now.Since(peer.load.receivedAt) < loadReportTimeout {
+		if peer.load.current(now) {
 			load += float64(peer.load.utilization) * float64(peer.Identity.Size)
 		}
 	}
