Break off a lookup at its server only if it will be relayed

Cause: an instance that is short of processor time takes a service for unreachable and breaks off all lookups there to relay them (design 0011). The relayed request counts as a retry. With the retry budget empty it was denied, after the lookup had been broken off: nobody answered.

Change: the retry is charged first, and without one the lookup goes on. A leaving instance breaks off nothing: its servers are at work, and it has a few seconds left. TestLookupUnderWayIsBrokenOffOnlyToBeRelayed failed in both cases before.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -21,7 +21,7 @@
 	// notRun means that the request certainly did not run.
 	notRun bool
 	// budgetExempt means that a retry is not charged to the retry budget: the request failed on an idle connection that had
-	// been closed unnoticed, which does not indicate a fault of the server.
+	// been closed unnoticed, which does not indicate a fault of the server, or the retry has been charged already.
 	budgetExempt bool
 	// connected means that a connection was obtained for the request.
 	connected bool
--- a/internal/caller/hedge.go
+++ b/internal/caller/hedge.go
@@ -120,9 +120,11 @@
 		case <-timer.C:
 		}
 		now := call.now()
-		if call.unreachable() {
+		if call.mayBreakOff() {
 			cancelFirst()
 			result := <-results
+			// The retry has been charged.
+			result.budgetExempt = true
 			return service.Permit{}, &result
 		}
 		if ctx.Err() == nil && call.quotaAllowsRetry() && !call.keyRevoked() && (now >= overdueAt || first.Slow()) {
@@ -136,6 +138,12 @@
 	}
 }
 
+// mayBreakOff reports whether the first request is broken off because the service turns out to be unreachable, and charges the retry to
+// the budget: without a retry, nobody would answer the caller. An instance that is leaving ends what it has begun.
+func (call *call) mayBreakOff() bool {
+	return call.unreachable() && !call.handler.draining() && call.route.Service.Budget.TryWithdraw(service.Retry{Priority: call.route.Class.Settings.Priority})
+}
+
 // acquireHedgePermit acquires a permit for the hedged request without waiting, and charges it to the retry budget.
 func (call *call) acquireHedgePermit(permitRequest service.PermitRequest) (service.Permit, bool) {
 	second, acquired := call.route.Service.Scheduler.TryAcquire(permitRequest)
--- /dev/null
+++ b/internal/caller/unreachable_test.go
@@ -0,0 +1,82 @@
+package caller
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jaywheel/jaywheel/internal/backendserver"
+	"github.com/jaywheel/jaywheel/internal/routing"
+	"github.com/jaywheel/jaywheel/internal/service"
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
+)
+
+// useScheduler lets the fixture's instance grant permits of a single warm target by a scheduler.
+func (fixture *fixture) useScheduler(address string) *routing.Service {
+	clock := fixture.handler.options.Clock
+	scheduler := service.NewScheduler(service.SchedulerOptions{Clock: clock, Rand: rand.New(rand.NewPCG(1, 1))})
+	name := settings.TargetName(address)
+	scheduler.SetTargets([]service.TargetConfig{{Name: name, Address: address, Slots: 4, Usable: true, Local: true}})
+	scheduler.Observe(name, service.LoadReading{At: clock.Now(), Slots: 4, Slowdown: 1, ColdKnown: true, Source: service.FromPeer})
+	serviceSettings := fixtureService()
+	fixture.handler.options.Servers.Set(name, backendserver.Options{Address: address, MaxConnections: 4, Connections: serviceSettings.Connections})
+	booking := &routing.Service{
+		Name: "booking", Settings: serviceSettings, Scheduler: scheduler, Budget: service.NewRetryBudget(serviceSettings.Retry.BudgetShare),
+	}
+	fixture.table = routing.NewTable(routing.Options{Site: fixture.table.Site, Registry: fixture.registry, Services: []*routing.Service{booking}})
+	return booking
+}
+
+// Guards against a lookup that is broken off at a backend server, because the instance takes the service for unreachable, and that nobody
+// answers: when it cannot be sent once more, or by an instance that is leaving.
+func TestLookupUnderWayIsBrokenOffOnlyToBeRelayed(t *testing.T) {
+	cases := []struct {
+		name    string
+		prepare func(*relayFixture, *routing.Service)
+		body    string
+	}{
+		{"it can be relayed", func(*relayFixture, *routing.Service) {}, "from the peer"},
+		{"no retry is left", func(_ *relayFixture, booking *routing.Service) {
+			for booking.Budget.TryWithdraw(service.Retry{}) {
+				continue
+			}
+		}, "/look"},
+		{"the instance is leaving", func(fixture *relayFixture, _ *routing.Service) {
+			fixture.handler.Drain(10*clock.Second, 20*clock.Second)
+		}, "/look"},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			gate := newGate()
+			backend := startBackend(t, gate.serve)
+			peer := newFixture(t, fixtureService(), startBackend(t, func(writer http.ResponseWriter, _ *http.Request) { _, _ = writer.Write([]byte("from the peer")) }))
+			origin := newRelayFixture(t, fixtureService(), startPeer(t, peer))
+			booking := origin.useScheduler(backend)
+			var unreachable atomic.Bool
+			var asked atomic.Int64
+			origin.handler.options.Relay.Unreachable = func(settings.ServiceName) bool {
+				if unreachable.Load() {
+					asked.Add(1)
+				}
+				return unreachable.Load()
+			}
+			results := make(chan response, 1)
+			go func() {
+				got, _ := sendWhole(origin.newRequest(t, http.MethodGet, "/look", http.NoBody))
+				results <- got
+			}()
+			gate.awaitArrived(t, 1)
+			testCase.prepare(origin, booking)
+			unreachable.Store(true)
+			require.Eventually(t, func() bool { return asked.Load() > 3 || len(results) > 0 }, maxWait, pollInterval)
+			gate.release("/look")
+			got := <-results
+			require.Equal(t, http.StatusOK, got.status)
+			require.Equal(t, testCase.body, got.body)
+		})
+	}
+}
