--- a/internal/caller/unreachable_test.go
+++ b/internal/caller/unreachable_test.go
@@ -64,9 +64,9 @@
 				}
 				return unreachable.Load()
 			}
-			results := make(chan response, 1)
+			request, results := origin.newRequest(t, http.MethodGet, "/look", http.NoBody), make(chan response, 1)
 			go func() {
-				got, _ := sendWhole(origin.newRequest(t, http.MethodGet, "/look", http.NoBody))
+				got, _ := sendWhole(request)
 				results <- got
 			}()
 			gate.awaitArrived(t, 1)
