--- a/internal/caller/connection.go
+++ b/internal/caller/connection.go
@@ -224,52 +224,6 @@
 	}
 }
 
-// changeState sets the state and counts the connection as active or idle. The mutex must be held.
-func (guardedConnection *guardedConnection) changeState(state http.ConnState) {
-	wasActive := guardedConnection.state == http.StateActive
-	guardedConnection.state = state
-	switch {
-	case state == http.StateActive && !wasActive:
-		guardedConnection.connections.active.Add(1)
-	case state != http.StateActive && wasActive:
-		guardedConnection.connections.active.Add(-1)
-	}
-	if state == http.StateIdle {
-		guardedConnection.since = time.Now()
-	}
-}
-
-// idleSince returns since when the connection has been waiting for a request, and whether it may be closed for that. A new connection may
-// not be closed before its caller has had time to send a request.
-func (guardedConnection *guardedConnection) idleSince(now time.Time) (time.Time, bool) {
-	guardedConnection.mutex.Lock()
-	defer guardedConnection.mutex.Unlock()
-	switch {
-	case guardedConnection.closing || guardedConnection.pipeline != nil && !guardedConnection.pipeline.idle():
-		return time.Time{}, false
-	case guardedConnection.state == http.StateIdle:
-		return guardedConnection.since, true
-	default:
-		return guardedConnection.since, guardedConnection.state == http.StateNew && now.Sub(guardedConnection.since) > newConnectionTimeout.Duration()
-	}
-}
-
-// endHandling records that the HTTP server has sent the response to the request that it has read from the connection. It reports whether
-// requests are behind that one.
-func (guardedConnection *guardedConnection) endHandling() bool {
-	guardedConnection.mutex.Lock()
-	defer guardedConnection.mutex.Unlock()
-	guardedConnection.handling, guardedConnection.accepted = false, false
-	requestPipeline := guardedConnection.pipeline
-	if requestPipeline == nil {
-		return false
-	}
-	requestPipeline.sequence.Finish(requestPipeline.handled, pipeline.Answered)
-	requestPipeline.sequence.Advance()
-	requestPipeline.notify()
-	return true
-}
-
 // handleConnState is the ConnState hook of the HTTP server.
 func handleConnState(connection net.Conn, state http.ConnState) {
 	switch connection := connection.(type) {
@@ -309,23 +263,3 @@
 	defer guardedConnection.release()
 	return guardedConnection.TCPConn.Close()
 }
-
-// endPipeline cancels the requests in progress behind the one that the HTTP server reads itself. It reports whether the connection has
-// to be read on for a moment before it is closed, which would otherwise reset it, and ends its sending side in that case.
-func (guardedConnection *guardedConnection) endPipeline() bool {
-	guardedConnection.mutex.Lock()
-	defer guardedConnection.mutex.Unlock()
-	requestPipeline := guardedConnection.pipeline
-	if requestPipeline == nil {
-		return false
-	}
-	if len(requestPipeline.unread) > 0 {
-		guardedConnection.pipelining.events.Add(EventPipelineUnread, 1)
-	}
-	guardedConnection.abandonLocked()
-	if guardedConnection.resetting || !guardedConnection.lingerUntil.IsZero() || !guardedConnection.hasUnreadBytes() {
-		return false
-	}
-	return guardedConnection.TCPConn.CloseWrite() == nil &&
-		guardedConnection.TCPConn.SetReadDeadline(time.Now().Add(lingerTimeout.Duration())) == nil
-}
--- a/internal/caller/connections.go
+++ b/internal/caller/connections.go
@@ -2,10 +2,12 @@
 
 import (
 	"expvar"
+	"net/http"
 	"slices"
 	"sync/atomic"
 	"time"
 
+	"github.com/jaywheel/jaywheel/internal/metrics"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
@@ -58,19 +60,10 @@
 func (connections *Connections) Use() ConnectionUse {
 	return ConnectionUse{
 		Open: int(connections.open.Load()), Active: int(connections.active.Load()), Limit: int(connections.limit),
-		Refused: eventCount(connections.events, EventConnectionsRefused) + eventCount(connections.events, EventConnectionsDropped),
+		Refused: metrics.EventCount(connections.events, EventConnectionsRefused) + metrics.EventCount(connections.events, EventConnectionsDropped),
 	}
 }
 
-// eventCount returns the value of an event counter.
-func eventCount(events *expvar.Map, name string) int64 {
-	count, counted := events.Get(name).(*expvar.Int)
-	if !counted {
-		return 0
-	}
-	return count.Value()
-}
-
 // admit counts a new connection. It reports false, and does not count it, if not even a refusal can be sent on it.
 func (connections *Connections) admit() bool {
 	if connections.open.Add(1) <= connections.limit+connections.reserve {
@@ -175,3 +168,33 @@
 	guardedConnection.beyondLimit = guardedConnection.connections.overLimit()
 	return guardedConnection.beyondLimit
 }
+
+// changeState sets the state and counts the connection as active or idle. The mutex must be held.
+func (guardedConnection *guardedConnection) changeState(state http.ConnState) {
+	wasActive := guardedConnection.state == http.StateActive
+	guardedConnection.state = state
+	switch {
+	case state == http.StateActive && !wasActive:
+		guardedConnection.connections.active.Add(1)
+	case state != http.StateActive && wasActive:
+		guardedConnection.connections.active.Add(-1)
+	}
+	if state == http.StateIdle {
+		guardedConnection.since = time.Now()
+	}
+}
+
+// idleSince returns since when the connection has been waiting for a request, and whether it may be closed for that. A new connection may
+// not be closed before its caller has had time to send a request.
+func (guardedConnection *guardedConnection) idleSince(now time.Time) (time.Time, bool) {
+	guardedConnection.mutex.Lock()
+	defer guardedConnection.mutex.Unlock()
+	switch {
+	case guardedConnection.closing || guardedConnection.pipeline != nil && !guardedConnection.pipeline.idle():
+		return time.Time{}, false
+	case guardedConnection.state == http.StateIdle:
+		return guardedConnection.since, true
+	default:
+		return guardedConnection.since, guardedConnection.state == http.StateNew && now.Sub(guardedConnection.since) > newConnectionTimeout.Duration()
+	}
+}
--- a/internal/caller/keptconnection_bench_test.go
+++ b/internal/caller/keptconnection_bench_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -56,6 +57,24 @@
 	}
 }
 
+// BenchmarkPipelinedRequest measures a request of a caller that sends six at once.
+func BenchmarkPipelinedRequest(b *testing.B) {
+	const count = 6
+	for _, limits := range benchmarkLimits {
+		b.Run(limits.name, func(b *testing.B) {
+			caller := newBenchmarkFixture(b, limits.maxPipelined).dialPipelined(b)
+			requests := slices.Repeat([]string{lookup("/1")}, count)
+			b.ReportAllocs()
+			for number := 0; b.Loop(); number++ {
+				if number%count == 0 {
+					caller.send(requests...)
+				}
+				caller.requireBody("answer")
+			}
+		})
+	}
+}
+
 // BenchmarkIdleConnection measures the memory of a connection on which a request has been answered.
 func BenchmarkIdleConnection(b *testing.B) {
 	const count = 1000
--- a/internal/caller/pipelining.go
+++ b/internal/caller/pipelining.go
@@ -117,3 +117,39 @@
 	requestPipeline := guardedConnection.newPipeline()
 	requestPipeline.unread = append(requestPipeline.unread, data...)
 }
+
+// endHandling records that the HTTP server has sent the response to the request that it has read from the connection. It reports whether
+// requests are behind that one.
+func (guardedConnection *guardedConnection) endHandling() bool {
+	guardedConnection.mutex.Lock()
+	defer guardedConnection.mutex.Unlock()
+	guardedConnection.handling, guardedConnection.accepted = false, false
+	requestPipeline := guardedConnection.pipeline
+	if requestPipeline == nil {
+		return false
+	}
+	requestPipeline.sequence.Finish(requestPipeline.handled, pipeline.Answered)
+	requestPipeline.sequence.Advance()
+	requestPipeline.notify()
+	return true
+}
+
+// endPipeline cancels the requests in progress behind the one that the HTTP server reads itself. It reports whether the connection has
+// to be read on for a moment before it is closed, which would otherwise reset it, and ends its sending side in that case.
+func (guardedConnection *guardedConnection) endPipeline() bool {
+	guardedConnection.mutex.Lock()
+	defer guardedConnection.mutex.Unlock()
+	requestPipeline := guardedConnection.pipeline
+	if requestPipeline == nil {
+		return false
+	}
+	if len(requestPipeline.unread) > 0 {
+		guardedConnection.pipelining.events.Add(EventPipelineUnread, 1)
+	}
+	guardedConnection.abandonLocked()
+	if guardedConnection.resetting || !guardedConnection.lingerUntil.IsZero() || !guardedConnection.hasUnreadBytes() {
+		return false
+	}
+	return guardedConnection.TCPConn.CloseWrite() == nil &&
+		guardedConnection.TCPConn.SetReadDeadline(time.Now().Add(lingerTimeout.Duration())) == nil
+}
--- a/internal/caller/pipelining_test.go
+++ b/internal/caller/pipelining_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"expvar"
 	"fmt"
 	"io"
 	"net"
@@ -16,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/jaywheel/jaywheel/internal/metrics"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
@@ -173,11 +173,7 @@
 
 // eventCount returns the value of an event counter.
 func (fixture *fixture) eventCount(name string) int64 {
-	count, counted := fixture.registry.Events.Get(name).(*expvar.Int)
-	if !counted {
-		return 0
-	}
-	return count.Value()
+	return metrics.EventCount(&fixture.registry.Events, name)
 }
 
 // Guards against lookups that wait behind a slow one of their connection although backend servers are free.
--- a/internal/caller/sendinorder.go
+++ b/internal/caller/sendinorder.go
@@ -13,6 +13,7 @@
 	guardedConnection.abandonLocked()
 }
 
+// abandonLocked is abandonRequests for callers that hold the mutex.
 func (guardedConnection *guardedConnection) abandonLocked() {
 	guardedConnection.ended = true
 	requestPipeline := guardedConnection.pipeline
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -178,7 +178,7 @@
 		Clock: gateway.clock, BootClock: clock.NewBootTime(),
 		Rand:    rand.New(rand.NewPCG(gateway.options.Seed, 0)),
 		Servers: gateway.servers, Registry: gateway.registry, Log: gateway.options.Log, Quota: gateway.quota,
-		ProcessorTime: processorTime, SentBytes: func() int64 { return gateway.eventCount(caller.EventSentBytes) },
+		ProcessorTime: processorTime, SentBytes: func() int64 { return metrics.EventCount(&gateway.registry.Events, caller.EventSentBytes) },
 		LinkRate: gatewaySettings.LinkMegabits * bytesPerMillisecond, Connections: func() fleet.ConnectionUse { return fleet.ConnectionUse(gateway.connections.Use()) },
 		Send: gateway.datagrams.Send, SetJobs: gateway.prober.Set, Verify: gateway.prober.Verify,
 		CheckConnection: gateway.checkConnection, SetRelayPeers: gateway.relay.SetPeers, Regions: gatewaySettings.Regions,
--- a/internal/gateway/leave.go
+++ b/internal/gateway/leave.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"expvar"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/jaywheel/jaywheel/internal/caller"
+	"github.com/jaywheel/jaywheel/internal/metrics"
 )
 
 // Points of the drain, as shares of its time limit.
@@ -63,14 +63,5 @@
 
 // unhandledRequests returns the number of connections so far that were closed within a request that no handler received.
 func (gateway *Gateway) unhandledRequests() int64 {
-	return gateway.eventCount(caller.EventUnfinished)
-}
-
-// eventCount returns the value of an event counter.
-func (gateway *Gateway) eventCount(name string) int64 {
-	count, counted := gateway.registry.Events.Get(name).(*expvar.Int)
-	if !counted {
-		return 0
-	}
-	return count.Value()
+	return metrics.EventCount(&gateway.registry.Events, caller.EventUnfinished)
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -115,11 +115,7 @@
 
 // Outcomes returns the number of requests that ended with the outcome and reason.
 func (class *Class) Outcomes(result outcome.Outcome, reason outcome.Reason) int64 {
-	counter, counted := class.outcomes.Get(string(result) + "." + string(reason)).(*expvar.Int)
-	if !counted {
-		return 0
-	}
-	return counter.Value()
+	return EventCount(&class.outcomes, string(result)+"."+string(reason))
 }
 
 // ClassKey identifies a class among all tenants and services.
@@ -157,3 +153,12 @@
 	registry.classes[key] = made
 	return made
 }
+
+// EventCount returns the value of an event counter, 0 if the event has never been counted.
+func EventCount(events *expvar.Map, name string) int64 {
+	count, counted := events.Get(name).(*expvar.Int)
+	if !counted {
+		return 0
+	}
+	return count.Value()
+}
