--- a/internal/caller/connections.go
+++ b/internal/caller/connections.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/jaywheel/jaywheel/internal/metrics"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
@@ -32,9 +31,9 @@
 
 // Connections counts the connections of an instance's callers against their limit. It is safe for concurrent use.
 type Connections struct {
-	limit, reserve int64
-	open, active   atomic.Int64
-	events         *expvar.Map
+	limit, reserve        int64
+	open, active, refused atomic.Int64
+	events                *expvar.Map
 	// released is signalled when a connection ends.
 	released chan struct{}
 }
@@ -48,8 +47,7 @@
 // ConnectionUse is how many connections of callers are open.
 type ConnectionUse struct {
 	// Open is the number of open connections, Active the number of those on which a request is being handled.
-	Open   int `json:"open"`
-	Active int `json:"active"`
+	Open, Active int
 	// Limit is the number of connections that may be open before requests are refused.
 	Limit int
 	// Refused is the number of requests refused and connections closed at once since the start, because too many were open.
@@ -60,7 +58,7 @@
 func (connections *Connections) Use() ConnectionUse {
 	return ConnectionUse{
 		Open: int(connections.open.Load()), Active: int(connections.active.Load()), Limit: int(connections.limit),
-		Refused: metrics.EventCount(connections.events, EventConnectionsRefused) + metrics.EventCount(connections.events, EventConnectionsDropped),
+		Refused: connections.refused.Load(),
 	}
 }
 
@@ -70,10 +68,16 @@
 		return true
 	}
 	connections.open.Add(-1)
-	connections.events.Add(EventConnectionsDropped, 1)
+	connections.countRefused(EventConnectionsDropped)
 	return false
 }
 
+// countRefused counts a refused request or connection.
+func (connections *Connections) countRefused(event string) {
+	connections.refused.Add(1)
+	connections.events.Add(event, 1)
+}
+
 // release counts the end of a connection.
 func (connections *Connections) release() {
 	connections.open.Add(-1)
--- a/internal/caller/overload.go
+++ b/internal/caller/overload.go
@@ -30,7 +30,7 @@
 		return nil
 	}
 	call.mustClose = true
-	call.handler.options.Registry.Events.Add(EventConnectionsRefused, 1)
+	connection.connections.countRefused(EventConnectionsRefused)
 	errorResponse := newRejection(http.StatusServiceUnavailable, outcome.ReasonConnections, errConnections)
 	errorResponse.retryAfter = minOverloadRetryAfter * clock.Milliseconds(1+rand.Float64()/2)
 	return errorResponse
