--- a/internal/caller/keptconnection_bench_test.go
+++ b/internal/caller/keptconnection_bench_test.go
@@ -27,7 +27,8 @@
 	return newPipelinedFixture(b, limits, func(writer http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(writer, "answer") })
 }
 
-// awaitIdle waits until the instance has ended the latest request of its only connection, as it has when the next one arrives over a network.
+// awaitIdle waits until the instance has ended the latest request of its only connection, as it has when the next one arrives over a
+// network.
 func (fixture *fixture) awaitIdle() {
 	for idle := false; !idle; {
 		fixture.listener.mutex.Lock()
--- a/internal/caller/overload.go
+++ b/internal/caller/overload.go
@@ -14,7 +14,8 @@
 	// waitsPerRequest is how often a request waits for the processor until its response is written: it is read, passed to the goroutine
 	// that writes to a backend server, and the response takes the same way back.
 	waitsPerRequest = 4
-	// minOverloadRetryAfter is the minimum Retry-After time of an instance that lacks processor time or connections. Others begin to serve within a second or two.
+	// minOverloadRetryAfter is the minimum Retry-After time of an instance that lacks processor time or connections. Others begin to
+	// serve within a second or two.
 	minOverloadRetryAfter = 200 * clock.Millisecond
 )
 
--- a/internal/service/admission.go
+++ b/internal/service/admission.go
@@ -102,10 +102,11 @@
 	return inFlight, limit
 }
 
-// expectedWait returns the expected queue time of a request of the given rank and class, or of any class if that is nil: the number of requests ahead of it, divided by
-// the rate at which permits are released for its rank. By Little's law that rate is the number of permits in use divided by the
-// mean time that a permit is in use. If all targets limit their rate, it is at least the time until they accept as many requests, and
-// if all rest, the time until one accepts requests. The expected wait is 0 while a fast target is available.
+// expectedWait returns the expected queue time of a request of the given rank and class, or of any class if that is nil: the number
+// of requests ahead of it, divided by the rate at which permits are released for its rank. By Little's law that rate is the number
+// of permits in use divided by the mean time that a permit is in use. If all targets limit their rate, it is at least the time
+// until they accept as many requests, and if all rest, the time until one accepts requests. The expected wait is 0 while a fast
+// target is available.
 func (scheduler *Scheduler) expectedWait(now clock.Moment, rank rank, classStats *classStats) clock.Milliseconds {
 	if scheduler.anyFastAvailable(now) {
 		return 0
--- a/internal/service/rankedqueue.go
+++ b/internal/service/rankedqueue.go
@@ -60,8 +60,8 @@
 	return waiter.rank >= firstLateRank
 }
 
-// rankedList is a linked list of the waiting requests of one rank, in the order in which they are served. Classes take turns: of a class with
-// many waiting requests one is served for each of a class with few, so that the first does not take the room of the second.
+// rankedList is a linked list of the waiting requests of one rank, in the order in which they are served. Classes take turns: of a class
+// with many waiting requests one is served for each of a class with few, so that the first does not take the room of the second.
 type rankedList struct {
 	first, last *rankedWaiter
 	length      int
--- a/internal/service/retrybudget.go
+++ b/internal/service/retrybudget.go
@@ -13,8 +13,8 @@
 // accumulate enough retries for a retry storm.
 const maxBudget = 10 * thousandthsPerRetry
 
-// While a budget is short, reserveStep of its capacity is left to more useful retries: to those of requests with a more urgent priority, and
-// to those of requests that failed rather than hedged requests. It is short from the moment at which the retry of a failed request is
+// While a budget is short, reserveStep of its capacity is left to more useful retries: to those of requests with a more urgent priority,
+// and to those of requests that failed rather than hedged requests. It is short from the moment at which the retry of a failed request is
 // denied until plentyShare of its capacity has accumulated again.
 const (
 	reserveStep = 0.125
--- a/internal/service/retrybudget_test.go
+++ b/internal/service/retrybudget_test.go
@@ -8,8 +8,8 @@
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
 
-// Guards against retries that go to requests which gain little from them while others are refused: when backend servers reject part of their
-// requests, all together want more retries than are allowed.
+// Guards against retries that go to requests which gain little from them while others are refused: when backend servers reject part of
+// their requests, all together want more retries than are allowed.
 func TestShortRetryBudgetGoesToTheMostUrgent(t *testing.T) {
 	const requests = 6000
 	type kind struct {
