Leave the head guard of an HTTP/2 connection to its reader

Callers saw nothing that is known.

Cause: the HTTP/2 server reports a connection as idle after a stream, and the hook then resets the guard, while the goroutine that reads frames updates it. On such a connection the guard has found the preface and has no heads to inspect.

Change: the guard of a multiplexed connection is not reset.

The new test sends requests over one connection side by side; the race detector reported 4 of 5 runs before, none of 25 after.

--- a/internal/caller/connection.go
+++ b/internal/caller/connection.go
@@ -207,7 +207,9 @@
 
 // setState records the state that net/http reports for the connection.
 func (guardedConnection *guardedConnection) setState(state http.ConnState) {
-	if state == http.StateIdle {
+	// The guard belongs to the goroutine that reads. On a multiplexed connection, which has no heads to inspect, that goroutine reads on
+	// while the HTTP server reports states.
+	if state == http.StateIdle && !guardedConnection.multiplexed.Load() {
 		// The next bytes are the head of a request.
 		guardedConnection.guard.reset()
 		if guardedConnection.endHandling() {
--- a/internal/caller/pause_test.go
+++ b/internal/caller/pause_test.go
@@ -4,9 +4,11 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/jaywheel/jaywheel/pkg/clock"
@@ -54,6 +56,31 @@
 	}
 }
 
+// Guards against a data race between the HTTP/2 server, which reports a connection as idle after a stream, and the goroutine that
+// reads the next frames. The race detector reports it.
+func TestMultiplexedConnectionIsReadWhileItsStateChanges(t *testing.T) {
+	address := startBackend(t, func(writer http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(writer, "whole") })
+	fixture := newFixture(t, fixtureService(), address)
+	client := multiplexedClient(t)
+	var group sync.WaitGroup
+	for range 8 {
+		group.Go(func() {
+			for range 50 {
+				response, err := client.Do(fixture.newRequest(t, http.MethodGet, "/slots", http.NoBody))
+				if err != nil {
+					t.Errorf("request over HTTP/2: %v", err)
+					return
+				}
+				text, err := io.ReadAll(response.Body)
+				assert.NoError(t, err)
+				assert.NoError(t, response.Body.Close())
+				assert.Equal(t, "whole", string(text))
+			}
+		})
+	}
+	group.Wait()
+}
+
 // shortenMaxStall shortens the MaxStall of fixtures for the test.
 func shortenMaxStall(t *testing.T) {
 	before := fixtureMaxStall
