Announce the load of leaving instances to those that stay

Callers waited at too few instances after large ones had left together for planned work: no instance that stayed had seen the load, the minimum took over, and the number was at most doubled every two seconds.

A leaving instance keeps the load of those that serve or leave at the moment when it begins to leave. If the instances that stay need more than the minimum for it, it announces the number in its load reports, which the others take while they are current. An instance that begins to serve keeps that number until it has seen for a while that fewer suffice.

In virtual time six instances of 800 millicores leave 54 of 60: with a load of 700, 3 served two seconds later and 17 are needed; with 1,900, 19 served and 46 are needed. The tests failed with these numbers before. A load that the minimum bears sends no message more.

--- a/internal/membership/load.go
+++ b/internal/membership/load.go
@@ -69,7 +69,9 @@
 	// lowSince is since when fewer instances would suffice, 0 while they would not. grownAt is when ownWanted last increased.
 	lowSince, grownAt clock.Moment
 	relief            relief
-	sequence          uint64
+	// handedOver is the load, in thousandths of a core, that others take over from this instance and those that left before it.
+	handedOver float64
+	sequence   uint64
 }
 
 // Utilization returns this instance's own utilization.
@@ -77,9 +79,12 @@
 	return members.load.utilization
 }
 
-// SetUtilization sets this instance's own utilization.
+// SetUtilization sets this instance's own utilization. While the instance leaves it stays as it was before, for the instances that leave
+// after it.
 func (members *Members) SetUtilization(utilization Utilization) {
-	members.load.utilization = utilization
+	if members.state != Leaving {
+		members.load.utilization = utilization
+	}
 }
 
 // ReceiveLoad records another instance's load report. Reports that are out of order are ignored.
@@ -100,9 +105,10 @@
 
 // DueLoadReports returns the addresses to which a load report is due now, and records them as sent. Standby instances get reports only
 // while more than the minimum should serve, and only from the minimum of serving instances; without a report they assume the minimum. They
-// also get those of an instance that is relieved, since they tell callers which instances to use.
+// also get those of an instance that is relieved, since they tell callers which instances to use, and those of a leaving instance whose
+// load needs more than the minimum.
 func (members *Members) DueLoadReports() []netip.AddrPort {
-	if members.state != Serving {
+	if members.state != Serving && !members.handsOver() {
 		return nil
 	}
 	now := members.options.Clock.Now()
@@ -110,7 +116,7 @@
 	for _, member := range members.roster.listAlive() {
 		interval := loadReportInterval
 		if member.State != Serving {
-			if !members.load.relief.active(now) && (members.load.wantedServing == 0 || !members.amongMinimum()) {
+			if !members.load.relief.active(now) && !members.handsOver() && (members.load.wantedServing == 0 || !members.amongMinimum()) {
 				continue
 			}
 			interval = standbyInterval
@@ -145,34 +151,38 @@
 // UpdateWantedServing determines how many instances should serve. It reports whether that has changed.
 func (members *Members) UpdateWantedServing() bool {
 	now := members.options.Clock.Now()
-	if members.state == Serving {
+	switch members.state {
+	case Serving:
 		members.updateOwnWanted(now)
 		members.updateRelief(now)
-	} else {
+	case Leaving:
+		members.load.relief = relief{}
+		members.updateHandover()
+	default:
 		members.load.ownWanted, members.load.lowSince, members.load.relief = 0, 0, relief{}
 	}
 	// The largest number counts. It falls when all serving instances have seen for a while that fewer suffice.
-	wanted := members.load.ownWanted
-	for _, peer := range members.ServingPeers() {
-		if peer.load.current(now) {
-			wanted = max(wanted, peer.load.wantedServing)
-		}
-	}
+	wanted := max(members.load.ownWanted, members.wantedByPeers(now))
 	if wanted == members.load.wantedServing {
 		return false
 	}
 	members.load.wantedServing = wanted
 	members.roster.invalidate()
+	members.expediteLoadReports()
+	return true
+}
+
+// expediteLoadReports makes the next load report to each member due now.
+func (members *Members) expediteLoadReports() {
 	for _, member := range members.roster.all {
 		member.nextLoadReport = 0
 	}
-	return true
 }
 
 // updateOwnWanted determines how many instances should serve by the load that this instance knows of.
 func (members *Members) updateOwnWanted(now clock.Moment) {
 	ranking := members.roster.currentRanking(members)
-	load := members.servingLoad(now)
+	load := members.servingLoad(now) / float64(FullUtilization)
 	minimum := ranking.minimum
 	current := max(members.load.wantedServing, minimum)
 	switch {
@@ -196,15 +206,15 @@
 	}
 }
 
-// servingLoad returns the processor capacity that all serving instances need together, in thousandths of a core.
+// servingLoad returns the processor capacity that all serving instances use together, in thousandths of FullUtilization.
 func (members *Members) servingLoad(now clock.Moment) float64 {
 	load := float64(members.load.utilization) * float64(members.options.Self.Size)
 	for _, peer := range members.ServingPeers() {
 		if peer.load.current(now) {
-			load += float64(peer.load.utilization) * float64(peer.Identity.Size)
+			load += peer.carriedLoad()
 		}
 	}
-	return load / float64(FullUtilization)
+	return load
 }
 
 // countForLoad returns how many instances, of the given sizes in the order in which they begin to serve, carry the load with no more
