--- /dev/null
+++ b/internal/caller/record.go
@@ -0,0 +1,58 @@
+package caller
+
+import (
+	"time"
+
+	"github.com/jaywheel/jaywheel/internal/trace"
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/outcome"
+)
+
+// record stores the request's trace and updates the metrics.
+func (call *call) record(status int, result outcome.Outcome, reason outcome.Reason, cause error) {
+	elapsed := call.now().Since(call.started)
+	requestTrace := trace.Request{
+		ID: call.id, Started: time.Now().Add(-elapsed.Duration()), Method: call.request.Method,
+		Attempts: call.attempts, Outcome: result, Reason: reason, Status: status, Duration: elapsed, Behind: call.behind,
+	}
+	if cause != nil {
+		requestTrace.Error = cause.Error()
+	}
+	if call.table != nil {
+		requestTrace.Tenant = call.table.Site.Tenant
+	}
+	if call.identity.team != nil {
+		requestTrace.Tenant = string(call.identity.team.Name)
+	}
+	if call.route.Class == nil {
+		call.handler.options.Registry.Events.Add("refused."+string(reason), 1)
+		call.storeTrace(&requestTrace)
+		return
+	}
+	if call.relayed != nil {
+		requestTrace.Origin = call.relayed.Origin
+	}
+	requestTrace.Service = call.route.Service.Name
+	requestTrace.Class = call.route.Class.Name
+	requestTrace.Revision = call.route.Service.Settings.Revision
+	requestTrace.Timeout = call.deadline.Since(call.started)
+	call.storeTrace(&requestTrace)
+	call.recordMetrics(elapsed, result, reason)
+}
+
+// storeTrace adds the trace to the ring and passes it to OnRequestDone.
+func (call *call) storeTrace(requestTrace *trace.Request) {
+	call.handler.options.Traces.Add(*requestTrace)
+	if onRequestDone := call.handler.options.OnRequestDone; onRequestDone != nil {
+		onRequestDone(requestTrace)
+	}
+}
+
+func (call *call) recordMetrics(elapsed clock.Milliseconds, result outcome.Outcome, reason outcome.Reason) {
+	classMetrics := call.route.Class.Metrics
+	classMetrics.Count(result, reason)
+	classMetrics.Duration.Record(elapsed)
+	if call.queueTime > 0 {
+		classMetrics.QueueWait.Record(call.queueTime)
+	}
+}
