Show in the trace how long a pipelined response was held

An operator saw how many requests a slow one was behind, but not whether its time was spent at its server or waiting for the earlier responses: the duration in the trace ends when the response is ready.

The trace has held, the time from the first byte of the response until its turn, and jaywheel explain prints it. It becomes known after the log line is written, so that the line does not have it. A response that is not held, and a request that is not pipelined, pay nothing.

--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -55,6 +55,9 @@
 	if requestTrace.Behind > 0 {
 		fmt.Fprintf(out, "pipelined: %d earlier requests of its connection were in progress, whose responses were sent first\n", requestTrace.Behind)
 	}
+	if requestTrace.Held > 0 {
+		fmt.Fprintf(out, "pipelined: its response was held for %s until then\n", formatMilliseconds(requestTrace.Held))
+	}
 	for number, attempt := range requestTrace.Attempts {
 		fmt.Fprintf(out, "%d. %s\n", number+1, describeChoice(attempt))
 		connection := "a new connection"
--- a/cmd/main_test.go
+++ b/cmd/main_test.go
@@ -143,7 +143,7 @@
 
 func TestExplainIsReadable(t *testing.T) {
 	address := startJSONServer(t, operator.ExplainPath, trace.Request{
-		ID: "r-1", Outcome: "answered", Behind: 3, Attempts: []trace.Attempt{
+		ID: "r-1", Outcome: "answered", Behind: 3, Held: 250, Attempts: []trace.Attempt{
 			{Target: "browsing-1", Considered: 20, InFlight: 2, Result: trace.ResultNoResponse, Error: "connection reset"},
 			{Target: "browsing-2", QueueWait: 12, Reused: true, Status: 200, Result: trace.ResultAnswered},
 		},
@@ -152,7 +152,7 @@
 	require.Equal(t, ExitOK, code)
 	for _, part := range []string{
 		"of 20 targets with a free permit, browsing-1", "connection reset", "waited 12.00ms until browsing-2", "a reused connection", "outcome answered",
-		"3 earlier requests of its connection",
+		"3 earlier requests of its connection", "held for 250.00ms",
 	} {
 		require.Contains(t, out, part)
 	}
--- a/internal/caller/pipelinedrequest.go
+++ b/internal/caller/pipelinedrequest.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jaywheel/jaywheel/internal/pipeline"
+	"github.com/jaywheel/jaywheel/pkg/clock"
 )
 
 // pipelinedRequest is a connection in memory that carries one request of a caller's connection to the HTTP server, and its response back.
@@ -20,6 +21,11 @@
 	// held is the part of the response that has not been sent; sending is the length of the part that is being sent.
 	held    []byte
 	sending int
+	// heldSince is since when the response has been held for earlier ones, zero if it has not been. heldFor is how long it was, known when
+	// its turn has come; onHeld is called with it then.
+	heldSince time.Time
+	heldFor   clock.Milliseconds
+	onHeld    func(clock.Milliseconds)
 	// finished means that the HTTP server has ended the response, aborted that it was cut off, and abandoned that the caller's connection
 	// has ended.
 	finished, aborted, abandoned bool
@@ -72,6 +78,9 @@
 	if request.abandoned {
 		return false
 	}
+	if request.heldSince.IsZero() && !sequence.HasTurn(request.number) {
+		request.heldSince = time.Now()
+	}
 	request.held = append(request.held, data...)
 	sequence.Hold(request.number, len(data))
 	shared.Add(int64(len(data)))
@@ -87,6 +96,17 @@
 	return data
 }
 
+// endHold records how long the response was held, when its turn has come. The mutex of the caller's connection must be held.
+func (request *pipelinedRequest) endHold() {
+	if request.heldSince.IsZero() || request.heldFor > 0 {
+		return
+	}
+	request.heldFor = clock.Of(time.Since(request.heldSince))
+	if request.onHeld != nil {
+		request.onHeld(request.heldFor)
+	}
+}
+
 // abort records that the response has been cut off.
 func (request *pipelinedRequest) abort() {
 	request.connection.mutex.Lock()
--- a/internal/caller/pipelining_test.go
+++ b/internal/caller/pipelining_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jaywheel/jaywheel/internal/metrics"
+	"github.com/jaywheel/jaywheel/internal/trace"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
@@ -194,6 +195,42 @@
 	caller.requireBody("/8")
 }
 
+// Guards against traces that do not show what a pipelined request waited for: its response was ready, and held for an earlier one.
+func TestTraceShowsHowLongAResponseWasHeld(t *testing.T) {
+	const wait = 60 * time.Millisecond
+	cases := []struct {
+		name, body string
+	}{
+		{"sent after the handler has ended", "small"},
+		{"sent while the handler writes", strings.Repeat("large", 20<<10)},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			release := make(chan struct{})
+			handler := func(writer http.ResponseWriter, request *http.Request) {
+				if request.URL.Path == "/1" {
+					<-release
+				}
+				_, _ = io.WriteString(writer, testCase.body)
+			}
+			fixture := newPipelinedFixture(t, pipelinedLimits(), handler)
+			caller := fixture.dialPipelined(t)
+			caller.send(lookup("/1"), lookup("/2"))
+			time.AfterFunc(4*wait, func() { close(release) })
+			first, second := caller.requireBody(testCase.body), caller.requireBody(testCase.body)
+			name := fixture.handler.options.Dialect.RequestIDHeader
+			found, known := fixture.traces.Find(trace.RequestID(first.header.Get(name)))
+			require.True(t, known)
+			require.Zero(t, found.Held)
+			require.Eventually(t, func() bool {
+				found, _ = fixture.traces.Find(trace.RequestID(second.header.Get(name)))
+				return found.Held >= clock.Of(wait)
+			}, maxWait, time.Millisecond)
+			require.Equal(t, 1, found.Behind)
+		})
+	}
+}
+
 // Guards against requests that are lost or split wrongly when they arrive in pieces, and against responses in the wrong order.
 func TestPipelinedRequestsMayArriveInPieces(t *testing.T) {
 	payment := "POST /payments HTTP/1.1\r\nHost: " + fixtureHost + "\r\nContent-Length: 6\r\n\r\nGET /9"
--- a/internal/caller/position.go
+++ b/internal/caller/position.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+
+	"github.com/jaywheel/jaywheel/pkg/clock"
 )
 
 // position is the place of a request among those of its connection. The zero value is that of a request that has its connection to itself.
@@ -38,6 +40,18 @@
 	return position.request.pipeline.sequence.Behind(position.request.number)
 }
 
+// onHeld calls the function with the time for which the response was held for those to earlier requests, when its turn comes or now if
+// that is known. It is not called if the response is not held.
+func (position position) onHeld(record func(clock.Milliseconds)) {
+	position.connection.mutex.Lock()
+	defer position.connection.mutex.Unlock()
+	if position.request.heldFor > 0 {
+		record(position.request.heldFor)
+		return
+	}
+	position.request.onHeld = record
+}
+
 // endConnection reports whether the response to the request may end its connection. It may not if a later request has been started, whose
 // response has to follow. No other request is started after that.
 func (position position) endConnection() bool {
--- a/internal/caller/record.go
+++ b/internal/caller/record.go
@@ -42,7 +42,11 @@
 
 // storeTrace adds the trace to the ring and passes it to OnRequestDone.
 func (call *call) storeTrace(requestTrace *trace.Request) {
-	call.handler.options.Traces.Add(*requestTrace)
+	traces := call.handler.options.Traces
+	traces.Add(*requestTrace)
+	if call.behind > 0 {
+		call.position.onHeld(func(held clock.Milliseconds) { traces.SetHeld(call.id, held) })
+	}
 	if onRequestDone := call.handler.options.OnRequestDone; onRequestDone != nil {
 		onRequestDone(requestTrace)
 	}
--- a/internal/caller/sendinorder.go
+++ b/internal/caller/sendinorder.go
@@ -70,6 +70,7 @@
 // sendHeld sends the held bytes of the response that has the turn, and reports whether the connection still serves requests. The mutex
 // must be held, and is released meanwhile.
 func (guardedConnection *guardedConnection) sendHeld(request *pipelinedRequest) bool {
+	request.endHold()
 	data := request.takeHeld()
 	request.sending = len(data)
 	guardedConnection.mutex.Unlock()
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -83,6 +83,8 @@
 	Duration clock.Milliseconds   `json:"whole"`
 	// Behind is the number of earlier requests of the caller's connection whose responses had not been sent when this one arrived.
 	Behind int `json:"behind,omitempty"`
+	// Held is how long the response was held until those to the earlier requests had been sent. Duration does not include it.
+	Held clock.Milliseconds `json:"held,omitempty"`
 	// Origin is the instance that relayed the request to this one, empty if it came from a caller.
 	Origin settings.InstanceName `json:"origin,omitempty"`
 	Error  string                `json:"error,omitempty"`
@@ -108,15 +110,32 @@
 	ring.next = (ring.next + 1) % len(ring.entries)
 }
 
+// SetHeld sets Held of the most recent trace with the given id, if there is one.
+func (ring *Ring) SetHeld(id RequestID, held clock.Milliseconds) {
+	ring.mutex.Lock()
+	defer ring.mutex.Unlock()
+	if found := ring.find(id); found != nil {
+		found.Held = held
+	}
+}
+
 // Find returns the most recent trace with the given id, and whether there is one.
 func (ring *Ring) Find(id RequestID) (Request, bool) {
 	ring.mutex.Lock()
 	defer ring.mutex.Unlock()
+	if found := ring.find(id); found != nil {
+		return *found, true
+	}
+	return Request{}, false
+}
+
+// find returns the most recent trace with the given id, nil if there is none. The mutex must be held.
+func (ring *Ring) find(id RequestID) *Request {
 	for back := 1; back <= len(ring.entries); back++ {
 		candidate := &ring.entries[(ring.next-back+len(ring.entries))%len(ring.entries)]
 		if id != "" && candidate.ID == id {
-			return *candidate, true
+			return candidate
 		}
 	}
-	return Request{}, false
+	return nil
 }
