Let few instances announce changes while many serve

Callers found no connection, waited past their time-outs or got an older configuration's answer while a hundred instances restarted and the configuration changed ten times a second.

Cause: each serving instance announced each change to all others at once. With 47 that serve, heartbeats were 33,000 to 45,000 a second and up to 38 MB/s, the whole of their links; found by counting bytes by kind.

Change: while more than the minimum serve, the first serving instances of each data centre announce changes, and those that read the store; two heartbeats to one member are at least 100 ms apart.

In virtual time 589 KB/s an instance became 74 (100 instances, half of which serve); the test failed before.

--- a/internal/membership/handover.go
+++ b/internal/membership/handover.go
@@ -18,13 +18,18 @@
 	members.load.handedOver = load / float64(FullUtilization)
 }
 
-// updateHandover determines how many of the instances that stay should serve. No increase is limited to maxGrowth, since the load was
-// measured where it was borne.
-func (members *Members) updateHandover() {
+// updateHandover determines how many of the instances that stay should serve. An increase is not limited to maxGrowth, since the load was
+// measured where it was borne. If this instance could not bear its part, the load is not known, and the number grows as ever. The number
+// is announced to all at most once in growDelay: when a hundred instances leave, their ranking changes with each of them.
+func (members *Members) updateHandover(now clock.Moment) {
+	if members.load.utilization > maxServingUtilization || members.load.handedOverAt > 0 && now.Since(members.load.handedOverAt) < growDelay {
+		return
+	}
 	ranking := members.roster.currentRanking(members)
 	load := members.load.handedOver
 	if countForLoad(load, ranking.sizes, ranking.minimum, maxServingUtilization) > max(members.load.ownWanted, ranking.minimum) {
 		members.load.ownWanted = countForLoad(load, ranking.sizes, ranking.minimum, targetUtilization)
+		members.load.handedOverAt = now
 		members.expediteLoadReports()
 	}
 }
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -41,7 +41,7 @@
 	leaderless := members.Leaderless()
 	for _, member := range members.roster.all {
 		interval, wanted := members.heartbeatInterval(member, leaderless)
-		scheduled := wanted && now >= member.nextHeartbeat
+		scheduled := wanted && now >= member.nextHeartbeat && (members.load.wantedServing == 0 || now.Since(member.lastSent) >= minHeartbeatInterval)
 		replyDue := member.replyDue && now.Since(member.lastSent) >= minReplyInterval
 		if scheduled || replyDue {
 			member.nextHeartbeat = now.Add(interval)
@@ -133,14 +133,14 @@
 }
 
 // includesSummaries reports whether the next heartbeat to the receiver contains member summaries: for some time after a change, and
-// periodically in case those heartbeats were lost. Summaries make up most of a heartbeat's bytes. Of a change, standby instances learn
-// from the minimum of serving instances alone.
+// periodically in case those heartbeats were lost. Summaries make up most of a heartbeat's bytes. Of a change, others learn from the
+// instances alone that announce it.
 func (members *Members) includesSummaries(to netip.AddrPort) bool {
 	if members.sequence%heartbeatsPerSummaries == 0 {
 		return true
 	}
 	member, known := members.roster.findByAddress(to)
-	if known && member.State == Standby && members.state == Serving && !members.amongMinimum() {
+	if known && members.state == Serving && !members.announces() {
 		return member.lastWasReply
 	}
 	if members.options.Clock.Now().Since(members.changedAt) < changeSummaryPeriod {
--- a/internal/membership/load.go
+++ b/internal/membership/load.go
@@ -71,7 +71,9 @@
 	relief            relief
 	// handedOver is the load, in thousandths of a core, that others take over from this instance and those that left before it.
 	handedOver float64
-	sequence   uint64
+	// handedOverAt is when the number of instances that this takes was last announced, 0 before.
+	handedOverAt clock.Moment
+	sequence     uint64
 }
 
 // Utilization returns this instance's own utilization.
@@ -157,7 +159,7 @@
 		members.updateRelief(now)
 	case Leaving:
 		members.load.relief = relief{}
-		members.updateHandover()
+		members.updateHandover(now)
 	default:
 		members.load.ownWanted, members.load.lowSince, members.load.relief = 0, 0, relief{}
 	}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -44,6 +44,8 @@
 	joinInterval = 100 * clock.Millisecond
 	// minReplyInterval is the minimum time between two replies to the same querying instance.
 	minReplyInterval = 50 * clock.Millisecond
+	// minHeartbeatInterval is the minimum time between two heartbeats to the same member while more than the minimum serve.
+	minHeartbeatInterval = 100 * clock.Millisecond
 	// seedDiscoveryPeriod is how long after the start seeds that do not answer are contacted at joinInterval: after a restart of the whole
 	// fleet the seeds may be the last to return, and no instance knows any other.
 	seedDiscoveryPeriod = 3 * clock.Second
@@ -240,12 +242,12 @@
 }
 
 // SetCatalog sets the revision and version of this instance's catalog; fresh is whether it reads the store itself and the store answers.
-// A new configuration at an instance that serves or reads the store, and a change of fresh, are announced to all members at once, since
+// A new configuration at an instance that announces changes or reads the store, and a change of fresh, are announced to all members at once, since
 // others read the catalog from this instance. A change of only the backend servers is announced at once to serving instances alone: the
 // others read it once a second at most, and a heartbeat to each of a hundred instances for every change would make up most of the
 // traffic that this instance sends.
 func (members *Members) SetCatalog(revision catalog.Revision, version catalog.Version, fresh bool) {
-	announces := members.state == Serving || fresh
+	announces := members.announces() || fresh
 	switch {
 	case version != members.version && announces || fresh != members.fresh:
 		members.expediteHeartbeats()
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -24,6 +24,12 @@
 	// partitioned reports whether datagrams from one instance to another are lost.
 	partitioned func(from, to int) bool
 	sent        int
+	// sentHeartbeats and sentSummaries count heartbeats and the member summaries in them.
+	sentHeartbeats, sentSummaries int
+	// version is the version of the configuration; every instance gets it at once.
+	version catalog.Version
+	// readers is the number of instances that read the store themselves; 0 if all do that serve.
+	readers int
 	// inTransit are the heartbeats that arrive with the next step. If they arrived at once, no two instances could ever decide
 	// without knowing of each other.
 	inTransit []delivery
@@ -67,7 +73,7 @@
 
 // newFleet returns instances spread over data centres, of which the given ones are seeds. They start at random times within 0.3 s.
 func newFleet(count, dataCentres int, seeds []int, size func(int) int) *fleet {
-	fleet := &fleet{clock: clock.NewManual(), random: rand.New(rand.NewPCG(uint64(count), 1)), partitioned: func(int, int) bool { return false }}
+	fleet := &fleet{clock: clock.NewManual(), random: rand.New(rand.NewPCG(uint64(count), 1)), partitioned: func(int, int) bool { return false }, version: 1}
 	fleet.byAddress = map[netip.AddrPort]int{}
 	fleet.clock.Advance(clock.Second)
 	addresses := make([]netip.AddrPort, count)
@@ -132,15 +138,25 @@
 	if members.ShouldStopServing() {
 		members.SetState(Standby)
 	}
-	members.SetCatalog(1, 1, members.State() == Serving)
+	members.SetCatalog(1, fleet.version, fleet.reads(members))
 	for _, address := range members.DueHeartbeats() {
 		heartbeat := members.NewHeartbeat(address)
+		fleet.sentHeartbeats++
+		fleet.sentSummaries += len(heartbeat.Summaries)
 		fleet.send(instance, address, delivery{heartbeat: heartbeat})
 	}
 	fleet.stepLoad(instance)
 	fleet.stepReach(instance)
 }
 
+// reads reports whether an instance reads the store itself.
+func (fleet *fleet) reads(members *Members) bool {
+	if fleet.readers == 0 {
+		return members.State() == Serving
+	}
+	return members.State() == Serving && slices.Index(fleet.serving(), fleet.byAddress[members.self]) < fleet.readers
+}
+
 // stepReach lets an instance notice and report whether it is isolated.
 func (fleet *fleet) stepReach(instance *simulatedInstance) {
 	now := fleet.clock.Now()
--- a/internal/membership/ranking.go
+++ b/internal/membership/ranking.go
@@ -71,6 +71,26 @@
 	return slices.ContainsFunc(candidates[:min(ranking.perDataCentre, len(candidates))], func(candidate rankedInstance) bool { return candidate.member == nil })
 }
 
+// announces reports whether this instance tells all others of changes that it learns of. While more than the minimum serve, that is left
+// to the first serving ones of each data centre, as many as the minimum: with fifty that serve, each change would otherwise bring each
+// instance fifty heartbeats at once, which fill a link of 10 Mbit/s.
+func (members *Members) announces() bool {
+	if members.state != Serving {
+		return false
+	}
+	ranking := members.roster.currentRanking(members)
+	earlier := 0
+	for _, candidate := range ranking.byDataCentre[members.options.Self.DataCentre] {
+		switch {
+		case candidate.member == nil:
+			return earlier < ranking.perDataCentre
+		case candidate.serving && !candidate.isolated:
+			earlier++
+		}
+	}
+	return false
+}
+
 func (members *Members) rank() *ranking {
 	byDataCentre := map[settings.DataCentreName][]rankedInstance{}
 	add := func(candidate rankedInstance) {
--- a/internal/membership/states.go
+++ b/internal/membership/states.go
@@ -52,7 +52,7 @@
 	if changed {
 		members.changedAt = now
 	}
-	if changed && members.state == Serving {
+	if changed && members.announces() {
 		// Standby instances learn of the change from this instance.
 		members.expediteHeartbeats()
 	}
