--- a/internal/fleet/probepause.go
+++ b/internal/fleet/probepause.go
@@ -23,7 +23,7 @@
 			owned++
 		}
 	}
-	available := probeProcessorShare * float64(controller.options.Self.Size) / millicores
+	available := probeProcessorShare * controller.options.Cores
 	if available <= 0 {
 		return
 	}
