--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -41,7 +41,8 @@
 	leaderless := members.Leaderless()
 	for _, member := range members.roster.all {
 		interval, wanted := members.heartbeatInterval(member, leaderless)
-		scheduled := wanted && now >= member.nextHeartbeat && (members.load.wantedServing == 0 || now.Since(member.lastSent) >= minHeartbeatInterval)
+		mayRepeat := members.load.wantedServing == 0 || now.Since(member.lastSent) >= minHeartbeatInterval
+		scheduled := wanted && mayRepeat && now >= member.nextHeartbeat
 		replyDue := member.replyDue && now.Since(member.lastSent) >= minReplyInterval
 		if scheduled || replyDue {
 			member.nextHeartbeat = now.Add(interval)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -243,10 +243,10 @@
 }
 
 // SetCatalog sets the revision and version of this instance's catalog; fresh is whether it reads the store itself and the store answers.
-// A new configuration at an instance that announces changes or reads the store, and a change of fresh, are announced to all members at once, since
-// others read the catalog from this instance. A change of only the backend servers is announced at once to serving instances alone: the
-// others read it once a second at most, and a heartbeat to each of a hundred instances for every change would make up most of the
-// traffic that this instance sends.
+// A new configuration at an instance that announces changes or reads the store, and a change of fresh, are announced to all members at
+// once, since others read the catalog from this instance. A change of only the backend servers is announced at once to serving instances
+// alone: the others read it once a second at most, and a heartbeat to each of a hundred instances for every change would make up most of
+// the traffic that this instance sends.
 func (members *Members) SetCatalog(revision catalog.Revision, version catalog.Version, fresh bool) {
 	announces := members.announces() || fresh
 	switch {
