--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -15,6 +15,8 @@
 	// minLateness is the delay of a tick from which work waits for the processor. With a processor quota, a tick may be delayed by
 	// nearly a quota period without that.
 	minLateness = 120 * clock.Millisecond
+	// millicores is the size of an instance with one core.
+	millicores = 1000
 )
 
 // loadSample is what was measured in one interval.
@@ -62,7 +64,7 @@
 }
 
 func newLoadMeter(options Options) loadMeter {
-	meter := loadMeter{capacity: options.Cores, processorTime: options.ProcessorTime, linkRate: options.LinkRate, sentBytes: options.SentBytes}
+	meter := loadMeter{capacity: float64(options.Self.Size) / millicores, processorTime: options.ProcessorTime, linkRate: options.LinkRate, sentBytes: options.SentBytes}
 	if meter.processorTime == nil {
 		meter.processorTime = func() clock.Milliseconds { return 0 }
 	}
--- a/internal/fleet/load_test.go
+++ b/internal/fleet/load_test.go
@@ -37,7 +37,7 @@
 			var sent int64
 			// The link carries 10 megabits per second.
 			options := Options{
-				Cores: 0.32, ProcessorTime: func() clock.Milliseconds { return used }, SentBytes: func() int64 { return sent }, LinkRate: 1250,
+				Self: membership.Identity{Size: 320}, ProcessorTime: func() clock.Milliseconds { return used }, SentBytes: func() int64 { return sent }, LinkRate: 1250,
 			}
 			meter := newLoadMeter(options)
 			now := clock.Moment(0)
@@ -71,7 +71,7 @@
 	}
 	for _, testCase := range cases {
 		t.Run(testCase.name, func(t *testing.T) {
-			meter := newLoadMeter(Options{Cores: 0.32})
+			meter := newLoadMeter(Options{Self: membership.Identity{Size: 320}})
 			meter.reset(0)
 			require.True(t, meter.sample(clock.Moment(0).Add(loadSampleInterval)))
 			meter.connections = testCase.use
@@ -84,20 +84,19 @@
 func TestProbesStayWithinTheirShareOfTheProcessor(t *testing.T) {
 	cases := []struct {
 		name              string
-		cores             float64
-		targets           int
+		size, targets     int
 		shortest, longest clock.Milliseconds
 	}{
-		{"few servers", 0.32, 12, 0, 0},
-		{"a thousand servers", 0.32, 1000, 1000, maxProbePause},
-		{"more than can be probed in time", 0.16, 6000, maxProbePause, maxProbePause},
-		{"a large instance", 0.8, 200, 0, 0},
-		{"a large instance with many", 0.8, 600, 250, 300},
+		{"few servers", 320, 12, 0, 0},
+		{"a thousand servers", 320, 1000, 1000, maxProbePause},
+		{"more than can be probed in time", 160, 6000, maxProbePause, maxProbePause},
+		{"a large instance", 800, 200, 0, 0},
+		{"a large instance with many", 800, 600, 250, 300},
 	}
 	for _, testCase := range cases {
 		t.Run(testCase.name, func(t *testing.T) {
 			fixture := newFixture(0)
-			fixture.controller.options.Cores = testCase.cores
+			fixture.controller.options.Self.Size = testCase.size
 			fixture.controller.view = newView(testCase.targets, 1)
 			fixture.controller.owners = map[settings.TargetName]settings.InstanceName{}
 			for index := range fixture.controller.view.Servers {
--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -32,8 +32,6 @@
 	Servers   *backendserver.Servers
 	Registry  *metrics.Registry
 	Log       zerolog.Logger
-	// Cores is the part of a core, or the number of cores, that this instance may use.
-	Cores float64
 	// ProcessorTime returns the processor time that this process has used; nil if it is not known.
 	ProcessorTime func() clock.Milliseconds
 	// SentBytes returns the number of bytes sent to callers; nil if it is not known. LinkRate is the number of bytes per millisecond
--- a/internal/fleet/probepause.go
+++ b/internal/fleet/probepause.go
@@ -23,7 +23,7 @@
 			owned++
 		}
 	}
-	available := probeProcessorShare * controller.options.Cores
+	available := probeProcessorShare * float64(controller.options.Self.Size) / millicores
 	if available <= 0 {
 		return
 	}
--- a/internal/fleet/virtual_process_test.go
+++ b/internal/fleet/virtual_process_test.go
@@ -57,9 +57,6 @@
 	toldLeaving map[serverProcess]clock.Moment
 }
 
-// millicores is the size of an instance with one core.
-const millicores = 1000
-
 // halfCallTime is half the duration of a call of a reader.
 const halfCallTime = 2 * clock.Millisecond
 
@@ -78,7 +75,7 @@
 		Log: zerolog.Nop(), Bounds: settings.GatewayBounds{ProbesPerSecond: 60, MaxAddressTTL: 5000}, FleetStarts: first,
 		Send:    func(to netip.AddrPort, text []byte) { fleet.send(machine, to, text) },
 		SetJobs: func(jobs []sensing.Job) { process.jobs = jobs }, CheckConnection: process.checkConnection,
-		Cores: float64(machine.identity.Size) / millicores, ProcessorTime: func() clock.Milliseconds { return process.processorTime },
+		ProcessorTime: func() clock.Milliseconds { return process.processorTime },
 	})
 	reader := catalog.NewReader(catalog.Options{
 		Source: fleet.store.source(process), FetchFromPeer: process.fetchFromPeer, Publish: process.controller.SetView,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,9 @@
 // instance.
 const traceCapacity = 1024
 
+// millicoresPerCore converts the configured number of cores, which may be a fraction, to the integer size that members compare.
+const millicoresPerCore = 1000
+
 // bytesPerMillisecond converts megabits per second to bytes per millisecond.
 const bytesPerMillisecond = 125
 
@@ -168,14 +171,14 @@
 	gateway.controller = fleet.NewController(fleet.Options{
 		Self: membership.Identity{
 			Name: gatewaySettings.Instance, DataCentre: gatewaySettings.DataCentre, Peer: gatewaySettings.PeerAddress, Caller: gatewaySettings.CallerAddress,
-			Size: instanceSize(gatewaySettings.Cores, gatewaySettings.LinkMegabits),
+			Size: int(gatewaySettings.Cores * millicoresPerCore),
 		},
 		Incarnation: membership.Incarnation(rand.Uint64()),
 		Seeds:       gatewaySettings.SeedAddresses(), Bounds: gatewaySettings.Bounds, FleetStarts: gatewaySettings.FleetBootstrap,
 		Clock: gateway.clock, BootClock: clock.NewBootTime(),
 		Rand:    rand.New(rand.NewPCG(gateway.options.Seed, 0)),
 		Servers: gateway.servers, Registry: gateway.registry, Log: gateway.options.Log, Quota: gateway.quota,
-		Cores: gatewaySettings.Cores, ProcessorTime: processorTime, SentBytes: func() int64 { return metrics.EventCount(&gateway.registry.Events, caller.EventSentBytes) },
+		ProcessorTime: processorTime, SentBytes: func() int64 { return metrics.EventCount(&gateway.registry.Events, caller.EventSentBytes) },
 		LinkRate: gatewaySettings.LinkMegabits * bytesPerMillisecond, Connections: func() fleet.ConnectionUse { return fleet.ConnectionUse(gateway.connections.Use()) },
 		Send: gateway.datagrams.Send, SetJobs: gateway.prober.Set, Verify: gateway.prober.Verify,
 		CheckConnection: gateway.checkConnection, SetRelayPeers: gateway.relay.SetPeers, Regions: gatewaySettings.Regions,
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -129,8 +129,7 @@
 	// Peer is the address for datagrams of other instances, Caller the address that callers connect to.
 	Peer   string
 	Caller string
-	// Size is the capacity in thousandths of a core, that of the processor or of the link, whichever is smaller. Larger instances are
-	// preferred.
+	// Size is the processor capacity in thousandths of a core. Larger instances are preferred.
 	Size int
 }
 
