--- a/internal/membership/load.go
+++ b/internal/membership/load.go
@@ -69,11 +69,7 @@
 	// lowSince is since when fewer instances would suffice, 0 while they would not. grownAt is when ownWanted last increased.
 	lowSince, grownAt clock.Moment
 	relief            relief
-	// handedOver is the load, in thousandths of a core, that others take over from this instance and those that left before it.
-	handedOver float64
-	// handedOverAt is when the number of instances that this takes was last announced, 0 before.
-	handedOverAt clock.Moment
-	sequence     uint64
+	sequence          uint64
 }
 
 // Utilization returns this instance's own utilization.
@@ -81,12 +77,9 @@
 	return members.load.utilization
 }
 
-// SetUtilization sets this instance's own utilization. While the instance leaves it stays as it was before, for the instances that leave
-// after it.
+// SetUtilization sets this instance's own utilization.
 func (members *Members) SetUtilization(utilization Utilization) {
-	if members.state != Leaving {
-		members.load.utilization = utilization
-	}
+	members.load.utilization = utilization
 }
 
 // ReceiveLoad records another instance's load report. Reports that are out of order are ignored.
@@ -107,10 +100,9 @@
 
 // DueLoadReports returns the addresses to which a load report is due now, and records them as sent. Standby instances get reports only
 // while more than the minimum should serve, and only from the minimum of serving instances; without a report they assume the minimum. They
-// also get those of an instance that is relieved, since they tell callers which instances to use, and those of a leaving instance whose
-// load needs more than the minimum.
+// also get those of an instance that is relieved, since they tell callers which instances to use.
 func (members *Members) DueLoadReports() []netip.AddrPort {
-	if members.state != Serving && !members.handsOver() {
+	if members.state != Serving {
 		return nil
 	}
 	now := members.options.Clock.Now()
@@ -118,7 +110,7 @@
 	for _, member := range members.roster.listAlive() {
 		interval := loadReportInterval
 		if member.State != Serving {
-			if !members.load.relief.active(now) && !members.handsOver() && (members.load.wantedServing == 0 || !members.amongMinimum()) {
+			if !members.load.relief.active(now) && (members.load.wantedServing == 0 || !members.amongMinimum()) {
 				continue
 			}
 			interval = standbyInterval
@@ -153,38 +145,34 @@
 // UpdateWantedServing determines how many instances should serve. It reports whether that has changed.
 func (members *Members) UpdateWantedServing() bool {
 	now := members.options.Clock.Now()
-	switch members.state {
-	case Serving:
+	if members.state == Serving {
 		members.updateOwnWanted(now)
 		members.updateRelief(now)
-	case Leaving:
-		members.load.relief = relief{}
-		members.updateHandover(now)
-	default:
+	} else {
 		members.load.ownWanted, members.load.lowSince, members.load.relief = 0, 0, relief{}
 	}
 	// The largest number counts. It falls when all serving instances have seen for a while that fewer suffice.
-	wanted := max(members.load.ownWanted, members.wantedByPeers(now))
+	wanted := members.load.ownWanted
+	for _, peer := range members.ServingPeers() {
+		if peer.load.current(now) {
+			wanted = max(wanted, peer.load.wantedServing)
+		}
+	}
 	if wanted == members.load.wantedServing {
 		return false
 	}
 	members.load.wantedServing = wanted
 	members.roster.invalidate()
-	members.expediteLoadReports()
-	return true
-}
-
-// expediteLoadReports makes the next load report to each member due now.
-func (members *Members) expediteLoadReports() {
 	for _, member := range members.roster.all {
 		member.nextLoadReport = 0
 	}
+	return true
 }
 
 // updateOwnWanted determines how many instances should serve by the load that this instance knows of.
 func (members *Members) updateOwnWanted(now clock.Moment) {
 	ranking := members.roster.currentRanking(members)
-	load := members.servingLoad(now) / float64(FullUtilization)
+	load := members.servingLoad(now)
 	minimum := ranking.minimum
 	current := max(members.load.wantedServing, minimum)
 	switch {
@@ -208,15 +196,15 @@
 	}
 }
 
-// servingLoad returns the processor capacity that all serving instances use together, in thousandths of FullUtilization.
+// servingLoad returns the processor capacity that all serving instances need together, in thousandths of a core.
 func (members *Members) servingLoad(now clock.Moment) float64 {
 	load := float64(members.load.utilization) * float64(members.options.Self.Size)
 	for _, peer := range members.ServingPeers() {
 		if peer.load.current(now) {
-			load += peer.carriedLoad()
+			load += float64(peer.load.utilization) * float64(peer.Identity.Size)
 		}
 	}
-	return load
+	return load / float64(FullUtilization)
 }
 
 // countForLoad returns how many instances, of the given sizes in the order in which they begin to serve, carry the load with no more
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -226,13 +226,6 @@
 	if members.state == state {
 		return
 	}
-	switch {
-	case state == Serving:
-		// The number that serves holds until this instance has seen for a while that fewer suffice.
-		members.load.ownWanted = members.load.wantedServing
-	case state == Leaving && members.state == Serving:
-		members.beginHandover()
-	}
 	members.state = state
 	members.roster.invalidate()
 	members.stateSince = members.options.Clock.Now()
