--- a/internal/backendserver/address_change_test.go
+++ b/internal/backendserver/address_change_test.go
@@ -44,7 +44,7 @@
 		return string(text)
 	}
 	require.Equal(t, "old", send(func() {
-		servers.Set(target, Options{Address: newAddress, MaxConnections: 4, Connections: connectionSettings()})
+		servers.Set(target, Options{Address: newAddress, MaxConnections: FixedLimit(4), Connections: connectionSettings()})
 		close(addressChanged)
 	}))
 	require.Equal(t, "new", send(func() {}))
--- a/internal/backendserver/package.go
+++ b/internal/backendserver/package.go
@@ -9,7 +9,7 @@
 // # Usage
 //
 //	servers := backendserver.NewServers(clock)
-//	servers.Set(name, backendserver.Options{Address: "10.0.0.7:8080", MaxConnections: 14, ...})
+//	servers.Set(name, backendserver.Options{Address: "10.0.0.7:8080", MaxConnections: backendserver.FixedLimit(14), ...})
 //	exchange, err := servers.Send(ctx, name, request, freshOnly)
 //	if backendserver.IsErrNotWritten(err) {
 //		// The request did not run.
--- a/internal/backendserver/pool.go
+++ b/internal/backendserver/pool.go
@@ -17,12 +17,17 @@
 type Options struct {
 	// Address is the IP address and port of the backend server.
 	Address string
-	// MaxConnections is this instance's share of the connections that the backend server allows.
-	MaxConnections int
+	// MaxConnections returns this instance's share of the connections that the backend server allows.
+	MaxConnections func() int
 	// Connections are the connection settings of the service.
 	Connections settings.Connections
 }
 
+// FixedLimit returns a function for Options.MaxConnections whose result never changes.
+func FixedLimit(connections int) func() int {
+	return func() int { return connections }
+}
+
 // connection is a connection to a backend server. It belongs either to the idle list of its pool or to one exchange.
 type connection struct {
 	client    *http.ClientConn
@@ -81,12 +86,13 @@
 			// Requests that can be sent again may still use it.
 		}
 	}
-	if pool.open >= pool.options.MaxConnections && len(pool.idle) > 0 {
+	maxConnections := pool.options.MaxConnections()
+	if pool.open >= maxConnections && len(pool.idle) > 0 {
 		// Every idle connection is stale. Close the least recently used one to open a fresh one in its place.
 		pool.closeLocked(pool.idle[0])
 		pool.idle = slices.Delete(pool.idle, 0, 1)
 	}
-	if pool.open >= pool.options.MaxConnections {
+	if pool.open >= maxConnections {
 		return Options{}, nil, ErrConnectionLimitReached
 	}
 	pool.open++
@@ -131,7 +137,7 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	outdated := pool.closed || connection.address != pool.options.Address
-	if !reusable || outdated || connection.client.Err() != nil || pool.open > pool.options.MaxConnections {
+	if !reusable || outdated || connection.client.Err() != nil || pool.open > pool.options.MaxConnections() {
 		pool.closeLocked(connection)
 		return
 	}
--- a/internal/backendserver/servers_test.go
+++ b/internal/backendserver/servers_test.go
@@ -67,7 +67,7 @@
 func newServers(t testing.TB, clock *clock.Clock, address string, maxConnections int) *Servers {
 	servers := NewServers(clock)
 	t.Cleanup(servers.Close)
-	servers.Set(target, Options{Address: address, MaxConnections: maxConnections, Connections: connectionSettings()})
+	servers.Set(target, Options{Address: address, MaxConnections: FixedLimit(maxConnections), Connections: connectionSettings()})
 	return servers
 }
 
@@ -356,7 +356,7 @@
 		t.Run(testCase.name, func(t *testing.T) {
 			servers := NewServers(clock.New())
 			servers.Dial = testCase.dial
-			servers.Set(target, Options{Address: testCase.address, MaxConnections: 1, Connections: connectionSettings()})
+			servers.Set(target, Options{Address: testCase.address, MaxConnections: FixedLimit(1), Connections: connectionSettings()})
 			require.Equal(t, testCase.state, servers.CheckListening(t.Context(), target))
 		})
 	}
--- a/internal/caller/fixture_test.go
+++ b/internal/caller/fixture_test.go
@@ -79,7 +79,7 @@
 		name := settings.TargetName(address)
 		dispatcher.Add(name, address, "sofia-1")
 		dispatcher.SetLimit(name, service.TargetLimit{Limit: 2, MinShare: 2, MaxOwnInFlight: 2}, 0)
-		servers.Set(name, backendserver.Options{Address: address, MaxConnections: 2, Connections: serviceSettings.Connections})
+		servers.Set(name, backendserver.Options{Address: address, MaxConnections: backendserver.FixedLimit(2), Connections: serviceSettings.Connections})
 	}
 	fixture.table = routing.NewTable(routing.Options{
 		Site:     &settings.Site{Revision: 7, Tenant: "rodopa", Fleet: settings.Fleet{AddressTTL: 5 * 1000}},
--- a/internal/caller/unreachable_test.go
+++ b/internal/caller/unreachable_test.go
@@ -23,7 +23,7 @@
 	scheduler.SetTargets([]service.TargetConfig{{Name: name, Address: address, Slots: 4, Usable: true, Local: true}})
 	scheduler.Observe(name, service.LoadReading{At: clock.Now(), Slots: 4, Slowdown: 1, ColdKnown: true, Source: service.FromPeer})
 	serviceSettings := fixtureService()
-	fixture.handler.options.Servers.Set(name, backendserver.Options{Address: address, MaxConnections: 4, Connections: serviceSettings.Connections})
+	fixture.handler.options.Servers.Set(name, backendserver.Options{Address: address, MaxConnections: backendserver.FixedLimit(4), Connections: serviceSettings.Connections})
 	booking := &routing.Service{
 		Name: "booking", Settings: serviceSettings, Scheduler: scheduler, Budget: service.NewRetryBudget(serviceSettings.Retry.BudgetShare),
 	}
--- a/internal/catalog/apply.go
+++ b/internal/catalog/apply.go
@@ -20,8 +20,8 @@
 		present[snapshot.Items[index].Key] = true
 		reader.set(&snapshot.Items[index])
 	}
-	for _, key := range slices.Collect(maps.Keys(reader.servers)) {
-		if !present[key] {
+	for server := range reader.servers.All() {
+		if key := ServerKey(server.Name); !present[key] {
 			reader.remove(key)
 		}
 	}
@@ -64,12 +64,14 @@
 	case item.Problem != nil:
 		reader.options.Events.Add(EventUnreadable, 1)
 		reader.options.Log.Warn().Str("key", string(item.Key)).Str("problem", item.Problem.Error()).Msg("entry not understood, passed over")
-		delete(reader.servers, item.Key)
+		if name, isServer := item.Key.server(); isServer {
+			reader.edits[name] = nil
+		}
 	case item.Configuration != nil:
 		reader.setConfiguration(item.Configuration)
 	case item.Server != nil:
 		delete(reader.lapsed, item.Key)
-		reader.servers[item.Key] = *item.Server
+		reader.edits[item.Server.Name] = item.Server
 	case item.Evacuated != "":
 		reader.evacuated[item.Key] = item.Evacuated
 	}
@@ -91,8 +93,15 @@
 func (reader *Reader) remove(key Key) {
 	now := reader.options.Clock.Now()
 	delete(reader.evacuated, key)
-	server, known := reader.servers[key]
-	if !known {
+	name, isServer := key.server()
+	if !isServer {
+		return
+	}
+	server, edited := reader.edits[name]
+	if !edited {
+		server = reader.servers.Find(name)
+	}
+	if server == nil {
 		return
 	}
 	if server.State == ServerReady && reader.mayHaveLapsed(now) {
@@ -101,7 +110,7 @@
 		}
 		return
 	}
-	delete(reader.servers, key)
+	reader.edits[name] = nil
 	delete(reader.lapsed, key)
 }
 
@@ -112,7 +121,9 @@
 	for key, until := range reader.lapsed {
 		if now >= until {
 			delete(reader.lapsed, key)
-			delete(reader.servers, key)
+			if name, isServer := key.server(); isServer {
+				reader.edits[name] = nil
+			}
 			dropped = true
 		}
 	}
@@ -123,11 +134,13 @@
 	return reader.options.Publish(ctx, reader.current())
 }
 
+// current returns the view, and applies the changes to its servers since the last call.
 func (reader *Reader) current() View {
-	view := View{Revision: reader.revision, Configuration: reader.configuration}
-	for _, key := range slices.Sorted(maps.Keys(reader.servers)) {
-		view.Servers = append(view.Servers, reader.servers[key])
+	if len(reader.edits) > 0 {
+		reader.servers = reader.servers.Edit(reader.edits)
+		clear(reader.edits)
 	}
+	view := View{Revision: reader.revision, Configuration: reader.configuration, Servers: reader.servers}
 	view.Evacuated = slices.Sorted(maps.Values(reader.evacuated))
 	view.RetainedUntil = reader.retainedUntil()
 	return view
--- a/internal/catalog/catchup_test.go
+++ b/internal/catalog/catchup_test.go
@@ -95,7 +95,7 @@
 					Source: source, Clock: clock.New(), Events: new(expvar.Map).Init(), Log: zerolog.Nop(),
 					FetchFromPeer: func(ctx context.Context, _ Revision) (Update, error) {
 						sleep(ctx, testCase.peers)
-						return Update{Revision: 9, Configuration: configured(4), Digest: digestOf(nil)}, ctx.Err()
+						return Update{Revision: 9, Configuration: configured(4), Digest: NewServerList().Digest()}, ctx.Err()
 					},
 					Publish: func(_ context.Context, view View) error { published <- view; return nil },
 					Jitter:  func() float64 { return 0.5 },
--- a/internal/catalog/encoding_test.go
+++ b/internal/catalog/encoding_test.go
@@ -31,7 +31,7 @@
 			DataCentre: "sofia-a", Slots: 6, State: ServerReady, Started: 1764755000000 + random.Int64N(10000),
 		})
 	}
-	update.Digest = digestOf(update.Servers)
+	update.Digest = NewServerList(update.Servers...).Digest()
 	return update
 }
 
--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -63,12 +63,10 @@
 	reader.options.Events.Add(EventFromPeer, 1)
 	reader.options.Log.Debug().Uint64("revision", uint64(view.Revision)).Uint64("before", uint64(reader.revision)).Msg("view adopted from a peer")
 	reader.setConfiguration(view.Configuration)
-	clear(reader.servers)
+	reader.servers = view.Servers
+	clear(reader.edits)
 	clear(reader.evacuated)
 	clear(reader.lapsed)
-	for _, server := range view.Servers {
-		reader.servers[ServerKey(server.Name)] = server
-	}
 	for _, name := range view.Evacuated {
 		reader.evacuated[EvacuationKey(name)] = name
 	}
--- a/internal/catalog/item.go
+++ b/internal/catalog/item.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -12,9 +13,18 @@
 // Key identifies one item of a source. All sources use the same keys, so that a view can come from different sources in turn.
 type Key string
 
+// serverKeyPrefix precedes the name of a backend server in its key.
+const serverKeyPrefix = "server/"
+
 // ServerKey returns the key of a backend server.
 func ServerKey(name settings.TargetName) Key {
-	return Key("server/" + name)
+	return Key(serverKeyPrefix + name)
+}
+
+// server returns the name of the backend server of which this is the key, and whether it is the key of one.
+func (key Key) server() (settings.TargetName, bool) {
+	name, isServer := strings.CutPrefix(string(key), serverKeyPrefix)
+	return settings.TargetName(name), isServer
 }
 
 // EvacuationKey returns the key of the item that marks a data centre as evacuated.
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -113,9 +113,11 @@
 	// peersFailedInWatch is whether the last watch was given up because no peer responded either.
 	peersFailedInWatch bool
 	configuration      *Configuration
-	servers            map[Key]Server
-	evacuated          map[Key]settings.DataCentreName
-	lapsed             map[Key]clock.Moment
+	// servers are those of the view, edits the changes that current applies to them.
+	servers   ServerList
+	edits     ServerEdits
+	evacuated map[Key]settings.DataCentreName
+	lapsed    map[Key]clock.Moment
 	// calledAt is when the last call to the source began, failedAt when the last failed one did.
 	calledAt, failedAt clock.Moment
 	// retainUntil is the time until which removed entries are retained that may only have lapsed.
@@ -129,7 +131,7 @@
 // NewReader returns a reader with RoleFollower. It reads nothing until its role changes or a peer's revision is set.
 func NewReader(options Options) *Reader {
 	return &Reader{
-		options: options, wake: make(chan struct{}, 1), catchUp: make(chan struct{}, 1), servers: map[Key]Server{},
+		options: options, wake: make(chan struct{}, 1), catchUp: make(chan struct{}, 1), edits: ServerEdits{},
 		evacuated: map[Key]settings.DataCentreName{}, lapsed: map[Key]clock.Moment{},
 	}
 }
--- a/internal/catalog/reader_test.go
+++ b/internal/catalog/reader_test.go
@@ -145,7 +145,7 @@
 
 func (fixture *fixture) names() []string {
 	var names []string
-	for _, server := range fixture.last().Servers {
+	for server := range fixture.last().Servers.All() {
 		names = append(names, string(server.Name))
 	}
 	return names
@@ -309,7 +309,7 @@
 		advance(6 * clock.Second)
 		require.EqualValues(t, 7, fixture.last().Configuration.Version)
 		fixture.mutex.Lock()
-		fixture.peer = &View{Revision: before + 3, Configuration: &Configuration{Version: 11}, Servers: []Server{{Name: "three"}}}
+		fixture.peer = &View{Revision: before + 3, Configuration: &Configuration{Version: 11}, Servers: NewServerList(Server{Name: "three"})}
 		fixture.mutex.Unlock()
 		advance(6 * clock.Second)
 		require.EqualValues(t, 11, fixture.last().Configuration.Version)
@@ -422,7 +422,7 @@
 		require.Equal(t, []string{"one", "two"}, fixture.names())
 		require.Zero(t, fixture.reader.LastResponse(), "a stale read does not show that the source responds")
 		fixture.mutex.Lock()
-		fixture.peer = &View{Revision: fixture.view.Revision + 2, Configuration: &Configuration{Version: 9}, Servers: []Server{{Name: "three"}}}
+		fixture.peer = &View{Revision: fixture.view.Revision + 2, Configuration: &Configuration{Version: 9}, Servers: NewServerList(Server{Name: "three"})}
 		fixture.mutex.Unlock()
 		fixture.reader.SetPeerRevision(fixture.last().Revision + 2)
 		advance(500)
--- a/internal/catalog/retention_test.go
+++ b/internal/catalog/retention_test.go
@@ -41,7 +41,7 @@
 		fixture.source.setFaults(false, false)
 		known := fixture.last()
 		fixture.mutex.Lock()
-		fixture.peer = &View{Revision: known.Revision + 1, Configuration: known.Configuration, Servers: known.Servers[1:]}
+		fixture.peer = &View{Revision: known.Revision + 1, Configuration: known.Configuration, Servers: known.Servers.Edit(ServerEdits{known.Servers.chunks[0][0].Name: nil})}
 		fixture.mutex.Unlock()
 		fixture.reader.Refresh()
 		advance(100)
@@ -77,14 +77,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		fixture := newFixture(t)
 		requests := 0
-		retaining := View{Revision: 7, Configuration: &Configuration{Version: 1}, Servers: []Server{{Name: "one"}, {Name: "two"}}}
+		retaining := View{Revision: 7, Configuration: &Configuration{Version: 1}, Servers: NewServerList(Server{Name: "one"}, Server{Name: "two"})}
 		history := NewHistory()
 		fixture.reader.options.FetchFromPeer = func(_ context.Context, after Revision) (Update, error) {
 			requests++
 			view := retaining
 			var retainedFor clock.Milliseconds = 700
 			if fixture.reader.options.Clock.Now() >= clock.Moment(1000) {
-				view.Servers = view.Servers[:1]
+				view.Servers = view.Servers.Edit(ServerEdits{"two": nil})
 				retainedFor = 0
 			}
 			history.Record(&view)
@@ -108,7 +108,7 @@
 func TestRefreshIsTriedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fixture := newFixture(t)
-		fixture.peer = &View{Revision: 7, Configuration: &Configuration{Version: 1}, Servers: []Server{{Name: "one"}}}
+		fixture.peer = &View{Revision: 7, Configuration: &Configuration{Version: 1}, Servers: NewServerList(Server{Name: "one"})}
 		fixture.reader.SetPeerRevision(7)
 		advance(clock.Second)
 		require.Equal(t, Revision(7), fixture.last().Revision)
@@ -169,10 +169,10 @@
 		requests := 0
 		fixture.reader.options.FetchFromPeer = func(_ context.Context, after Revision) (Update, error) {
 			requests++
-			view := View{Revision: 7, Configuration: &Configuration{Version: 1}, Servers: []Server{{Name: "one"}, {Name: "two"}}}
+			view := View{Revision: 7, Configuration: &Configuration{Version: 1}, Servers: NewServerList(Server{Name: "one"}, Server{Name: "two"})}
 			var retainedFor clock.Milliseconds = 2500
 			if requests > 1 {
-				view.Servers, retainedFor = view.Servers[:1], 0
+				view.Servers, retainedFor = view.Servers.Edit(ServerEdits{"two": nil}), 0
 			}
 			history := NewHistory()
 			history.Record(&view)
--- a/internal/catalog/update.go
+++ b/internal/catalog/update.go
@@ -1,9 +1,8 @@
 package catalog
 
 import (
-	"encoding/binary"
-	"hash"
-	"hash/fnv"
+	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/cockroachdb/errors"
@@ -34,71 +33,39 @@
 	RetainedFor clock.Milliseconds
 }
 
-// Digest is a hash of a set of servers.
-type Digest uint64
-
 // ErrMismatch means that an update does not apply to a view, and everything must be read.
 var ErrMismatch = errors.New("update does not apply to the view")
 
 // Apply returns the view after the update, or ErrMismatch.
 func (update *Update) Apply(base *View) (View, error) {
 	view := View{Revision: update.Revision, Configuration: update.Configuration, Evacuated: update.Evacuated}
-	if update.Since == 0 {
-		view.Servers = update.Servers
-		return view, update.check(&view)
-	}
-	if base.Revision != update.Since {
-		return View{}, errors.Wrapf(ErrMismatch, "update is for revision %d, view has revision %d", update.Since, base.Revision)
-	}
-	if view.Configuration == nil {
-		view.Configuration = base.Configuration
-	}
-	replaced := make(map[settings.TargetName]bool, len(update.Servers)+len(update.Removed))
+	edits := make(ServerEdits, len(update.Servers)+len(update.Removed))
 	for _, name := range update.Removed {
-		replaced[name] = true
+		edits[name] = nil
 	}
 	for index := range update.Servers {
-		replaced[update.Servers[index].Name] = true
+		edits[update.Servers[index].Name] = &update.Servers[index]
 	}
-	for index := range base.Servers {
-		if !replaced[base.Servers[index].Name] {
-			view.Servers = append(view.Servers, base.Servers[index])
+	if update.Since == 0 {
+		// The servers that the base has as well stay in its chunks.
+		for server := range base.Servers.All() {
+			if _, present := edits[server.Name]; !present {
+				edits[server.Name] = nil
+			}
+		}
+	} else {
+		if base.Revision != update.Since {
+			return View{}, errors.Wrapf(ErrMismatch, "update is for revision %d, view has revision %d", update.Since, base.Revision)
+		}
+		if view.Configuration == nil {
+			view.Configuration = base.Configuration
 		}
 	}
-	view.Servers = append(view.Servers, update.Servers...)
-	return view, update.check(&view)
-}
-
-func (update *Update) check(view *View) error {
-	if digest := digestOf(view.Servers); digest != update.Digest {
-		return errors.Wrapf(ErrMismatch, "servers have digest %x, update has %x", digest, update.Digest)
-	}
-	return nil
-}
-
-// digestOf returns the digest of the servers, which does not depend on their order.
-func digestOf(servers []Server) Digest {
-	var digest Digest
-	sum := fnv.New64a()
-	for index := range servers {
-		sum.Reset()
-		servers[index].writeTo(sum)
-		digest ^= Digest(sum.Sum64())
-	}
-	return digest
-}
-
-// writeTo writes the server to a hash, which never fails.
-func (server *Server) writeTo(sum hash.Hash64) {
-	for _, text := range []string{string(server.Name), string(server.Service), server.Address, string(server.DataCentre), string(server.State)} {
-		_, _ = sum.Write([]byte(text))
-		_, _ = sum.Write([]byte{0})
+	view.Servers = base.Servers.Edit(edits)
+	if digest := view.Servers.Digest(); digest != update.Digest {
+		return view, errors.Wrapf(ErrMismatch, "servers have digest %x, update has %x", digest, update.Digest)
 	}
-	var numbers [24]byte
-	binary.LittleEndian.PutUint64(numbers[:], uint64(server.Slots))
-	binary.LittleEndian.PutUint64(numbers[8:], uint64(server.Started))
-	binary.LittleEndian.PutUint64(numbers[16:], uint64(server.ColdFor))
-	_, _ = sum.Write(numbers[:])
+	return view, nil
 }
 
 // History records when the parts of a view last changed, to make updates since earlier revisions. It is not safe for concurrent use.
@@ -107,76 +74,93 @@
 	// firstRevision is the first revision since which every change is known.
 	firstRevision          Revision
 	configurationChangedAt Revision
-	servers                map[settings.TargetName]revisionedServer
-	removed                map[settings.TargetName]Revision
-	digest                 Digest
+	// whole are the servers of the view, made when they are first needed: a whole fleet may start at once and read them.
+	whole []Server
+	// changes are the changes of servers since firstRevision, in the order of their revisions.
+	changes []serverChange
 }
 
-// revisionedServer is a server and the revision at which it last changed.
-type revisionedServer struct {
-	server    Server
-	changedAt Revision
+// serverChange is a server that was set or removed, and the revision at which it was.
+type serverChange struct {
+	revision Revision
+	name     settings.TargetName
 }
 
-// maxRemoved is the maximum number of removed servers that are recorded, more than a data centre has. When there are more, followers
-// read everything.
-const maxRemoved = 512
+// minChanges is the number of changes that are kept of a view with few servers.
+const minChanges = 64
 
 // NewHistory returns an empty history.
 func NewHistory() *History {
-	return &History{servers: map[settings.TargetName]revisionedServer{}, removed: map[settings.TargetName]Revision{}}
+	return &History{}
 }
 
 // Record records a newer view.
 func (history *History) Record(view *View) {
-	if history.view == nil || len(history.removed) > maxRemoved {
-		history.firstRevision = view.Revision
-		clear(history.removed)
+	if history.view == nil {
+		history.firstRevision, history.configurationChangedAt = view.Revision, view.Revision
+		history.view = view
+		return
 	}
-	if history.view == nil || view.Configuration != history.view.Configuration {
+	if view.Configuration != history.view.Configuration {
 		history.configurationChangedAt = view.Revision
 	}
-	present := make(map[settings.TargetName]bool, len(view.Servers))
-	for index := range view.Servers {
-		server := view.Servers[index]
-		present[server.Name] = true
-		delete(history.removed, server.Name)
-		if known, found := history.servers[server.Name]; !found || known.server != server {
-			history.servers[server.Name] = revisionedServer{server: server, changedAt: view.Revision}
-		}
-	}
-	for name := range history.servers {
-		if !present[name] {
-			delete(history.servers, name)
-			history.removed[name] = view.Revision
+	history.whole = nil
+	difference := view.Servers.DifferenceFrom(history.view.Servers)
+	for _, servers := range [...][]*Server{difference.Set, difference.Removed} {
+		for _, server := range servers {
+			history.changes = append(history.changes, serverChange{revision: view.Revision, name: server.Name})
 		}
 	}
 	history.view = view
-	history.digest = digestOf(view.Servers)
+	history.dropOldest()
+}
+
+// dropOldest drops the older half of the changes when there are more of them than servers: an update with all of them would be longer
+// than the whole view.
+func (history *History) dropOldest() {
+	if len(history.changes) <= max(history.view.Servers.Len(), minChanges) {
+		return
+	}
+	history.firstRevision = history.changes[len(history.changes)/2].revision
+	history.changes = slices.Clone(history.changesAfter(history.firstRevision))
+}
+
+// changesAfter returns the changes after a revision.
+func (history *History) changesAfter(after Revision) []serverChange {
+	first, _ := slices.BinarySearchFunc(history.changes, after+1, func(change serverChange, revision Revision) int {
+		return cmp.Compare(change.revision, revision)
+	})
+	return history.changes[first:]
 }
 
 // UpdateSince returns the changes after a revision, or everything when those are not known. Record must have been called before.
 func (history *History) UpdateSince(after Revision) Update {
-	update := Update{Revision: history.view.Revision, Evacuated: history.view.Evacuated, Digest: history.digest}
-	if after == 0 || after < history.firstRevision || after > history.view.Revision {
-		update.Configuration = history.view.Configuration
-		update.Servers = history.view.Servers
+	view := history.view
+	update := Update{Revision: view.Revision, Evacuated: view.Evacuated, Digest: view.Servers.Digest()}
+	if after == 0 || after < history.firstRevision || after > view.Revision {
+		if history.whole == nil {
+			history.whole = make([]Server, 0, view.Servers.Len())
+			for server := range view.Servers.All() {
+				history.whole = append(history.whole, *server)
+			}
+		}
+		update.Configuration, update.Servers = view.Configuration, history.whole
 		return update
 	}
 	update.Since = after
 	if history.configurationChangedAt > after {
-		update.Configuration = history.view.Configuration
+		update.Configuration = view.Configuration
 	}
-	for index := range history.view.Servers {
-		if name := history.view.Servers[index].Name; history.servers[name].changedAt > after {
-			update.Servers = append(update.Servers, history.view.Servers[index])
-		}
+	changed := map[settings.TargetName]bool{}
+	for _, change := range history.changesAfter(after) {
+		changed[change.name] = true
 	}
-	for name, at := range history.removed {
-		if at > after {
+	for _, name := range slices.Sorted(maps.Keys(changed)) {
+		if server := view.Servers.Find(name); server != nil {
+			update.Servers = append(update.Servers, *server)
+		} else {
 			update.Removed = append(update.Removed, name)
 		}
 	}
-	slices.Sort(update.Removed)
 	return update
 }
--- a/internal/catalog/update_test.go
+++ b/internal/catalog/update_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -33,9 +34,7 @@
 			servers[name] = Server{Name: name, Slots: random.IntN(4), State: ServerReady}
 		}
 		view := View{Revision: Revision(revision + 1), Configuration: configuration}
-		for _, server := range servers {
-			view.Servers = append(view.Servers, server)
-		}
+		view.Servers = NewServerList(slices.Collect(maps.Values(servers))...)
 		publisher.views = append(publisher.views, view)
 	}
 	return publisher
@@ -57,7 +56,7 @@
 			view, err := update.Apply(&known)
 			require.NoError(t, err)
 			require.Equal(t, publisher.views[index].Configuration, view.Configuration)
-			require.ElementsMatch(t, publisher.views[index].Servers, view.Servers)
+			require.Equal(t, collect(publisher.views[index].Servers), collect(view.Servers))
 			known = view
 		}
 	}
@@ -71,16 +70,16 @@
 	kept := Server{Name: "kept", State: ServerReady}
 	stays := Server{Name: "stays", State: ServerReady}
 	history := NewHistory()
-	history.Record(&View{Revision: 4, Configuration: configuration, Servers: []Server{stays}})
-	history.Record(&View{Revision: 6, Configuration: configuration, Servers: []Server{stays}})
+	history.Record(&View{Revision: 4, Configuration: configuration, Servers: NewServerList(stays)})
+	history.Record(&View{Revision: 6, Configuration: configuration, Servers: NewServerList(stays)})
 	cases := []struct {
 		name    string
 		base    View
 		applies bool
 	}{
-		{"the same", View{Revision: 5, Configuration: configuration, Servers: []Server{stays}}, true},
-		{"one more", View{Revision: 5, Configuration: configuration, Servers: []Server{stays, kept}}, false},
-		{"another revision", View{Revision: 3, Configuration: configuration, Servers: []Server{stays}}, false},
+		{"the same", View{Revision: 5, Configuration: configuration, Servers: NewServerList(stays)}, true},
+		{"one more", View{Revision: 5, Configuration: configuration, Servers: NewServerList(stays, kept)}, false},
+		{"another revision", View{Revision: 3, Configuration: configuration, Servers: NewServerList(stays)}, false},
 	}
 	for _, testCase := range cases {
 		t.Run(testCase.name, func(t *testing.T) {
@@ -91,12 +90,12 @@
 				return
 			}
 			require.NoError(t, err)
-			require.Equal(t, []Server{stays}, view.Servers)
+			require.Equal(t, []Server{stays}, collect(view.Servers))
 		})
 	}
 	whole := history.UpdateSince(3)
 	require.Zero(t, whole.Since, "changes since before the start of the history are not known")
-	view, err := whole.Apply(&View{Revision: 3, Servers: []Server{kept}})
+	view, err := whole.Apply(&View{Revision: 3, Servers: NewServerList(kept)})
 	require.NoError(t, err)
-	require.True(t, slices.Equal([]Server{stays}, view.Servers))
+	require.Equal(t, []Server{stays}, collect(view.Servers))
 }
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -102,7 +102,7 @@
 type View struct {
 	Revision      Revision
 	Configuration *Configuration
-	Servers       []Server
+	Servers       ServerList
 	Evacuated     []settings.DataCentreName
 	// RetainedUntil is when the first server is dropped whose entry is gone and may only have lapsed, 0 when there is none.
 	RetainedUntil clock.Moment `cbor:"-"`
--- a/internal/control/targets.go
+++ b/internal/control/targets.go
@@ -86,7 +86,7 @@
 		}
 		controller.options.Servers.Set(name, backendserver.Options{
 			Address:        record.Address,
-			MaxConnections: controller.connectionShare(state),
+			MaxConnections: backendserver.FixedLimit(controller.connectionShare(state)),
 			Connections:    state.settings.Connections,
 		})
 	}
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -138,7 +138,8 @@
 	services                 map[settings.ServiceName]*serviceState
 	targets                  map[TargetKey]targetRef
 	knownServers             map[settings.TargetName]catalog.Server
-	owners                   map[settings.TargetName]settings.InstanceName
+	// owned are the servers that this instance owns.
+	owned map[settings.TargetName]bool
 	// serving are the instances for which owners and addresses were last computed.
 	serving          []membership.Identity
 	nextReadingShare clock.Moment
@@ -181,6 +182,9 @@
 	budget    *service.RetryBudget
 	settings  *settings.Service
 	limits    catalog.ServiceLimits
+	// maxConnections is this instance's share of the connections to one server, which connectionLimit returns.
+	maxConnections  atomic.Int64
+	connectionLimit func() int
 }
 
 // NewController returns a controller that has no view of the catalog yet.
--- a/internal/fleet/controller_bench_test.go
+++ b/internal/fleet/controller_bench_test.go
@@ -3,13 +3,16 @@
 import (
 	"fmt"
 	"testing"
+
+	"github.com/jaywheel/jaywheel/internal/catalog"
 )
 
-// BenchmarkStandbySecond measures one second of a standby instance, which should cost next to nothing in a fleet of any size.
+// BenchmarkStandbySecond measures one second of a standby instance, which should cost next to nothing in a fleet of any size. There are ten
+// backend servers for each instance.
 func BenchmarkStandbySecond(b *testing.B) {
-	for _, instances := range []int{30, 100, 300} {
+	for _, instances := range []int{30, 100, 300, 600, 1200} {
 		b.Run(fmt.Sprintf("%d instances", instances), func(b *testing.B) {
-			fixture := newStandbyFixture(b, instances, 318)
+			fixture := newStandbyFixture(b, instances, 10*instances)
 			b.ReportAllocs()
 			for b.Loop() {
 				fixture.advanceSecond()
@@ -18,11 +21,39 @@
 	}
 }
 
-// BenchmarkPublish measures the computation of routes and owners, which is repeated whenever an instance or a server changes.
+// BenchmarkPublish measures the computation of routes, owners and targets, which a new configuration needs.
 func BenchmarkPublish(b *testing.B) {
-	fixture := newStandbyFixture(b, 100, 318)
-	b.ReportAllocs()
-	for b.Loop() {
-		fixture.controller.publish()
+	for _, servers := range []int{318, 3000, 6000, 12_000} {
+		b.Run(fmt.Sprintf("%d servers", servers), func(b *testing.B) {
+			fixture := newStandbyFixture(b, 100, servers)
+			b.ReportAllocs()
+			for b.Loop() {
+				fixture.controller.publish()
+			}
+		})
+	}
+}
+
+// BenchmarkChangeServer measures a change of one backend server, which every instance applies, on standby and serving. The server is in the
+// data centre of the serving instance, which computes the owners of its servers.
+func BenchmarkChangeServer(b *testing.B) {
+	for _, serving := range []bool{false, true} {
+		for _, servers := range []int{3000, 6000, 12_000} {
+			b.Run(fmt.Sprintf("serving %t, %d servers", serving, servers), func(b *testing.B) {
+				fixture := newStandbyFixture(b, 600, servers)
+				if serving {
+					fixture = newServingFixture(b, 600, servers)
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					next := *fixture.controller.view
+					next.Revision++
+					changed := *next.Servers.Find(targetName(8))
+					changed.Started++
+					next.Servers = next.Servers.Edit(catalog.ServerEdits{changed.Name: &changed})
+					fixture.controller.applyView(&next)
+				}
+			})
+		}
 	}
 }
--- a/internal/fleet/controller_test.go
+++ b/internal/fleet/controller_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -61,18 +63,20 @@
 	}
 }
 
-// Guards against recomputing routes and owners whenever a standby instance comes or goes, which happens all the time in a
+// Guards against recomputing addresses and owners whenever a standby instance comes or goes, which happens all the time in a
 // large fleet. They are recomputed when a serving instance changes.
 func TestOnlyServingInstancesChangeOwners(t *testing.T) {
 	fixture := newStandbyFixture(t, 20, 30)
-	before := fixture.controller.Table()
+	table, book := fixture.controller.Table(), fixture.controller.book.Load()
 	fixture.receiveHeartbeat(30, membership.Standby, 1)
 	fixture.controller.tick()
-	require.Same(t, before, fixture.controller.Table())
+	require.Same(t, book, fixture.controller.book.Load())
 	fixture.receiveHeartbeat(2, membership.Leaving, 1)
 	fixture.controller.tick()
-	require.NotSame(t, before, fixture.controller.Table())
-	require.NotContains(t, fixture.controller.owners, identity(2).Name)
+	require.NotSame(t, book, fixture.controller.book.Load())
+	require.Same(t, table, fixture.controller.Table(), "the routes do not depend on who serves")
+	require.Len(t, ownersOf(fixture.controller), 30)
+	require.NotContains(t, slices.Collect(maps.Values(ownersOf(fixture.controller))), identity(2).Name)
 }
 
 // Guards against needless traffic between data centres, which is charged. A follower reads from a peer of its own data centre
@@ -143,8 +147,11 @@
 	restarted := newView(3, 1)
 	restarted.Revision = 2
 	restarted.Configuration = before.Configuration
-	restarted.Servers[0].Started = 99
-	restarted.Servers[0].ColdFor = 3 * clock.Second
+	changeServers(restarted, func(server *catalog.Server) {
+		if server.Name == targetName(0) {
+			server.Started, server.ColdFor = 99, 3*clock.Second
+		}
+	})
 	fixture.controller.applyView(restarted)
 	_, found = scheduler.TryAcquire(service.PermitRequest{Class: "class-0", SoftDeadline: fixture.clock.Now().Add(clock.Second)})
 	require.False(t, found, "this instance does not own the cold server, so it may not send requests to it")
--- a/internal/fleet/fixture_test.go
+++ b/internal/fleet/fixture_test.go
@@ -103,6 +103,22 @@
 	return fixture
 }
 
+// newServingFixture returns a serving instance in a fleet of which one instance in each data centre serves.
+func newServingFixture(tb testing.TB, instances, targets int) *fixture {
+	fixture := newFixture(0)
+	for number := 1; number < instances; number++ {
+		state := membership.Standby
+		if number < fixtureDataCentres {
+			state = membership.Serving
+		}
+		fixture.receiveHeartbeat(number, state, 1)
+	}
+	fixture.controller.applyView(newView(targets, fixtureDataCentres))
+	fixture.controller.changeState(membership.Serving)
+	require.True(tb, fixture.controller.serves())
+	return fixture
+}
+
 // newView returns a view with the given number of backend servers in three services.
 func newView(targets, dataCentres int) *catalog.View {
 	view := &catalog.View{Revision: 1, Configuration: &catalog.Configuration{
@@ -115,15 +131,41 @@
 			Split: []catalog.Share{{Service: services[number%3], Weight: 1}},
 		})
 	}
+	servers := make([]catalog.Server, 0, targets)
 	for number := range targets {
-		view.Servers = append(view.Servers, catalog.Server{
-			Name: settings.TargetName(fmt.Sprintf("target-%d", number)), Service: services[number%3], Address: "10.9.0.1:80", Slots: 2,
+		servers = append(servers, catalog.Server{
+			Name: targetName(number), Service: services[number%3], Address: "10.9.0.1:80", Slots: 2,
 			DataCentre: settings.DataCentreName(fmt.Sprintf("dc-%d", number%dataCentres)), State: catalog.ServerReady,
 		})
 	}
+	view.Servers = catalog.NewServerList(servers...)
 	return view
 }
 
+// targetName returns the name of a backend server of newView.
+func targetName(number int) settings.TargetName {
+	return settings.TargetName(fmt.Sprintf("target-%d", number))
+}
+
+// changeServers changes each server of a view.
+func changeServers(view *catalog.View, change func(*catalog.Server)) {
+	edits := catalog.ServerEdits{}
+	for server := range view.Servers.All() {
+		changed := *server
+		change(&changed)
+		edits[changed.Name] = &changed
+	}
+	view.Servers = view.Servers.Edit(edits)
+}
+
+// ownersOf returns the owner of each server as the controller computes it, nil while it has no view.
+func ownersOf(controller *Controller) map[settings.TargetName]settings.InstanceName {
+	if controller.view == nil {
+		return nil
+	}
+	return controller.owners(func(settings.DataCentreName) bool { return true })
+}
+
 // advanceSecond advances the clocks by a second, with ticks and a heartbeat of each serving instance.
 func (fixture *fixture) advanceSecond() {
 	for number := range fixture.serving {
--- a/internal/fleet/load_generator_test.go
+++ b/internal/fleet/load_generator_test.go
@@ -30,9 +30,7 @@
 	for name := range cold.Configuration.Services {
 		cold.Configuration.Services[name] = catalog.ServiceLimits{ColdRate: ownedColdRate}
 	}
-	for index := range cold.Servers {
-		cold.Servers[index].ColdFor = clock.Minute
-	}
+	changeServers(cold, func(server *catalog.Server) { server.ColdFor = clock.Minute })
 	return cold
 }
 
--- a/internal/fleet/load_test.go
+++ b/internal/fleet/load_test.go
@@ -98,9 +98,9 @@
 			fixture := newFixture(0)
 			fixture.controller.options.Self.Size = testCase.size
 			fixture.controller.view = newView(testCase.targets, 1)
-			fixture.controller.owners = map[settings.TargetName]settings.InstanceName{}
-			for index := range fixture.controller.view.Servers {
-				fixture.controller.owners[fixture.controller.view.Servers[index].Name] = fixture.controller.options.Self.Name
+			fixture.controller.owned = map[settings.TargetName]bool{}
+			for server := range fixture.controller.view.Servers.All() {
+				fixture.controller.owned[server.Name] = true
 			}
 			fixture.controller.setMinProbePause()
 			pause := clock.Milliseconds(fixture.controller.minProbePause.Load())
--- a/internal/fleet/loans_test.go
+++ b/internal/fleet/loans_test.go
@@ -7,19 +7,25 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/jaywheel/jaywheel/internal/catalog"
 	"github.com/jaywheel/jaywheel/internal/membership"
 	"github.com/jaywheel/jaywheel/internal/sensing"
 	"github.com/jaywheel/jaywheel/internal/service"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 )
 
-// limitedServer is the index of the limited server, which is in the borrower's data centre.
+// limitedServer is the number of the limited server, which is in the borrower's data centre.
 const limitedServer = 3
 
+// limitedTarget returns the limited server.
+func (fixture *fixture) limitedTarget() *catalog.Server {
+	return fixture.controller.view.Servers.Find(targetName(limitedServer))
+}
+
 // newBorrower returns a standby instance that knows the limit of a server.
 func newBorrower(t *testing.T) *fixture {
 	fixture := newStandbyFixture(t, 24, 6)
-	target := fixture.controller.view.Servers[limitedServer]
+	target := fixture.limitedTarget()
 	fixture.controller.RecordProbe(sensing.Result{Service: target.Service, Target: target.Name, Health: sensing.Health{
 		Healthy: true, LoadReading: warmReading(fixture.clock.Now()),
 		Statement: service.Statement{At: fixture.clock.Now(), Limit: service.RateLimitStatement{Named: true, Rate: 1}},
@@ -65,7 +71,7 @@
 				if message.Incarnation == 0 {
 					message.Incarnation = lenderIncarnation
 				}
-				message.Servers = []SharedServerLoan{{Target: keyOf(fixture.controller.view.Servers[limitedServer].Name), Tokens: 1}}
+				message.Servers = []SharedServerLoan{{Target: keyOf(fixture.limitedTarget().Name), Tokens: 1}}
 				fixture.controller.receiveMessage(&Message{Loans: message})
 			}
 			require.Equal(t, testCase.tokens, fixture.tokens())
@@ -79,7 +85,7 @@
 	lend := func(sequence uint64) {
 		fixture.controller.receiveMessage(&Message{Loans: &LoansMessage{
 			Sender: identity(0).Name, Incarnation: 1, Recipient: 1, Sequence: sequence, Answer: true,
-			Servers: []SharedServerLoan{{Target: keyOf(fixture.controller.view.Servers[limitedServer].Name), Tokens: 1}},
+			Servers: []SharedServerLoan{{Target: keyOf(fixture.limitedTarget().Name), Tokens: 1}},
 		}})
 	}
 	lend(1)
@@ -88,7 +94,7 @@
 	require.Zero(t, fixture.tokens())
 	lend(2)
 	require.Equal(t, 1, fixture.tokens())
-	fixture.controller.services[fixture.controller.view.Servers[limitedServer].Service].scheduler.DiscardReadings()
+	fixture.controller.services[fixture.limitedTarget().Service].scheduler.DiscardReadings()
 	require.Zero(t, fixture.tokens(), "the machine was suspended")
 }
 
@@ -108,7 +114,7 @@
 			fixture.receiveHeartbeat(number, membership.Serving, 1)
 		}
 		now := fixture.clock.Now()
-		permit, pending, err := fixture.controller.services[fixture.controller.view.Servers[limitedServer].Service].scheduler.AcquireOrEnqueue(service.PermitRequest{
+		permit, pending, err := fixture.controller.services[fixture.limitedTarget().Service].scheduler.AcquireOrEnqueue(service.PermitRequest{
 			Class: "class-0", SoftDeadline: now.Add(clock.Second), Deadline: now.Add(clock.Second),
 		})
 		if pending != nil {
--- a/internal/fleet/message_test.go
+++ b/internal/fleet/message_test.go
@@ -77,7 +77,7 @@
 		view := newView(1, 1)
 		fixture.controller.applyView(view)
 		controller := fixture.controller
-		for _, target := range []settings.TargetName{view.Servers[0].Name, "unknown"} {
+		for _, target := range []settings.TargetName{targetName(0), "unknown"} {
 			controller.receiveDeclarations(controller.options.Clock.Now(), &DeclarationsMessage{Sender: 7, Reports: []SharedDeclaration{
 				{Target: keyOf(target), Observed: true, Limited: true, Rate: rate},
 			}})
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -97,7 +97,7 @@
 	for index := range message.Readings {
 		sharedReading := &message.Readings[index]
 		ref, known := controller.targets[sharedReading.Target]
-		if !known || controller.owners[ref.name] == controller.options.Self.Name {
+		if !known || controller.owned[ref.name] {
 			continue
 		}
 		if sharedReading.Down {
--- a/internal/fleet/probepause.go
+++ b/internal/fleet/probepause.go
@@ -17,17 +17,11 @@
 // setMinProbePause determines the minimum pause between two probes of a target: an instance that owns hundreds of targets probes each
 // of them more rarely.
 func (controller *Controller) setMinProbePause() {
-	owned := 0
-	for _, owner := range controller.owners {
-		if owner == controller.options.Self.Name {
-			owned++
-		}
-	}
 	available := probeProcessorShare * float64(controller.options.Self.Size) / millicores
 	if available <= 0 {
 		return
 	}
-	pause := clock.Milliseconds(float64(owned)/available) * probeProcessorTime
+	pause := clock.Milliseconds(float64(len(controller.owned))/available) * probeProcessorTime
 	if pause < minProbePause {
 		pause = 0
 	}
--- a/internal/fleet/reach.go
+++ b/internal/fleet/reach.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/jaywheel/jaywheel/internal/membership"
@@ -122,7 +123,7 @@
 	reach.changed = controller.members.UpdateReach() || reach.changed
 	if reach.changed && now >= reach.nextPublish {
 		reach.changed, reach.nextPublish = false, now.Add(reachPublishInterval)
-		controller.publish()
+		controller.publishServing()
 	}
 	controller.reportReach(now)
 	controller.setRelayPeers()
@@ -267,14 +268,13 @@
 }
 
 // reassignUnreachable gives the servers whose owners cannot reach their service to instances that can, if there are any.
-func (controller *Controller) reassignUnreachable(all []routing.Instance) {
+func (controller *Controller) reassignUnreachable(owners map[settings.TargetName]settings.InstanceName, all []routing.Instance) {
 	if !controller.anyUnreachable() {
 		return
 	}
 	orphans := map[settings.ServiceName][]settings.TargetName{}
-	for index := range controller.view.Servers {
-		server := &controller.view.Servers[index]
-		if owner, owned := controller.owners[server.Name]; owned && !controller.instanceReaches(owner, server.Service) {
+	for server := range controller.view.Servers.All() {
+		if owner, owned := owners[server.Name]; owned && !controller.instanceReaches(owner, server.Service) {
 			orphans[server.Service] = append(orphans[server.Service], server.Name)
 		}
 	}
@@ -283,8 +283,6 @@
 		if len(able) == 0 {
 			continue
 		}
-		for target, owner := range routing.Owners(targets, able) {
-			controller.owners[target] = owner
-		}
+		maps.Copy(owners, routing.Owners(targets, able))
 	}
 }
--- a/internal/fleet/reach_test.go
+++ b/internal/fleet/reach_test.go
@@ -101,8 +101,8 @@
 // owned returns how many servers of each service an instance owns.
 func (fixture *reachFixture) owned(number int) map[settings.ServiceName]int {
 	counts := map[settings.ServiceName]int{}
-	for _, server := range fixture.controller.view.Servers {
-		if fixture.controller.owners[server.Name] == identity(number).Name {
+	for server := range fixture.controller.view.Servers.All() {
+		if ownersOf(fixture.controller)[server.Name] == identity(number).Name {
 			counts[server.Service]++
 		}
 	}
@@ -128,7 +128,7 @@
 		fixture.receiveReach(number, false, "lookups")
 	}
 	require.Equal(t, reachTargets/3, fixture.owned(0)["lookups"])
-	for _, server := range fixture.controller.view.Servers {
+	for server := range fixture.controller.view.Servers.All() {
 		fixture.unreachable[server.Name] = server.Service == "lookups"
 	}
 	for range 4 {
@@ -150,7 +150,7 @@
 	addresses, _ := fixture.controller.Addresses()
 	require.Len(t, addresses, fixtureDataCentres-1)
 	require.NotContains(t, addresses, identity(2).Caller)
-	for _, server := range fixture.controller.view.Servers {
+	for server := range fixture.controller.view.Servers.All() {
 		fixture.unreachable[server.Name] = true
 	}
 	for range 4 {
@@ -180,8 +180,8 @@
 		t.Run(testCase.name, func(t *testing.T) {
 			fixture := newReachFixture(t)
 			position := 0
-			for _, server := range fixture.controller.view.Servers {
-				owned := fixture.controller.owners[server.Name] == identity(0).Name
+			for server := range fixture.controller.view.Servers.All() {
+				owned := ownersOf(fixture.controller)[server.Name] == identity(0).Name
 				if server.Service != "lookups" || !owned && !testCase.reach {
 					continue
 				}
@@ -214,8 +214,8 @@
 	fixture := newReachFixture(t)
 	controller := fixture.controller
 	var target settings.TargetName
-	for _, server := range controller.view.Servers {
-		if controller.owners[server.Name] == identity(1).Name {
+	for server := range controller.view.Servers.All() {
+		if ownersOf(controller)[server.Name] == identity(1).Name {
 			target = server.Name
 		}
 	}
@@ -256,7 +256,7 @@
 func TestOverloadedInstanceDoesNotCountAsCutOff(t *testing.T) {
 	const late = 200
 	fixture := newReachFixture(t)
-	for _, server := range fixture.controller.view.Servers {
+	for server := range fixture.controller.view.Servers.All() {
 		fixture.unreachable[server.Name] = true
 	}
 	fixture.controller.lateness.Store(late)
@@ -285,7 +285,7 @@
 			var peers []relay.Peer
 			fixture.controller.options.Regions = testCase.regions
 			fixture.controller.options.SetRelayPeers = func(set []relay.Peer) { peers = set }
-			for _, server := range fixture.controller.view.Servers {
+			for server := range fixture.controller.view.Servers.All() {
 				fixture.unreachable[server.Name] = true
 			}
 			fixture.run(2 * clock.Second)
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 
@@ -63,24 +64,57 @@
 
 // applyView puts a view in force unless it is older than the present one.
 func (controller *Controller) applyView(view *catalog.View) {
-	now := controller.options.Clock.Now()
-	if controller.view != nil && view.Revision < controller.view.Revision {
+	before := controller.view
+	if before != nil && view.Revision < before.Revision {
 		return
 	}
+	// The time is 0 after a suspension of the machine, when the table has been discarded.
+	inForce := controller.viewAppliedAt > 0 && controller.table.Load() != nil
 	controller.view = view
-	controller.viewAppliedAt = now
+	controller.viewAppliedAt = controller.options.Clock.Now()
 	controller.history.Record(view)
-	controller.publish()
+	if !inForce {
+		controller.publish()
+		return
+	}
+	changes := newServerChanges()
+	if view.Configuration != before.Configuration {
+		controller.setTeams()
+		changes.services = controller.setServices()
+	}
+	changes.evacuated = changedEvacuations(before.Evacuated, view.Evacuated)
+	controller.changeServers(before.Servers, changes)
+	if len(changes.evacuated) > 0 {
+		controller.publishAddresses()
+	}
+	if view.Configuration != before.Configuration {
+		controller.setTable(controller.newTable())
+	}
 }
 
 // publishIfServingChanged publishes again unless a change of membership concerns only standby instances. A hundred such
-// changes arrive within a moment when a fleet starts, and each would cost 0.35 ms here (BenchmarkPublish).
+// changes arrive within a moment when a fleet starts.
 func (controller *Controller) publishIfServingChanged() {
 	serving := controller.members.Serving()
 	if len(serving) > 0 && slices.Equal(serving, controller.serving) {
 		return
 	}
-	controller.publish()
+	controller.publishServing()
+}
+
+// publishServing brings up to date what depends on which instances serve, and on which of them reach which services. It does not visit
+// the servers that stay with their owners: at a loss of a data centre it runs many times a second, at every instance of the fleet.
+func (controller *Controller) publishServing() {
+	if controller.table.Load() == nil {
+		controller.publish()
+		return
+	}
+	controller.serving = controller.members.Serving()
+	controller.publishAddresses()
+	for _, state := range controller.services {
+		controller.setShares(state)
+	}
+	controller.applyChanges(controller.ownedServers(), newServerChanges())
 }
 
 // publish computes owners, target configurations, probe jobs and routes, and puts a new table in force.
@@ -96,26 +130,32 @@
 	}
 	controller.setTeams()
 	controller.setServices()
-	controller.setOwners()
+	controller.owned = controller.ownedServers()
 	controller.setTargets()
 	controller.setTable(controller.newTable())
 }
 
-// setServices creates or updates the state of every service that the routes or the configured limits name.
-func (controller *Controller) setServices() {
+// setServices creates or updates the state of every service that the routes or the configured limits name. It returns the services
+// whose targets have to be configured anew.
+func (controller *Controller) setServices() map[settings.ServiceName]bool {
 	configuration := controller.view.Configuration
+	changed := map[settings.ServiceName]bool{}
 	for index := range configuration.Routes {
 		for _, part := range configuration.Routes[index].Split {
-			controller.setService(part.Service, configuration.Services[part.Service])
+			changed[part.Service] = controller.setService(part.Service, configuration.Services[part.Service]) || changed[part.Service]
 		}
 	}
 	for name, limits := range configuration.Services {
-		controller.setService(name, limits)
+		changed[name] = controller.setService(name, limits) || changed[name]
 	}
+	maps.DeleteFunc(changed, func(_ settings.ServiceName, changed bool) bool { return !changed })
+	return changed
 }
 
-func (controller *Controller) setService(name settings.ServiceName, limits catalog.ServiceLimits) {
+// setService creates or updates the state of a service, and reports whether its targets have to be configured anew.
+func (controller *Controller) setService(name settings.ServiceName, limits catalog.ServiceLimits) bool {
 	state, known := controller.services[name]
+	changed := !known || state.limits.ProbePath != limits.ProbePath || state.limits.ColdRate != limits.ColdRate
 	if !known {
 		random := rand.New(rand.NewPCG(controller.options.Rand.Uint64(), controller.options.Rand.Uint64()))
 		state = &serviceState{
@@ -124,11 +164,12 @@
 			}),
 			budget: service.NewSharedRetryBudget(0, 0),
 		}
+		state.connectionLimit = func() int { return int(state.maxConnections.Load()) }
 		controller.services[name] = state
 	}
 	state.limits = limits
 	state.budget.SetRetryRatio(controller.options.Bounds.RetryShare * retryBudgetMargin)
-	state.budget.SetCapacity(controller.options.Bounds.RetrySlack / retryBudgetShares(len(controller.serving)))
+	controller.setShares(state)
 	state.settings = &settings.Service{
 		Revision:             settings.Revision(controller.view.Configuration.Version),
 		ConnectionsPerTarget: limits.MaxConnections,
@@ -137,79 +178,45 @@
 		Connections:          connections,
 		ReportPath:           limits.ProbePath,
 	}
+	return changed
 }
 
-// setOwners chooses the owner of each backend server: a serving instance of its data centre if there is one, otherwise any
-// serving instance.
-func (controller *Controller) setOwners() {
-	byDataCentre := map[settings.DataCentreName][]routing.Instance{}
-	var all []routing.Instance
-	for _, identity := range controller.serving {
-		instance := routing.Instance{Name: identity.Name, Address: identity.Caller, DataCentre: identity.DataCentre}
-		byDataCentre[identity.DataCentre] = append(byDataCentre[identity.DataCentre], instance)
-		all = append(all, instance)
-	}
-	groups := map[settings.DataCentreName][]settings.TargetName{}
-	for index := range controller.view.Servers {
-		server := &controller.view.Servers[index]
-		groups[server.DataCentre] = append(groups[server.DataCentre], server.Name)
-	}
-	controller.owners = map[settings.TargetName]settings.InstanceName{}
-	for dataCentre, names := range groups {
-		serving := byDataCentre[dataCentre]
-		if len(serving) == 0 {
-			serving = all
-		}
-		for name, owner := range routing.Owners(names, serving) {
-			controller.owners[name] = owner
-		}
-	}
-	controller.reassignUnreachable(all)
+// setShares sets the parts of limits for the whole fleet that this instance may use while the present number of instances serves.
+func (controller *Controller) setShares(state *serviceState) {
+	state.budget.SetCapacity(controller.options.Bounds.RetrySlack / retryBudgetShares(len(controller.serving)))
+	state.maxConnections.Store(int64(controller.connectionShare(state.limits.MaxConnections)))
 }
 
 // setTargets passes the backend servers to the schedulers, the connection pools and the prober.
 func (controller *Controller) setTargets() {
-	view := controller.view
 	targetConfigs := map[settings.ServiceName][]service.TargetConfig{}
 	seen := map[settings.TargetName]bool{}
-	clear(controller.targets)
-	controller.setMinProbePause()
-	var jobs []sensing.Job
-	for index := range view.Servers {
-		server := &view.Servers[index]
+	for server := range controller.view.Servers.All() {
 		state, known := controller.services[server.Service]
 		if !known {
 			continue
 		}
 		seen[server.Name] = true
-		controller.targets[keyOf(server.Name)] = targetRef{service: server.Service, name: server.Name}
-		targetConfig := controller.targetConfig(server, state)
-		targetConfigs[server.Service] = append(targetConfigs[server.Service], targetConfig)
-		controller.setConnections(server, state)
-		if targetConfig.Owned && server.State == catalog.ServerReady && state.limits.ProbePath != "" {
-			jobs = append(jobs, controller.probeJob(server, state, targetConfig.Usable))
-		}
+		targetConfigs[server.Service] = append(targetConfigs[server.Service], controller.targetConfig(server, state))
+		controller.setServer(server, state)
 	}
-	for name := range controller.knownServers {
+	for name, server := range controller.knownServers {
 		if !seen[name] {
-			controller.recordGone(controller.knownServers[name])
-			delete(controller.knownServers, name)
-			controller.forgetVerification(name)
-			controller.options.Servers.Remove(name)
+			controller.forgetServer(&server)
 		}
 	}
 	for name, state := range controller.services {
 		state.scheduler.SetTargets(targetConfigs[name])
 	}
 	controller.setReachTargets(targetConfigs)
-	controller.options.SetJobs(jobs)
+	controller.setJobs()
 }
 
 func (controller *Controller) targetConfig(server *catalog.Server, state *serviceState) service.TargetConfig {
 	return service.TargetConfig{
 		Name: server.Name, Address: server.Address, DataCentre: server.DataCentre, Slots: server.Slots,
 		Local:    server.DataCentre == controller.options.Self.DataCentre,
-		Owned:    controller.owners[server.Name] == controller.options.Self.Name,
+		Owned:    controller.owned[server.Name],
 		Usable:   server.State == catalog.ServerReady && !controller.view.IsEvacuated(server.DataCentre),
 		ColdRate: state.limits.ColdRate, ColdFor: server.ColdFor, Started: server.Started,
 		Unprobed: state.limits.ProbePath == "",
@@ -226,7 +233,7 @@
 	}
 	controller.knownServers[server.Name] = *server
 	controller.options.Servers.Set(server.Name, backendserver.Options{
-		Address: server.Address, MaxConnections: controller.connectionShare(state.limits.MaxConnections), Connections: connections,
+		Address: server.Address, MaxConnections: state.connectionLimit, Connections: connections,
 	})
 }
 
--- a/internal/fleet/virtual_checks_test.go
+++ b/internal/fleet/virtual_checks_test.go
@@ -219,22 +219,21 @@
 }
 
 func (checks *checks) drainedInTime(now clock.Moment) string {
-	due := map[settings.TargetName]bool{}
+	var due []settings.TargetName
 	for name, at := range checks.fleet.store.left {
 		if now.Since(at) > maxDrainDelay {
-			due[name] = true
+			due = append(due, name)
 		}
 	}
 	if len(due) == 0 {
 		return ""
 	}
+	slices.Sort(due)
 	return checks.inContact(now, func(_ *machine, process *process) string {
 		view := process.controller.view
-		for index := range view.Servers {
-			server := &view.Servers[index]
-			if due[server.Name] && server.State == catalog.ServerReady && !view.IsEvacuated(server.DataCentre) {
-				left := checks.fleet.store.left[server.Name]
-				return fmt.Sprintf("still sends to %s, which left %s ago", server.Name, now.Since(left))
+		for _, name := range due {
+			if server := view.Servers.Find(name); server != nil && server.State == catalog.ServerReady && !view.IsEvacuated(server.DataCentre) {
+				return fmt.Sprintf("still sends to %s, which left %s ago", name, now.Since(checks.fleet.store.left[name]))
 			}
 		}
 		return ""
--- a/internal/fleet/virtual_cold_test.go
+++ b/internal/fleet/virtual_cold_test.go
@@ -97,11 +97,10 @@
 	for name := range fleet.view.Configuration.Services {
 		fleet.view.Configuration.Services[name] = catalog.ServiceLimits{ColdRate: ownedColdRate, ProbePath: "/load"}
 	}
-	for index := range fleet.view.Servers {
-		server := &fleet.view.Servers[index]
+	changeServers(fleet.view, func(server *catalog.Server) {
 		server.Slots, server.Started = coldSlots, 1
 		fleet.servers[server.Name] = &coldServer{senders: map[settings.InstanceName]int{}}
-	}
+	})
 	fleet.ownedFleet.view = func(*ownedNode) *catalog.View { return fleet.view }
 	fleet.sendRequests = fleet.sendWaiting
 	fleet.probe = fleet.probeOwned
@@ -202,11 +201,10 @@
 			knowledge = "unknown"
 		}
 	}
-	if node.controller.owners[name] == node.controller.options.Self.Name {
+	if node.controller.owned[name] {
 		knowledge += ", owner"
 	}
-	listed := slices.IndexFunc(node.controller.view.Servers, func(server catalog.Server) bool { return server.Name == name })
-	if listed >= 0 && node.controller.view.Servers[listed].ColdFor > 0 {
+	if server := node.controller.view.Servers.Find(name); server != nil && server.ColdFor > 0 {
 		knowledge += ", cold by its entry"
 	}
 	fleet.knowledge[knowledge]++
@@ -239,7 +237,6 @@
 // publish writes the next revision of the catalog. Instances that serve hear of it soon, others later, and some only after seconds.
 func (fleet *coldFleet) publish(change func(*catalog.View)) {
 	view := *fleet.view
-	view.Servers = slices.Clone(view.Servers)
 	view.Evacuated = slices.Clone(view.Evacuated)
 	view.Revision++
 	change(&view)
@@ -258,16 +255,15 @@
 func (fleet *coldFleet) turnCold(dataCentre settings.DataCentreName, change func(*catalog.View, *catalog.Server)) {
 	now := fleet.clock.Now()
 	fleet.publish(func(view *catalog.View) {
-		for index := range view.Servers {
-			server := &view.Servers[index]
+		changeServers(view, func(server *catalog.Server) {
 			if server.DataCentre != dataCentre {
-				continue
+				return
 			}
 			state := fleet.servers[server.Name]
 			state.coldFrom, state.coldUntil = now, now.Add(coldTime)
 			server.ColdFor = coldTime
 			change(view, server)
-		}
+		})
 	})
 }
 
--- a/internal/fleet/virtual_explore_test.go
+++ b/internal/fleet/virtual_explore_test.go
@@ -138,9 +138,9 @@
 			continue
 		}
 		controller := process.controller
-		fmt.Fprintf(&text, "%s %d %t %v ", controller.members.State(), controller.role, process.gate != nil, controller.owners)
+		fmt.Fprintf(&text, "%s %d %t %v ", controller.members.State(), controller.role, process.gate != nil, ownersOf(controller))
 		if controller.view != nil {
-			fmt.Fprintf(&text, "%d %d ", controller.view.Revision, len(controller.view.Servers))
+			fmt.Fprintf(&text, "%d %d ", controller.view.Revision, controller.view.Servers.Len())
 		}
 		addresses, _ := controller.Addresses()
 		fmt.Fprintf(&text, "%v;", addresses)
--- a/internal/fleet/virtual_reach_test.go
+++ b/internal/fleet/virtual_reach_test.go
@@ -86,7 +86,7 @@
 		if process.controller.members.State() != membership.Serving {
 			return ""
 		}
-		for target, owner := range process.controller.owners {
+		for target, owner := range ownersOf(process.controller) {
 			for _, machine := range reachChecks.fleet.machines {
 				if machine.identity.Name == owner && reachChecks.fleet.unreachable(machine, now) {
 					return fmt.Sprintf("considers %s the owner of %s, which it has not reached for %s", owner, target, now.Since(reachChecks.changedAt))
--- a/internal/fleet/virtual_settled_test.go
+++ b/internal/fleet/virtual_settled_test.go
@@ -155,8 +155,8 @@
 			return "has no routes"
 		case serves != (controller.role != catalog.RoleFollower):
 			return "reads the store if and only if it does not serve"
-		case unchanged && !maps.Equal(owners, controller.owners):
-			return fmt.Sprintf("has wrong owners: %v, not %v", controller.owners, owners)
+		case unchanged && !maps.Equal(owners, ownersOf(controller)):
+			return fmt.Sprintf("has wrong owners: %v, not %v", ownersOf(controller), owners)
 		case serves && checks.complete() && controller.members.VisibleFraction() < 1:
 			return fmt.Sprintf("sees a fraction of %.2f of a complete fleet", controller.members.VisibleFraction())
 		}
@@ -173,7 +173,7 @@
 	var owners map[settings.TargetName]settings.InstanceName
 	_ = checks.running(now, func(_ *machine, process *process) string {
 		if owners == nil && process.controller.members.State() == membership.Serving {
-			owners = process.controller.owners
+			owners = ownersOf(process.controller)
 		}
 		return ""
 	})
--- a/internal/fleet/virtual_store_test.go
+++ b/internal/fleet/virtual_store_test.go
@@ -90,7 +90,7 @@
 }
 
 func (store *virtualStore) addServer() {
-	server := newColdView(store.servers+1, store.fleet.options.dataCentres).Servers[store.servers]
+	server := *newColdView(store.servers+1, store.fleet.options.dataCentres).Servers.Find(targetName(store.servers))
 	store.servers++
 	if store.fleet.options.statements {
 		server.ColdFor = 0
--- a/internal/reachability/service.go
+++ b/internal/reachability/service.go
@@ -45,6 +45,8 @@
 type targetState struct {
 	name    settings.TargetName
 	service *serviceState
+	// index is the position of the target in its service.
+	index int
 	// connectedAt and connectFailedAt are the last attempts to connect, probedAt and probeFailedAt the last probes, which mostly
 	// use open connections.
 	connectedAt, connectFailedAt clock.Moment
@@ -53,6 +55,27 @@
 	checking bool
 }
 
+// add adds a target, which is moved if it belongs to another service.
+func (service *serviceState) add(target *targetState) {
+	if target.service == service {
+		return
+	}
+	if target.service != nil {
+		target.service.remove(target)
+	}
+	target.service, target.index = service, len(service.targets)
+	service.targets = append(service.targets, target)
+}
+
+// remove removes a target. The last one takes its position.
+func (service *serviceState) remove(target *targetState) {
+	last := service.targets[len(service.targets)-1]
+	service.targets[target.index], last.index = last, target.index
+	service.targets[len(service.targets)-1] = nil
+	service.targets = service.targets[:len(service.targets)-1]
+	target.service = nil
+}
+
 // roundDue reports whether a round of checks is to begin.
 func (service *serviceState) roundDue(now clock.Moment, suspicious bool) bool {
 	sinceLast := now.Since(service.roundStart)
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -102,14 +102,43 @@
 			if !found {
 				target = &targetState{name: targetName}
 			}
-			target.service = service
 			tracker.targets[targetName] = target
+			target.service, target.index = service, len(service.targets)
 			service.targets = append(service.targets, target)
 		}
 	}
 	tracker.publish()
 }
 
+// ChangeTargets adds targets to a service, and removes others from it. What is known of targets that remain is kept.
+func (tracker *Tracker) ChangeTargets(name settings.ServiceName, added, removed []settings.TargetName) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	service, found := tracker.services[name]
+	if !found {
+		service = &serviceState{}
+		tracker.services[name] = service
+	}
+	for _, targetName := range removed {
+		if target, known := tracker.targets[targetName]; known && target.service == service {
+			delete(tracker.targets, targetName)
+			service.remove(target)
+		}
+	}
+	for _, targetName := range added {
+		target, known := tracker.targets[targetName]
+		if !known {
+			target = &targetState{name: targetName}
+			tracker.targets[targetName] = target
+		}
+		service.add(target)
+	}
+	if len(service.targets) == 0 {
+		delete(tracker.services, name)
+	}
+	tracker.publish()
+}
+
 // RecordConnect records the result of an attempt to connect to a target.
 func (tracker *Tracker) RecordConnect(name settings.TargetName, connected bool) {
 	tracker.mutex.Lock()
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -145,7 +145,7 @@
 // Send sends the request to the instance and returns when the response header has arrived. With freshOnly it uses a connection that is
 // certain to work. The error is a *backendserver.Error.
 func (client *Client) Send(ctx context.Context, peer Peer, request *http.Request, freshOnly bool) (*backendserver.Exchange, error) {
-	client.servers.Set(peer.target(), backendserver.Options{Address: peer.Address, MaxConnections: maxConnections, Connections: connections})
+	client.servers.Set(peer.target(), backendserver.Options{Address: peer.Address, MaxConnections: backendserver.FixedLimit(maxConnections), Connections: connections})
 	return client.servers.Send(ctx, peer.target(), request, freshOnly)
 }
 
--- a/internal/routing/rendezvous.go
+++ b/internal/routing/rendezvous.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
 
 	"github.com/jaywheel/jaywheel/pkg/settings"
@@ -11,12 +10,21 @@
 // rendezvousScore returns the rendezvous hash of two names. Every process that knows the same names orders them alike, and
 // adding or removing a name does not change the order of the others.
 func rendezvousScore(left, right string) uint64 {
-	hash := fnv.New64a()
-	// Write of a hash.Hash never returns an error.
-	_, _ = hash.Write([]byte(left))
-	_, _ = hash.Write([]byte{0})
-	_, _ = hash.Write([]byte(right))
-	return finalize(hash.Sum64())
+	return finalize(addToHash(addToHash(fnvOffset, left)*fnvPrime, right))
+}
+
+// Parameters of the 64-bit FNV-1a hash. It is computed here because hash/fnv needs a copy of each text.
+const (
+	fnvOffset uint64 = 14695981039346656037
+	fnvPrime  uint64 = 1099511628211
+)
+
+// addToHash returns the hash after the bytes of a text. A zero byte, which separates texts, only multiplies it by fnvPrime.
+func addToHash(hash uint64, text string) uint64 {
+	for index := range len(text) {
+		hash = (hash ^ uint64(text[index])) * fnvPrime
+	}
+	return hash
 }
 
 // finalize mixes the bits of a hash, since the last bytes of the input otherwise have little influence on the high bits.
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -113,3 +114,13 @@
 	}
 	require.Empty(t, Owners([]settings.TargetName{"a"}, nil))
 }
+
+// Guards against instances of two versions that assign the same server to different owners during an update of the fleet.
+func TestRendezvousScoreIsFNV(t *testing.T) {
+	for _, names := range [][2]string{{"target-1", "entry-001"}, {"", "entry"}, {"i-6637b96826", ""}} {
+		hash := fnv.New64a()
+		_, err := hash.Write([]byte(names[0] + "\x00" + names[1]))
+		require.NoError(t, err)
+		require.Equal(t, finalize(hash.Sum64()), rendezvousScore(names[0], names[1]))
+	}
+}
--- a/internal/sensing/sensing_test.go
+++ b/internal/sensing/sensing_test.go
@@ -69,7 +69,7 @@
 			servers := backendserver.NewServers(clock.New())
 			defer servers.Close()
 			servers.Set("one", backendserver.Options{
-				Address: address, MaxConnections: 1, Connections: settings.Connections{ConnectTimeout: clock.Second, IdleTimeout: clock.Second},
+				Address: address, MaxConnections: backendserver.FixedLimit(1), Connections: settings.Connections{ConnectTimeout: clock.Second, IdleTimeout: clock.Second},
 			})
 			results := make(chan Result, 1)
 			prober := NewProber(Options{
--- a/internal/service/candidate.go
+++ b/internal/service/candidate.go
@@ -94,6 +94,8 @@
 	hasReading bool
 	// reportsLoad is true once the target has reported its load.
 	reportsLoad bool
+	// counted is how the target is included in the counts of the scheduler.
+	counted countedTarget
 	// down is true while probes fail to reach the target, downSource is whose probes these are.
 	down       bool
 	downSource Source
--- a/internal/service/dispatcher.go
+++ b/internal/service/dispatcher.go
@@ -513,6 +513,9 @@
 	Rest clock.Milliseconds `json:"rest,omitempty"`
 	// Leaving is whether the target has said that it is about to stop.
 	Leaving bool `json:"leaving,omitempty"`
+	// Usable is whether the target may get requests by its entry in the catalog, Owned whether this instance owns it.
+	Usable bool `json:"usable,omitempty"`
+	Owned  bool `json:"owned,omitempty"`
 	// ColdFor is for how long the target is still cold, by the word of ColdSource.
 	ColdFor    clock.Milliseconds `json:"coldFor,omitempty"`
 	ColdSource Source             `json:"coldSource,omitempty"`
--- a/internal/service/ratelimit.go
+++ b/internal/service/ratelimit.go
@@ -1,6 +1,8 @@
 package service
 
 import (
+	"slices"
+
 	"github.com/jaywheel/jaywheel/internal/loan"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
@@ -195,16 +197,42 @@
 	scheduler.usableCount, scheduler.usableLocal = 0, 0
 	scheduler.limitedTargets = scheduler.limitedTargets[:0]
 	for _, candidate := range scheduler.ordered {
-		if !candidate.usable() {
-			continue
-		}
-		scheduler.usableCount++
-		if candidate.config.Local {
-			scheduler.usableLocal++
-		}
-		if candidate.limited() {
-			scheduler.limitedTargets = append(scheduler.limitedTargets, candidate)
-		}
+		candidate.counted = countedTarget{}
+		scheduler.count(candidate)
+	}
+}
+
+// countedTarget is how a target is included in the counts of a Scheduler.
+type countedTarget struct {
+	usable, local, limited bool
+}
+
+// count updates the numbers of usable targets, and the targets with a limit, after a change of one target.
+func (scheduler *Scheduler) count(candidate *candidate) {
+	before := candidate.counted
+	usable := candidate.usable()
+	now := countedTarget{usable: usable, local: usable && candidate.config.Local, limited: usable && candidate.limited()}
+	candidate.counted = now
+	scheduler.usableCount += difference(before.usable, now.usable)
+	scheduler.usableLocal += difference(before.local, now.local)
+	switch difference(before.limited, now.limited) {
+	case 1:
+		scheduler.limitedTargets = append(scheduler.limitedTargets, candidate)
+	case -1:
+		position := slices.Index(scheduler.limitedTargets, candidate)
+		scheduler.limitedTargets = slices.Delete(scheduler.limitedTargets, position, position+1)
+	}
+}
+
+// difference returns by how much a count changes that a target was included in before, and is now.
+func difference(before, now bool) int {
+	switch {
+	case before == now:
+		return 0
+	case now:
+		return 1
+	default:
+		return -1
 	}
 }
 
--- a/internal/service/scheduler.go
+++ b/internal/service/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"github.com/jaywheel/jaywheel/internal/loan"
@@ -123,31 +124,75 @@
 		configured[configs[index].Name] = true
 		scheduler.setTarget(now, configs[index])
 	}
-	remaining := scheduler.ordered[:0]
-	for _, candidate := range scheduler.ordered {
-		if !configured[candidate.Name] {
-			candidate.config.Usable = false
-			// The record of a target with requests in flight is kept, so that their count survives if the target returns. A
-			// new record would start at zero, and a target that is cold again would then get more requests than it can run.
-			if candidate.ownInFlight == 0 {
-				scheduler.removeFromIndex(candidate)
-				delete(scheduler.candidates, candidate.Name)
-				continue
-			}
-		}
-		remaining = append(remaining, candidate)
-	}
-	clear(scheduler.ordered[len(remaining):])
-	scheduler.ordered = remaining
+	scheduler.ordered = slices.DeleteFunc(scheduler.ordered, func(candidate *candidate) bool {
+		return !configured[candidate.Name] && scheduler.removeTarget(candidate)
+	})
 	scheduler.dropOldDeclarations(now)
 	scheduler.countUsable()
 	scheduler.reindexAll(now)
+	scheduler.serveChanged(now)
+}
+
+// ChangeTargets replaces the configuration of the given targets, or adds them, and removes others. All other targets stay as they are, and
+// are not indexed anew.
+func (scheduler *Scheduler) ChangeTargets(configs []TargetConfig, removed []settings.TargetName) {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	now := scheduler.clock.Now()
+	indexed := len(scheduler.ordered) > maxFullComparison
+	for index := range configs {
+		scheduler.setTarget(now, configs[index])
+	}
+	deleted := make(map[settings.TargetName]bool, len(removed))
+	for _, name := range removed {
+		candidate, known := scheduler.candidates[name]
+		if !known {
+			continue
+		}
+		deleted[name] = scheduler.removeTarget(candidate)
+		scheduler.count(candidate)
+		if !deleted[name] {
+			scheduler.reindex(now, candidate)
+		}
+	}
+	if len(deleted) > 0 {
+		scheduler.ordered = slices.DeleteFunc(scheduler.ordered, func(candidate *candidate) bool { return deleted[candidate.Name] })
+	}
+	scheduler.dropOldDeclarations(now)
+	if indexed == (len(scheduler.ordered) > maxFullComparison) {
+		for index := range configs {
+			candidate := scheduler.candidates[configs[index].Name]
+			scheduler.count(candidate)
+			scheduler.reindex(now, candidate)
+		}
+	} else {
+		scheduler.countUsable()
+		scheduler.reindexAll(now)
+	}
+	scheduler.serveChanged(now)
+}
+
+// serveChanged serves or refuses the waiting requests after a change of the targets.
+func (scheduler *Scheduler) serveChanged(now clock.Moment) {
 	if scheduler.usableCount == 0 {
 		scheduler.refuseAll(ErrNoTarget)
 	}
 	scheduler.serveWaiting(now)
 }
 
+// removeTarget makes a target unusable and reports whether its record is to be deleted. The record of a target with requests in flight
+// is kept, so that their count survives if the target returns. A new record would start at zero, and a target that is cold again would
+// then get more requests than it can run.
+func (scheduler *Scheduler) removeTarget(candidate *candidate) bool {
+	candidate.config.Usable = false
+	if candidate.ownInFlight > 0 {
+		return false
+	}
+	scheduler.removeFromIndex(candidate)
+	delete(scheduler.candidates, candidate.Name)
+	return true
+}
+
 func (scheduler *Scheduler) setTarget(now clock.Moment, config TargetConfig) {
 	existing, found := scheduler.candidates[config.Name]
 	if !found {
@@ -358,6 +403,7 @@
 			Name: candidate.Name, Address: candidate.Address, DataCentre: candidate.DataCentre, OwnInFlight: candidate.ownInFlight,
 			OthersInFlight: candidate.othersInFlight(now), Limit: candidate.concurrencyLimit(), Failures: candidate.consecutiveFailures,
 			Rest: max(candidate.restUntil().Since(now), 0), Leaving: candidate.leaving(),
+			Usable: candidate.config.Usable, Owned: candidate.config.Owned,
 			WarmthUnknown: !candidate.warmthKnown(now),
 		}
 		if now < candidate.coldUntil {
