Read a store of thousands of entries, and continue from the view of a peer

Callers of an instance that reads the store itself got no newer servers and configurations while the store was slow: 6,001 entries are 31 pages, 7.4 s at 240 ms each, and the whole read was given one second. On the link of a small instance it took longer than that at any time. Now each call is bounded, not their sum.

An instance that began to read the store read everything first, 31 billed calls instead of the one that a small list needs. It now watches from the revision of the view that it has from a peer, unless the peer retained servers whose entries were gone.

Updates now name the servers that their sender retains, and an instance that has seen the removal of one does not take it back.

--- a/internal/catalog/apply.go
+++ b/internal/catalog/apply.go
@@ -31,7 +31,7 @@
 		}
 	}
 	reader.revision = snapshot.Revision
-	reader.recheckPeerAt = 0
+	reader.recheckPeerAt, reader.retainedByPeer = 0, nil
 }
 
 func (reader *Reader) applyChanges(ctx context.Context, changes Changes) error {
@@ -142,6 +142,12 @@
 	}
 	view := View{Revision: reader.revision, Configuration: reader.configuration, Servers: reader.servers}
 	view.Evacuated = slices.Sorted(maps.Values(reader.evacuated))
+	for key := range reader.lapsed {
+		if name, isServer := key.server(); isServer {
+			view.Retained = append(view.Retained, name)
+		}
+	}
+	view.Retained = slices.Compact(slices.Sorted(slices.Values(append(view.Retained, reader.retainedByPeer...))))
 	view.RetainedUntil = reader.retainedUntil()
 	return view
 }
--- a/internal/catalog/catchup_test.go
+++ b/internal/catalog/catchup_test.go
@@ -17,11 +17,11 @@
 // no change.
 func slowSource(length clock.Milliseconds) Source {
 	return Source{
-		ReadAll: func(ctx context.Context) (Snapshot, error) {
+		ReadAll: func(ctx context.Context, _ clock.Milliseconds) (Snapshot, error) {
 			sleep(ctx, length)
 			return Snapshot{Revision: 7, Items: []Item{{Key: "configuration", Configuration: &Configuration{Version: 3}}}}, ctx.Err()
 		},
-		ReadStale: func(ctx context.Context) (Snapshot, error) { return Snapshot{}, ctx.Err() },
+		ReadStale: func(ctx context.Context, _ clock.Milliseconds) (Snapshot, error) { return Snapshot{}, ctx.Err() },
 		Watch: func(ctx context.Context, _ Revision, _ clock.Milliseconds) (Changes, error) {
 			<-ctx.Done()
 			return Changes{}, ctx.Err()
@@ -78,14 +78,14 @@
 				published := make(chan View, 64)
 				firstRead := true
 				source := Source{
-					ReadAll: func(ctx context.Context) (Snapshot, error) {
+					ReadAll: func(ctx context.Context, _ clock.Milliseconds) (Snapshot, error) {
 						if !firstRead {
 							sleep(ctx, newConnection)
 						}
 						firstRead = false
 						return Snapshot{Revision: 7, Items: []Item{{Key: "configuration", Configuration: configured(3)}}}, ctx.Err()
 					},
-					ReadStale: func(ctx context.Context) (Snapshot, error) { return Snapshot{}, ctx.Err() },
+					ReadStale: func(ctx context.Context, _ clock.Milliseconds) (Snapshot, error) { return Snapshot{}, ctx.Err() },
 					Watch: func(ctx context.Context, _ Revision, _ clock.Milliseconds) (Changes, error) {
 						sleep(ctx, testCase.watch)
 						return Changes{Revision: 9, Set: []Item{{Key: "configuration", Configuration: configured(4)}}}, ctx.Err()
--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -11,7 +11,7 @@
 
 // followOnce reads a peer's view when it is newer. Otherwise it waits until the reader is woken or a retained server has to be dropped.
 func (reader *Reader) followOnce(ctx context.Context) {
-	reader.complete = false
+	reader.confirmed = false
 	if reader.dropLapsed() {
 		reader.publishOrLog(ctx)
 	}
@@ -63,16 +63,26 @@
 	reader.options.Events.Add(EventFromPeer, 1)
 	reader.options.Log.Debug().Uint64("revision", uint64(view.Revision)).Uint64("before", uint64(reader.revision)).Msg("view adopted from a peer")
 	reader.setConfiguration(view.Configuration)
-	reader.servers = view.Servers
+	known := reader.current().Servers
+	reader.servers, reader.retainedByPeer = view.Servers, nil
 	clear(reader.edits)
+	for _, name := range view.Retained {
+		if known.Find(name) == nil && known.Len() > 0 {
+			// This instance has seen the removal of the entry, which has not lapsed: the peer was the only one that the store did not
+			// answer.
+			reader.edits[name] = nil
+		} else {
+			reader.retainedByPeer = append(reader.retainedByPeer, name)
+		}
+	}
 	clear(reader.evacuated)
 	clear(reader.lapsed)
 	for _, name := range view.Evacuated {
 		reader.evacuated[EvacuationKey(name)] = name
 	}
 	reader.revision = view.Revision
-	// Later changes of the source are known only after everything has been read.
-	reader.complete = false
+	// A watch continues from the revision of the view, unless the peer retains servers whose removal is older than that.
+	reader.complete = view.RetainedUntil == 0 && !reader.refreshing
 	reader.publishOrLog(ctx)
 }
 
--- a/internal/catalog/item.go
+++ b/internal/catalog/item.go
@@ -60,10 +60,11 @@
 
 // Source is read access to a platform's store. Its fields are functions so that tests can replace each of them.
 type Source struct {
-	// ReadAll reads everything.
-	ReadAll func(ctx context.Context) (Snapshot, error)
+	// ReadAll reads everything. It fails if the response to one call takes longer than callTimeout; a large content takes many calls.
+	// All changes after the revision of the snapshot are returned by Watch, also those that the snapshot contains already.
+	ReadAll func(ctx context.Context, callTimeout clock.Milliseconds) (Snapshot, error)
 	// ReadStale reads everything as it was up to some seconds ago, at little cost for the store.
-	ReadStale func(ctx context.Context) (Snapshot, error)
+	ReadStale func(ctx context.Context, callTimeout clock.Milliseconds) (Snapshot, error)
 	// Watch returns the changes after a revision as soon as there are any, or none after the wait. The error is ErrCompacted when
 	// the store no longer has them.
 	Watch func(ctx context.Context, after Revision, wait clock.Milliseconds) (Changes, error)
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -15,10 +15,11 @@
 
 // Intervals and timeouts of a Reader.
 const (
-	// readTimeout bounds reading everything. A slow store responds in some 250 ms. On a connection that has stopped
-	// responding it never does, and the read is repeated on a new connection.
+	// readTimeout bounds each call of reading everything, and reading a peer. A slow store responds in some 250 ms. On a connection that
+	// has stopped responding it never does, and the read is repeated on a new connection. The whole read has no bound: a store with
+	// thousands of entries needs dozens of calls, and one with a bound would never complete on a slow link.
 	readTimeout = clock.Second
-	// staleTimeout bounds a stale read, during which callers wait.
+	// staleTimeout bounds each call of a stale read, during which callers wait.
 	staleTimeout = 300 * clock.Millisecond
 	// watchWait is how long a watch waits for a change, and watchSlack how much later its response may arrive. A connection that
 	// has stopped responding is detected when both have passed; instances must apply changes within 3 s of its failure.
@@ -107,7 +108,10 @@
 
 	// The fields below are used only by the goroutine that runs Serve.
 	revision Revision
+	// complete is whether the servers are those of the source at the revision, so that a watch can continue from there.
 	complete bool
+	// confirmed is whether the source has responded since this reader last was a follower.
+	confirmed bool
 	// refreshing is set from a request to read everything until that is done.
 	refreshing bool
 	// peersFailedInWatch is whether the last watch was given up because no peer responded either.
@@ -122,6 +126,8 @@
 	calledAt, failedAt clock.Moment
 	// retainUntil is the time until which removed entries are retained that may only have lapsed.
 	retainUntil clock.Moment
+	// retainedByPeer are the servers that the peer retains whose view was adopted.
+	retainedByPeer []settings.TargetName
 	// recheckPeerAt is when a peer is next read because the one whose view was adopted retained servers, 0 when it retained none.
 	recheckPeerAt clock.Moment
 	failures      int
@@ -218,10 +224,10 @@
 }
 
 // nextWatchWait returns how long the next watch may wait, at most until the next entry is dropped that may only have lapsed. A watch
-// without changes would end much later, and the server would get requests until then. After a failure the watch waits only for
-// minWatchWait, to find out whether the source is back.
+// without changes would end much later, and the server would get requests until then. After a failure and after a time as follower the
+// watch waits only for minWatchWait, to find out whether the source responds.
 func (reader *Reader) nextWatchWait() clock.Milliseconds {
-	if reader.failures > 0 {
+	if reader.failures > 0 || !reader.confirmed {
 		return minWatchWait
 	}
 	return max(min(watchWait, reader.untilNextDrop()), minWatchWait)
@@ -246,17 +252,24 @@
 // cancellableContext returns a context that ends after the timeout, and when the role changes or a refresh is requested.
 func (reader *Reader) cancellableContext(ctx context.Context, timeout clock.Milliseconds) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
+	reader.setCancelIO(cancel)
+	return ctx, cancel
+}
+
+// setCancelIO sets the function that is called when the role changes or a refresh is requested.
+func (reader *Reader) setCancelIO(cancel context.CancelFunc) {
 	reader.mutex.Lock()
 	defer reader.mutex.Unlock()
 	reader.cancelIO = cancel
-	return ctx, cancel
 }
 
 func (reader *Reader) readAll(ctx context.Context) error {
-	ctx, cancel := reader.callContext(ctx, readTimeout)
+	reader.calledAt = reader.options.Clock.Now()
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	reader.setCancelIO(cancel)
 	reader.options.Events.Add(EventRead, 1)
-	snapshot, err := reader.options.Source.ReadAll(ctx)
+	snapshot, err := reader.options.Source.ReadAll(ctx, readTimeout)
 	if err != nil {
 		return errors.Wrap(err, "read all entries")
 	}
@@ -286,6 +299,7 @@
 		reader.options.Log.Info().Msg("store answers")
 	}
 	reader.failures = 0
+	reader.confirmed = true
 }
 
 func sleep(ctx context.Context, duration clock.Milliseconds) {
--- a/internal/catalog/reader_test.go
+++ b/internal/catalog/reader_test.go
@@ -64,6 +64,12 @@
 	source.hangs, source.compacted = hangs, compacted
 }
 
+func (source *source) readCount() int {
+	source.mutex.Lock()
+	defer source.mutex.Unlock()
+	return source.reads
+}
+
 // setRefuses sets whether every read is refused at once.
 func (source *source) setRefuses(refuses bool) {
 	source.mutex.Lock()
@@ -73,7 +79,9 @@
 
 var errRefused = errors.New("refused")
 
-func (source *source) readAll(ctx context.Context) (Snapshot, error) {
+func (source *source) readAll(ctx context.Context, callTimeout clock.Milliseconds) (Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+	defer cancel()
 	source.mutex.Lock()
 	source.reads++
 	if source.refuses {
@@ -135,6 +143,8 @@
 	mutex  sync.Mutex
 	view   View
 	peer   *View
+	// retainedFor is what the peer says of servers that it retains.
+	retainedFor clock.Milliseconds
 }
 
 func (fixture *fixture) last() View {
@@ -151,6 +161,14 @@
 	return names
 }
 
+// setPeer sets the view of the peer, and what it says of servers that it retains.
+func (fixture *fixture) setPeer(view *View, retainedFor clock.Milliseconds) {
+	fixture.mutex.Lock()
+	fixture.peer, fixture.retainedFor = view, retainedFor
+	fixture.mutex.Unlock()
+	fixture.reader.SetPeerRevision(view.Revision)
+}
+
 var errNoPeer = errors.New("no peer")
 
 func newFixture(t *testing.T) *fixture {
@@ -165,7 +183,9 @@
 			}
 			history := NewHistory()
 			history.Record(fixture.peer)
-			return history.UpdateSince(after), nil
+			update := history.UpdateSince(after)
+			update.RetainedFor = fixture.retainedFor
+			return update, nil
 		},
 		Publish: func(_ context.Context, view View) error {
 			fixture.mutex.Lock()
@@ -433,3 +453,42 @@
 		require.Equal(t, reads, fixture.source.reads, "a reader that has a view makes no stale read")
 	})
 }
+
+// Guards against an instance that reads everything whenever it begins to read the source: with thousands of servers that takes dozens of
+// calls, which are billed, and seconds on the link of a small instance.
+func TestLeaderContinuesFromViewOfPeer(t *testing.T) {
+	cases := []struct {
+		name        string
+		retainedFor clock.Milliseconds
+		compacted   bool
+		reads       int
+	}{
+		{"the peer has the servers of its revision", 0, false, 0},
+		{"the peer retains a server whose entry is gone", clock.Second, false, 1},
+		{"the changes since the peer's revision are not available", 0, true, 1},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fixture := newFixture(t)
+				peer := View{
+					Revision: 8, Configuration: configurationItem(7).Configuration,
+					Servers: NewServerList(*serverItem("one", ServerReady).Server, *serverItem("two", ServerReady).Server),
+				}
+				fixture.setPeer(&peer, testCase.retainedFor)
+				advance(200)
+				require.Equal(t, []string{"one", "two"}, fixture.names())
+				fixture.source.remove(ServerKey("one"))
+				fixture.source.set(serverItem("three", ServerReady))
+				fixture.source.setFaults(false, testCase.compacted)
+				fixture.reader.SetRole(RoleLeader)
+				advance(50)
+				fixture.source.setFaults(false, false)
+				advance(clock.Second)
+				require.Equal(t, []string{"three", "two"}, fixture.names())
+				require.NotZero(t, fixture.reader.LastResponse())
+				require.Equal(t, testCase.reads, fixture.source.readCount())
+			})
+		})
+	}
+}
--- a/internal/catalog/retention_test.go
+++ b/internal/catalog/retention_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
 )
 
 // Guards against a reader that was cut off and detects only after two seconds, or with the first change, that the store responds
@@ -187,3 +188,36 @@
 		require.Equal(t, []string{"one"}, fixture.names())
 	})
 }
+
+// Guards against a server that returns after its removal: an instance that the store did not answer takes it as lapsed, reads newer
+// changes first, and the instances that have seen the removal adopt its view.
+func TestRetainedServerDoesNotReturn(t *testing.T) {
+	cases := []struct {
+		name     string
+		known    []Server
+		expected []string
+	}{
+		{"the removal was seen", []Server{{Name: "two"}}, []string{"two"}},
+		{"the removal was not seen", []Server{{Name: "one"}, {Name: "two"}}, []string{"one", "two"}},
+		{"nothing was known", nil, []string{"one", "two"}},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fixture := newFixture(t)
+				configuration := &Configuration{Version: 1}
+				if testCase.known != nil {
+					fixture.setPeer(&View{Revision: 9, Configuration: configuration, Servers: NewServerList(testCase.known...)}, 0)
+					advance(100)
+				}
+				retaining := View{
+					Revision: 10, Configuration: configuration, Servers: NewServerList(Server{Name: "one"}, Server{Name: "two"}),
+					Retained: []settings.TargetName{"one"},
+				}
+				fixture.setPeer(&retaining, 2*clock.Second)
+				advance(200)
+				require.Equal(t, testCase.expected, fixture.names())
+			})
+		})
+	}
+}
--- a/internal/catalog/stale.go
+++ b/internal/catalog/stale.go
@@ -34,12 +34,13 @@
 	if reader.configuration != nil {
 		return
 	}
-	ctx, cancel := reader.cancellableContext(ctx, staleTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	reader.setCancelIO(cancel)
 	reader.setReadingStale(true)
 	defer reader.setReadingStale(false)
 	reader.options.Events.Add(EventReadStale, 1)
-	snapshot, err := reader.options.Source.ReadStale(ctx)
+	snapshot, err := reader.options.Source.ReadStale(ctx, staleTimeout)
 	if err != nil {
 		reader.options.Log.Info().Str("problem", err.Error()).Msg("store not read at the start")
 		return
--- a/internal/catalog/update.go
+++ b/internal/catalog/update.go
@@ -24,6 +24,8 @@
 	Servers       []Server
 	Removed       []settings.TargetName
 	Evacuated     []settings.DataCentreName
+	// Retained are the servers whose entries are gone at the source and may only have lapsed.
+	Retained []settings.TargetName
 	// Digest is the digest of all servers after the update. Two instances that read the source may for a while retain different
 	// servers after an outage. An update from one, applied to a view of the other, could leave servers behind that are never
 	// removed, and requests would be sent to them.
@@ -38,7 +40,7 @@
 
 // Apply returns the view after the update, or ErrMismatch.
 func (update *Update) Apply(base *View) (View, error) {
-	view := View{Revision: update.Revision, Configuration: update.Configuration, Evacuated: update.Evacuated}
+	view := View{Revision: update.Revision, Configuration: update.Configuration, Evacuated: update.Evacuated, Retained: update.Retained}
 	edits := make(ServerEdits, len(update.Servers)+len(update.Removed))
 	for _, name := range update.Removed {
 		edits[name] = nil
@@ -136,7 +138,7 @@
 // UpdateSince returns the changes after a revision, or everything when those are not known. Record must have been called before.
 func (history *History) UpdateSince(after Revision) Update {
 	view := history.view
-	update := Update{Revision: view.Revision, Evacuated: view.Evacuated, Digest: view.Servers.Digest()}
+	update := Update{Revision: view.Revision, Evacuated: view.Evacuated, Retained: view.Retained, Digest: view.Servers.Digest()}
 	if after == 0 || after < history.firstRevision || after > view.Revision {
 		if history.whole == nil {
 			history.whole = make([]Server, 0, view.Servers.Len())
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -104,6 +104,8 @@
 	Configuration *Configuration
 	Servers       ServerList
 	Evacuated     []settings.DataCentreName
+	// Retained are the servers whose entries are gone and may only have lapsed, in the order of their names.
+	Retained []settings.TargetName
 	// RetainedUntil is when the first server is dropped whose entry is gone and may only have lapsed, 0 when there is none.
 	RetainedUntil clock.Moment `cbor:"-"`
 }
--- a/internal/fleet/virtual_store_test.go
+++ b/internal/fleet/virtual_store_test.go
@@ -143,8 +143,12 @@
 // source returns the store as a process reaches it.
 func (store *virtualStore) source(process *process) catalog.Source {
 	return catalog.Source{
-		ReadAll:   func(ctx context.Context) (catalog.Snapshot, error) { return store.read(ctx, process, store.visible) },
-		ReadStale: func(ctx context.Context) (catalog.Snapshot, error) { return store.read(ctx, process, store.lagged) },
+		ReadAll: func(ctx context.Context, callTimeout clock.Milliseconds) (catalog.Snapshot, error) {
+			return store.read(ctx, process, callTimeout, store.visible)
+		},
+		ReadStale: func(ctx context.Context, callTimeout clock.Milliseconds) (catalog.Snapshot, error) {
+			return store.read(ctx, process, callTimeout, store.lagged)
+		},
 		Watch: func(ctx context.Context, after catalog.Revision, wait clock.Milliseconds) (catalog.Changes, error) {
 			return store.watch(ctx, process, after, wait)
 		},
@@ -152,7 +156,11 @@
 }
 
 // read returns the whole content of a state.
-func (store *virtualStore) read(ctx context.Context, process *process, choose func() *storeState) (catalog.Snapshot, error) {
+func (store *virtualStore) read(
+	ctx context.Context, process *process, callTimeout clock.Milliseconds, choose func() *storeState,
+) (catalog.Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+	defer cancel()
 	if err := store.admit(ctx, process); err != nil {
 		return catalog.Snapshot{}, err
 	}
