Encode each update of the catalog once

When hundreds of instances start, each reads the whole list from the few that serve. All updates to the latest state are kept now, and dropped with it.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 
@@ -42,27 +43,34 @@
 	_, _ = writer.Write(encoded)
 }
 
-// updateCache holds the encoded form of the last update sent, since after a change all followers request the same update.
+// updateCache holds the encoded updates to the latest state that was sent, by the revision that they apply to. After a change all followers
+// request the same few updates, and after a start of the whole fleet all instances request everything.
 type updateCache struct {
-	mutex   sync.Mutex
-	update  catalog.Update
-	encoded []byte
+	mutex sync.Mutex
+	// latest is an update to the state that the encoded updates lead to.
+	latest  catalog.Update
+	encoded map[catalog.Revision][]byte
 }
 
+// encode returns the encoded update. One that names a time is not cached.
 func (updateCache *updateCache) encode(update *catalog.Update) ([]byte, error) {
+	if update.RetainedFor > 0 {
+		return update.Encode()
+	}
 	updateCache.mutex.Lock()
 	defer updateCache.mutex.Unlock()
-	last := &updateCache.update
-	same := updateCache.encoded != nil && last.Revision == update.Revision && last.Since == update.Since && last.Digest == update.Digest &&
-		last.Configuration == update.Configuration && last.RetainedFor == 0 && update.RetainedFor == 0
-	if same {
-		return updateCache.encoded, nil
+	latest := &updateCache.latest
+	if updateCache.encoded == nil || latest.Revision != update.Revision || latest.Digest != update.Digest || !slices.Equal(latest.Evacuated, update.Evacuated) {
+		updateCache.latest, updateCache.encoded = *update, map[catalog.Revision][]byte{}
+	}
+	if encoded, found := updateCache.encoded[update.Since]; found {
+		return encoded, nil
 	}
 	encoded, err := update.Encode()
 	if err != nil {
 		return nil, err
 	}
-	updateCache.update, updateCache.encoded = *update, encoded
+	updateCache.encoded[update.Since] = encoded
 	return encoded, nil
 }
 
