Report unreachable servers of an instance on standby only to those that serve

When a data centre lost the path to its servers, each of its instances told all others three times: 513,149 datagrams in 20 s in a fleet of 312, two thirds of them affected, while its callers needed the links. An instance on standby is of interest only to those that serve, which decide who is promoted.

--- a/internal/fleet/reach.go
+++ b/internal/fleet/reach.go
@@ -54,7 +54,9 @@
 	nextReport     clock.Moment
 	nextWideReport clock.Moment
 	repetitions    int
-	sequence       uint64
+	// hasServed is whether this instance served when it last reported a change, or has stopped since.
+	hasServed bool
+	sequence  uint64
 	// changed is whether owners and addresses have to be computed anew, nextPublish when they may be.
 	changed     bool
 	nextPublish clock.Moment
@@ -163,7 +165,9 @@
 }
 
 // reportReach reports the services that this instance cannot reach: often among serving instances, which decide who serves, and once
-// a second between serving instances and the others. A change is reported to all at once.
+// a second between serving instances and the others. A change is reported at once, and to all if this instance serves, has just served,
+// or knows of no serving instance. Of any other instance only those that serve need to know: when a data centre loses its servers, reports
+// of all of its instances to all others would grow with the square of the fleet.
 func (controller *Controller) reportReach(now clock.Moment) {
 	reach := &controller.reach
 	unreachable := reach.tracker.UnreachableServices()
@@ -173,12 +177,25 @@
 	reach.nextReport = now.Add(reachReportInterval)
 	changed := reach.repetitions > 0
 	wide := changed || now >= reach.nextWideReport
-	if changed {
-		reach.repetitions--
-	}
+	reach.repetitions = max(reach.repetitions-1, 0)
 	if wide {
 		reach.nextWideReport = now.Add(standbyReachReportInterval)
 	}
+	serving := controller.members.State() == membership.Serving
+	reach.hasServed = serving || changed && reach.hasServed
+	toAll := reach.hasServed || controller.members.Leaderless()
+	report := controller.newReachReport(unreachable)
+	for _, member := range controller.members.Alive() {
+		serves := member.State == membership.Serving
+		if wide && (toAll || serves) || serving && serves {
+			controller.send(member.Address, &Message{Reach: report})
+		}
+	}
+}
+
+// newReachReport returns the next report.
+func (controller *Controller) newReachReport(unreachable []settings.ServiceName) *ReachReport {
+	reach := &controller.reach
 	reach.sequence++
 	report := &ReachReport{
 		Sender: controller.options.Self.Name, Incarnation: controller.options.Incarnation, Sequence: reach.sequence,
@@ -189,13 +206,7 @@
 	}
 	slices.Sort(report.Unreachable)
 	report.Unreachable = report.Unreachable[:min(len(report.Unreachable), maxReportedServices)]
-	serving := controller.members.State() == membership.Serving
-	for _, member := range controller.members.Alive() {
-		often := serving && member.State == membership.Serving
-		if often || wide && (changed || serving || member.State == membership.Serving) {
-			controller.send(member.Address, &Message{Reach: report})
-		}
-	}
+	return report
 }
 
 // maxReportedServices is the maximum number of services in a report.
--- a/internal/fleet/reach_test.go
+++ b/internal/fleet/reach_test.go
@@ -293,3 +293,32 @@
 		})
 	}
 }
+
+// Guards against reports that grow with the square of the fleet: a data centre loses the path to its servers, and each of its instances tells
+// all others of it several times.
+func TestReportsOfStandbyInstancesAreFew(t *testing.T) {
+	const maxReports = 60
+	for _, instances := range []int{300, 600, 1200} {
+		fixture := newStandbyFixture(t, instances, 24)
+		reports := 0
+		options := &fixture.controller.options
+		options.CheckConnection = func(name settings.TargetName) { fixture.controller.RecordConnect(name, false) }
+		options.Send = func(_ netip.AddrPort, text []byte) {
+			message, err := Decode(text)
+			require.NoError(t, err)
+			if message.Reach != nil {
+				reports++
+			}
+		}
+		for server := range fixture.controller.view.Servers.All() {
+			fixture.controller.RecordConnect(server.Name, false)
+		}
+		for range 3 {
+			fixture.advanceSecond()
+		}
+		require.True(t, fixture.controller.reach.tracker.Isolated())
+		t.Logf("%d instances: %d reports in 3 s", instances, reports)
+		require.NotZero(t, reports, "those that serve decide who is promoted")
+		require.LessOrEqual(t, reports, maxReports)
+	}
+}
--- a/internal/fleet/tick.go
+++ b/internal/fleet/tick.go
@@ -124,7 +124,7 @@
 	controller.members.SetState(state)
 	if controller.reach.tracker.Isolated() {
 		// Instances on standby hear of the end of serving only when they miss heartbeats.
-		controller.reach.repetitions = reachRepetitions
+		controller.reach.repetitions, controller.reach.hasServed = reachRepetitions, true
 	}
 	if state == membership.Serving {
 		controller.servingSince = controller.options.Clock.Now()
