Look for idle connections only where there may be some

An instance looked through the connection pools of all backend servers once a second, thousands on standby instances that hold no connection. Pools with idle connections are listed now.

--- a/internal/backendserver/pool.go
+++ b/internal/backendserver/pool.go
@@ -42,6 +42,8 @@
 	target settings.TargetName
 	clock  *clock.Clock
 	dial   func(context.Context, Options) (*connection, error)
+	// idlePools are the pools of all backend servers that may hold idle connections.
+	idlePools *sync.Map // *pool to nothing
 
 	mutex   sync.Mutex
 	options Options
@@ -143,6 +145,9 @@
 	}
 	connection.used = true
 	connection.idleSince = pool.clock.Now()
+	if len(pool.idle) == 0 {
+		pool.idlePools.Store(pool, struct{}{})
+	}
 	pool.idle = append(pool.idle, connection)
 }
 
@@ -162,6 +167,9 @@
 	}
 	clear(pool.idle[len(remaining):])
 	pool.idle = remaining
+	if len(remaining) == 0 {
+		pool.idlePools.Delete(pool)
+	}
 }
 
 // setOptions replaces the options. If the address has changed, it closes the idle connections to the old address.
--- a/internal/backendserver/servers.go
+++ b/internal/backendserver/servers.go
@@ -28,6 +28,8 @@
 	clock     *clock.Clock
 	connector *connector
 	pools     sync.Map // settings.TargetName to *pool
+	// idlePools are the pools that may hold idle connections: a few of the thousands of an instance on standby.
+	idlePools sync.Map // *pool to nothing
 }
 
 // NewServers returns a Servers without any backend server.
@@ -56,8 +58,9 @@
 		return
 	}
 	servers.pools.Store(target, &pool{
-		target: target,
-		clock:  servers.clock,
+		target:    target,
+		clock:     servers.clock,
+		idlePools: &servers.idlePools,
 		dial: func(ctx context.Context, options Options) (*connection, error) {
 			return servers.connect(ctx, target, options)
 		},
@@ -119,7 +122,10 @@
 
 // CloseIdle closes the idle connections that are dead or have exceeded the idle timeout.
 func (servers *Servers) CloseIdle() {
-	servers.forEach((*pool).closeIdle)
+	servers.idlePools.Range(func(found, _ any) bool {
+		found.(*pool).closeIdle() //nolint:forcetypeassert // The map holds nothing else.
+		return true
+	})
 }
 
 // Close closes all idle connections and removes all backend servers.
