Limit how many probes are in progress at once

Before callers come, a fleet of 585 opened 915,787 connections for 653,834 probes in 21 s, and small instances that began to serve ran out of memory and were ended. An instance probes each of its targets at once, and each probe has 200 ms. With hundreds of targets and a sixth of a processor none ends in time; all give up their connections and begin again.

The probes in progress are limited to what half of the instance's processor completes within the time limit, which begins when a probe is sent. Of 600 first probes of an instance with 0.16 of a processor, 460 ended at their time limit before, none now (TestProbesOfManyTargetsEndInTime).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -168,7 +168,8 @@
 	events := &gateway.registry.Events
 	gateway.prober = sensing.NewProber(sensing.Options{
 		Send: gateway.servers.Send, Read: gateway.options.Platform.ReadProbe, Clock: gateway.clock, Events: events,
-		Deliver: func(result sensing.Result) { gateway.controller.RecordProbe(result) },
+		MaxConcurrent: sensing.MaxConcurrent(gatewaySettings.Cores),
+		Deliver:       func(result sensing.Result) { gateway.controller.RecordProbe(result) },
 	})
 	gateway.datagrams = instance.NewTransport(instance.TransportOptions{
 		Address: gatewaySettings.PeerAddress, Events: events, Deliver: func(datagram []byte) { gateway.controller.Receive(datagram) },
--- a/internal/sensing/sensing.go
+++ b/internal/sensing/sensing.go
@@ -38,8 +38,18 @@
 	notDuePause = 100 * clock.Millisecond
 	// downPause is the minimum pause between two probes of a target that is down.
 	downPause = 250 * clock.Millisecond
+	// firstProbeTime is the processor time of a probe on a new connection: 0.16 ms to connect and 0.07 ms for the probe.
+	firstProbeTime = 0.23 * clock.Millisecond
+	// maxProcessorShare is the share of the processor time within probeTimeout that all probes in progress may need.
+	maxProcessorShare = 0.5
 )
 
+// MaxConcurrent returns the number of probes that an instance with the given number of processors can have in progress, so that all of
+// them end in time.
+func MaxConcurrent(processors float64) int {
+	return max(int(maxProcessorShare*processors*float64(probeTimeout/firstProbeTime)), 1)
+}
+
 // Event names of probing.
 const (
 	EventProbed = "probe.answered"
@@ -100,8 +110,12 @@
 	Read func(*http.Response) Health
 	// Deliver receives the result of each probe, on the goroutine of the probed target.
 	Deliver func(Result)
-	Clock   *clock.Clock
-	Events  *expvar.Map
+	// MaxConcurrent is the maximum number of probes in progress, 0 for no limit. All others wait, and their time limit begins later. Without
+	// a limit, a small instance that begins to probe hundreds of targets completes no probe in time, gives up all connections, and begins
+	// again.
+	MaxConcurrent int
+	Clock         *clock.Clock
+	Events        *expvar.Map
 }
 
 // Prober probes targets, each in its own goroutine.
@@ -112,6 +126,8 @@
 	context context.Context
 	running map[settings.TargetName]*runningJob
 	group   sync.WaitGroup
+	// slots holds an element for each probe in progress, nil if their number is not limited.
+	slots chan struct{}
 }
 
 type runningJob struct {
@@ -121,7 +137,30 @@
 
 // NewProber returns a prober without jobs.
 func NewProber(options Options) *Prober {
-	return &Prober{options: options, running: map[settings.TargetName]*runningJob{}}
+	prober := &Prober{options: options, running: map[settings.TargetName]*runningJob{}}
+	if options.MaxConcurrent > 0 {
+		prober.slots = make(chan struct{}, options.MaxConcurrent)
+	}
+	return prober
+}
+
+// acquireSlot waits until another probe may be in progress. The error is that of the context.
+func (prober *Prober) acquireSlot(ctx context.Context) error {
+	if prober.slots == nil {
+		return nil
+	}
+	select {
+	case prober.slots <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (prober *Prober) releaseSlot() {
+	if prober.slots != nil {
+		<-prober.slots
+	}
 }
 
 // Serve runs the jobs until the context ends.
@@ -233,6 +272,10 @@
 }
 
 func (prober *Prober) probe(ctx context.Context, job Job) (Health, error) {
+	if err := prober.acquireSlot(ctx); err != nil {
+		return Health{}, err
+	}
+	defer prober.releaseSlot()
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
 	defer cancel()
 	request := &http.Request{
--- a/internal/sensing/sensing_test.go
+++ b/internal/sensing/sensing_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"expvar"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -95,3 +97,51 @@
 		})
 	}
 }
+
+// Guards against a small instance that completes no probe: it begins to serve and has hundreds of targets, whose probes share its processor
+// and all end at their time limit, are given up with their connections, and begin again.
+func TestProbesOfManyTargetsEndInTime(t *testing.T) {
+	const targets, processors = 600, 0.16
+	synctest.Test(t, func(t *testing.T) {
+		// A first probe takes its processor time; probes get the processor in the order in which they ask for it.
+		processor := make(chan struct{}, 1)
+		cost := (firstProbeTime / processors).Duration()
+		var failed atomic.Int64
+		answered := map[settings.TargetName]bool{}
+		var mutex sync.Mutex
+		prober := NewProber(Options{
+			Send: func(ctx context.Context, name settings.TargetName, _ *http.Request, _ bool) (*backendserver.Exchange, error) {
+				select {
+				case processor <- struct{}{}:
+				case <-ctx.Done():
+					return nil, ctx.Err()
+				}
+				defer func() { <-processor }()
+				time.Sleep(cost)
+				mutex.Lock()
+				defer mutex.Unlock()
+				answered[name] = true
+				return nil, errNoServer
+			},
+			Deliver: func(result Result) {
+				if errors.Is(result.Err, context.DeadlineExceeded) {
+					failed.Add(1)
+				}
+			},
+			Clock: clock.New(), Events: new(expvar.Map).Init(), MaxConcurrent: MaxConcurrent(processors),
+		})
+		jobs := make([]Job, 0, targets)
+		for number := range targets {
+			jobs = append(jobs, Job{Target: settings.TargetName(fmt.Sprintf("target-%d", number)), Pause: func() clock.Milliseconds { return 2 * clock.Second }})
+		}
+		prober.Set(jobs)
+		ctx, cancel := context.WithCancel(t.Context())
+		served := make(chan error, 1)
+		go func() { served <- prober.Serve(ctx) }()
+		time.Sleep((2 * clock.Second).Duration())
+		cancel()
+		require.ErrorIs(t, <-served, context.Canceled)
+		require.Zero(t, failed.Load(), "probes that ended at their time limit")
+		require.Len(t, answered, targets)
+	})
+}
