Drop the record of a removed target after its last request

A scheduler keeps the record of a target that is removed while requests are in flight on it. Since single targets are changed, nothing dropped these records when the requests had ended, and a list that turns over would have filled the memory of a serving instance. They are dropped with the next removal (TestRecordOfRemovedTargetIsDropped failed before).

--- a/internal/service/candidate.go
+++ b/internal/service/candidate.go
@@ -115,6 +115,8 @@
 	// slowdownCycle is when the slowdown of the target may change.
 	slowdownCycle slowdownCycle
 	config        TargetConfig
+	// removed is whether the target is not configured any more. Its record is kept until its requests in flight have ended.
+	removed bool
 	// slowdownHistory holds the recent slowdowns of the target, nil before the first one. It is more than half of a candidate's memory, and
 	// an instance on standby gets no readings of its thousands of targets.
 	slowdownHistory *slowdownHistory
--- a/internal/service/changetargets_test.go
+++ b/internal/service/changetargets_test.go
@@ -87,3 +87,20 @@
 		}
 	}
 }
+
+// Guards against records that are kept for ever of targets that were removed while requests were in flight on them: a list that turns over
+// would fill the memory of a serving instance.
+func TestRecordOfRemovedTargetIsDropped(t *testing.T) {
+	scheduler := NewScheduler(SchedulerOptions{Clock: clock.New(), Rand: rand.New(rand.NewPCG(1, 1))})
+	scheduler.SetTargets([]TargetConfig{{Name: "one", Slots: 4, Usable: true}})
+	now := scheduler.clock.Now()
+	scheduler.Observe("one", LoadReading{At: now, Slots: 4, Slowdown: 1, ColdKnown: true})
+	permit, found := scheduler.TryAcquire(PermitRequest{Class: "lookups", SoftDeadline: now.Add(clock.Second)})
+	require.True(t, found)
+	scheduler.ChangeTargets([]TargetConfig{{Name: "two", Slots: 4, Usable: true}}, []settings.TargetName{"one"})
+	require.Contains(t, scheduler.candidates, settings.TargetName("one"), "a request is in flight")
+	permit.Release(Succeeded)
+	scheduler.ChangeTargets(nil, []settings.TargetName{"two"})
+	require.Empty(t, scheduler.candidates)
+	require.Empty(t, scheduler.ordered)
+}
--- a/internal/service/scheduler.go
+++ b/internal/service/scheduler.go
@@ -156,7 +156,10 @@
 		}
 	}
 	if len(deleted) > 0 {
-		scheduler.ordered = slices.DeleteFunc(scheduler.ordered, func(candidate *candidate) bool { return deleted[candidate.Name] })
+		scheduler.ordered = slices.DeleteFunc(scheduler.ordered, func(candidate *candidate) bool {
+			// Targets that were removed earlier may have had requests in flight until now.
+			return deleted[candidate.Name] || candidate.removed && scheduler.removeTarget(candidate)
+		})
 	}
 	scheduler.dropOldDeclarations(now)
 	if indexed == (len(scheduler.ordered) > maxFullComparison) {
@@ -184,7 +187,7 @@
 // is kept, so that their count survives if the target returns. A new record would start at zero, and a target that is cold again would
 // then get more requests than it can run.
 func (scheduler *Scheduler) removeTarget(candidate *candidate) bool {
-	candidate.config.Usable = false
+	candidate.config.Usable, candidate.removed = false, true
 	if candidate.ownInFlight > 0 {
 		return false
 	}
@@ -213,7 +216,7 @@
 	}
 	existing.configureWarmth(now, &existing.config, &config, found)
 	existing.refill(now)
-	existing.config = config
+	existing.config, existing.removed = config, false
 	scheduler.attachDeclaration(existing)
 	existing.slotClass = existing.concurrencyModel.slotClassOf(config.Slots)
 	if existing.Address != config.Address || existing.DataCentre != config.DataCentre {
