Bound the search for the period of slowdowns

Large serving instances of a fleet of 6,001 servers used all of their processor time as soon as callers came. While the period is unknown, a scheduler searches it each second, locked, and compares the changes of every target with 1,120 periods: 27 ms for 30 targets, 291 ms for 300, 3.08 s for 3,000 (BenchmarkFindPeriod, one processor, beside other tests).

A search now compares 512 changes, of targets that begin at another one each time: 22 to 23 ms at 30, 300 and 3,000 targets. TestPeriodSearchIsBounded failed before at 300, 3,000 and 12,000 targets. Whether the fleet's large instances are busy for this reason is not measured yet.

--- a/internal/service/learning.go
+++ b/internal/service/learning.go
@@ -54,7 +54,7 @@
 		for _, candidate := range scheduler.ordered {
 			slowdownCycles = append(slowdownCycles, &candidate.slowdownCycle)
 		}
-		scheduler.slowdownPeriod = findPeriod(slowdownCycles)
+		scheduler.slowdownPeriod = findPeriod(slowdownCycles, scheduler.random.IntN(len(slowdownCycles)))
 	}
 	if scheduler.slowdownPeriod > 0 {
 		candidate.slowdownCycle.learnPhase(scheduler.slowdownPeriod)
--- a/internal/service/slowdowncycle.go
+++ b/internal/service/slowdowncycle.go
@@ -20,6 +20,9 @@
 	// minChangesPerTarget and minChangesTotal are the numbers of changes needed before the period is searched.
 	minChangesPerTarget = 3
 	minChangesTotal     = 40
+	// enoughChanges is the number of changes that are compared with each period. More of them make the search longer, which locks the
+	// scheduler, and the period hardly more accurate.
+	enoughChanges = 512
 	// minPeriod and maxPeriod bound the search, periodStep is its step. Changes between readings 15 ms apart do not resolve
 	// shorter periods, and longer ones make little difference to a request.
 	minPeriod  = 40 * clock.Millisecond
@@ -209,25 +212,41 @@
 	slowdownCycle.period = period
 }
 
-// findPeriod returns the period that fits the changes of all targets best, 0 if none fits well enough.
-func findPeriod(slowdownCycles []*slowdownCycle) clock.Milliseconds {
-	var observed []*slowdownCycle
+// searchedCycles returns cycles with enough changes to show a period, from the one with the given index on, until they have
+// enoughChanges.
+func searchedCycles(slowdownCycles []*slowdownCycle, first int) []*slowdownCycle {
+	var searched []*slowdownCycle
 	count := 0
-	for _, slowdownCycle := range slowdownCycles {
-		if len(slowdownCycle.changes) >= minChangesPerTarget {
-			observed = append(observed, slowdownCycle)
-			count += len(slowdownCycle.changes)
+	for index := range slowdownCycles {
+		slowdownCycle := slowdownCycles[(first+index)%len(slowdownCycles)]
+		if len(slowdownCycle.changes) < minChangesPerTarget {
+			continue
+		}
+		searched = append(searched, slowdownCycle)
+		count += len(slowdownCycle.changes)
+		if count >= enoughChanges {
+			return searched
 		}
 	}
 	if count < minChangesTotal {
+		return nil
+	}
+	return searched
+}
+
+// findPeriod returns the period that fits the changes of the targets best, 0 if none fits well enough. The search begins with the target
+// of the given index, which should be another one each time.
+func findPeriod(slowdownCycles []*slowdownCycle, first int) clock.Milliseconds {
+	searched := searchedCycles(slowdownCycles, first)
+	if searched == nil {
 		return 0
 	}
-	best, agreement := searchPeriod(observed, minPeriod, maxPeriod, periodStep)
+	best, agreement := searchPeriod(searched, minPeriod, maxPeriod, periodStep)
 	if agreement < minAgreement {
 		return 0
 	}
 	round := clock.Milliseconds(math.Round(float64(best/roundPeriodStep))) * roundPeriodStep
-	if agreementOf(observed, round) >= minRoundAgreement*agreement {
+	if agreementOf(searched, round) >= minRoundAgreement*agreement {
 		return round
 	}
 	return best
--- a/internal/service/slowdowncycle_test.go
+++ b/internal/service/slowdowncycle_test.go
@@ -1,6 +1,7 @@
 package service
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 
@@ -33,7 +34,7 @@
 				phases[number] = clock.Milliseconds(random.Float64()) * testCase.period
 				observeReadings(slowdownCycles[number], random, testCase.period, phases[number], testCase.steady, 9*clock.Second)
 			}
-			period := findPeriod(slowdownCycles)
+			period := findPeriod(slowdownCycles, 0)
 			if !testCase.steady {
 				require.Zero(t, period)
 				return
@@ -182,3 +183,42 @@
 		})
 	}
 }
+
+// newCycles returns the cycles of targets that have been observed for eight seconds.
+func newCycles(targets int, period clock.Milliseconds, steady bool) []*slowdownCycle {
+	random := rand.New(rand.NewPCG(1, 1))
+	slowdownCycles := make([]*slowdownCycle, targets)
+	for number := range slowdownCycles {
+		slowdownCycles[number] = &slowdownCycle{}
+		observeReadings(slowdownCycles[number], random, period, period*clock.Milliseconds(random.Float64()), steady, 8*clock.Second)
+	}
+	return slowdownCycles
+}
+
+// Guards against a search that takes longer than the time between two searches, because a service has thousands of targets. It is made
+// while the scheduler is locked.
+func TestPeriodSearchIsBounded(t *testing.T) {
+	for _, targets := range []int{300, 3000, 12_000} {
+		t.Run(fmt.Sprintf("%d targets", targets), func(t *testing.T) {
+			slowdownCycles := newCycles(targets, 150*clock.Millisecond, true)
+			changes := 0
+			for _, slowdownCycle := range searchedCycles(slowdownCycles, targets/2) {
+				changes += len(slowdownCycle.changes)
+			}
+			require.LessOrEqual(t, changes, 600, "changes that are compared with each period")
+			require.InDelta(t, 150, float64(findPeriod(slowdownCycles, targets/2)), 0.2)
+		})
+	}
+}
+
+// BenchmarkFindPeriod measures a search that finds no period, which is repeated every second.
+func BenchmarkFindPeriod(b *testing.B) {
+	for _, targets := range []int{30, 300, 3000} {
+		b.Run(fmt.Sprintf("%d targets", targets), func(b *testing.B) {
+			slowdownCycles := newCycles(targets, 150*clock.Millisecond, false)
+			for b.Loop() {
+				findPeriod(slowdownCycles, 0)
+			}
+		})
+	}
+}
