Let as many instances serve as carry most of the load

If no number of instances carries the load, the most that may serve was taken; now it is the number that carries most of it.

TestInstancesThatServeCarryMostOfTheLoad failed before at 585 and 1,170 instances (64 instead of 20 and 40).

--- a/internal/membership/load.go
+++ b/internal/membership/load.go
@@ -208,18 +208,26 @@
 }
 
 // countForLoad returns how many instances, of the given sizes in the order in which they begin to serve, carry the load with no more
-// than the given utilization. Each gets the same part of the load. It is at least minimum, and at most maxServing.
+// than the given utilization, or the number that carries most of it if none does. Each gets the same part of the load, so many small
+// instances beside few large ones may carry less than the large ones alone. It is at least minimum, and at most maxServing.
 func countForLoad(load float64, sizes []int, minimum int, utilization Utilization) int {
+	best, bestCapacity := minimum, 0.0
 	smallest := math.MaxInt
-	for index, size := range sizes {
+	for index, size := range sizes[:min(len(sizes), max(maxServing, minimum))] {
 		smallest = min(smallest, size)
 		count := index + 1
 		capacity := float64(count) * float64(smallest) * float64(utilization) / float64(FullUtilization)
-		if count >= minimum && (load <= capacity || count >= maxServing) {
+		if count < minimum {
+			continue
+		}
+		if load <= capacity {
 			return count
 		}
+		if capacity > bestCapacity {
+			best, bestCapacity = count, capacity
+		}
 	}
-	return max(len(sizes), minimum)
+	return best
 }
 
 // addSurplus increases the number of instances of each data centre that should serve until the whole fleet has as many as wanted:
--- a/internal/membership/load_test.go
+++ b/internal/membership/load_test.go
@@ -26,6 +26,36 @@
 	return changes
 }
 
+// Guards against small instances that begin to serve beside few large ones, each with the same part of the load, although all of them
+// together carry less than the large ones alone.
+func TestInstancesThatServeCarryMostOfTheLoad(t *testing.T) {
+	const large, small = 800, 160
+	cases := []struct {
+		name             string
+		large, instances int
+		load             float64
+		most             int
+	}{
+		{"the load is carried", 20, 585, 8000, 20},
+		{"the load is too heavy for the large ones, and for the most that may serve", 20, 585, 11_440, 20},
+		{"a larger fleet", 40, 1170, 22_880, 40},
+		{"many small ones carry more", 3, 100, 2400, 30},
+		{"small ones carry more, but not all", 3, 30, 4000, 30},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			sizes := make([]int, testCase.instances)
+			for number := range sizes {
+				sizes[number] = small
+				if number < testCase.large {
+					sizes[number] = large
+				}
+			}
+			require.Equal(t, testCase.most, countForLoad(testCase.load, sizes, 3, FullUtilization/2))
+		})
+	}
+}
+
 // Guards against a fixed number of serving instances, whatever is asked of them: callers are refused or wait until their deadlines
 // while most instances of the fleet are idle.
 func TestServingInstancesFollowTheLoad(t *testing.T) {
