Leave probes to their own schedule only while it takes at most half of the processor

An instance with 0.8 of a processor that owned 334 servers probed each of them every 45 ms, which takes up to 65% of it: the limit to a fifth of the processor was not applied where it would have meant a pause under 150 ms. The threshold now follows from the pause of the own schedule and the share that it may take, 112.5 ms.

A case of TestProbesStayWithinTheirShareOfTheProcessor failed before (no pause instead of 140 to 150 ms).

--- a/internal/fleet/load_test.go
+++ b/internal/fleet/load_test.go
@@ -92,6 +92,7 @@
 		{"more than can be probed in time", 160, 6000, maxProbePause, maxProbePause},
 		{"a large instance", 800, 200, 0, 0},
 		{"a large instance with many", 800, 600, 250, 300},
+		{"more than half of a large instance on their own schedule", 800, 334, 140, 150},
 	}
 	for _, testCase := range cases {
 		t.Run(testCase.name, func(t *testing.T) {
--- a/internal/fleet/probepause.go
+++ b/internal/fleet/probepause.go
@@ -7,9 +7,11 @@
 	// probeProcessorShare is the share of the processor that probes may use, probeProcessorTime what one probe takes.
 	probeProcessorShare = 0.2
 	probeProcessorTime  = 0.07 * clock.Millisecond
-	// minProbePause is the pause below which probes are left to their own schedule: they follow the changes of a target's slowdown, and a
-	// probe that is put off comes too late for one.
-	minProbePause = 150 * clock.Millisecond
+	// maxScheduledShare is the share of the processor up to which probes are left to their own schedule: they follow the changes of a
+	// target's slowdown, and a probe that is put off comes too late for one.
+	maxScheduledShare = 0.5
+	// minProbePause is the shortest pause to which probes are put off. At a shorter one, their own schedule stays within maxScheduledShare.
+	minProbePause = maxScheduledShare / probeProcessorShare * busyProbePause
 	// maxProbePause is shorter than the time after which the state of a target counts as unknown.
 	maxProbePause = 1200 * clock.Millisecond
 )
