Probe less often when the smallest serving instance would be busy with readings

Those that serve send each other the readings of all servers. The minimum pause between two probes now also covers the readings that this instance and the smallest serving one receive.

--- a/internal/fleet/controller_bench_test.go
+++ b/internal/fleet/controller_bench_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/jaywheel/jaywheel/internal/catalog"
+	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
 )
 
 // BenchmarkStandbySecond measures one second of a standby instance, which should cost next to nothing in a fleet of any size. There are ten
@@ -57,3 +59,45 @@
 		}
 	}
 }
+
+// BenchmarkReceiveReadings measures the receipt of one load reading of a serving peer, decoding included. A serving instance receives those
+// of all backend servers of the fleet that it does not own.
+func BenchmarkReceiveReadings(b *testing.B) {
+	for _, servers := range []int{300, 3000, 6000, 12_000} {
+		b.Run(fmt.Sprintf("%d servers", servers), func(b *testing.B) {
+			fixture := newServingFixture(b, 600, servers)
+			var datagrams [][]byte
+			var names []settings.TargetName
+			for server := range fixture.controller.view.Servers.All() {
+				if !fixture.controller.owned[server.Name] {
+					names = append(names, server.Name)
+				}
+			}
+			for start := 0; start < len(names); start += maxReadingsPerDatagram {
+				message := &Message{}
+				for index, name := range names[start:min(start+maxReadingsPerDatagram, len(names))] {
+					message.Readings = append(message.Readings, SharedReading{
+						Target: keyOf(name), Running: uint16(index % 5), Slots: 6, SlowdownPercent: uint16(100 + index%2*200), ColdMs: unknownCold,
+					})
+				}
+				datagram, err := Encode(message)
+				if err != nil {
+					b.Fatal(err)
+				}
+				datagrams = append(datagrams, datagram)
+			}
+			b.ReportAllocs()
+			for count := 0; b.Loop(); count++ {
+				if count%maxReadingsPerDatagram != 0 {
+					continue
+				}
+				fixture.advance(clock.Millisecond)
+				message, err := Decode(datagrams[count/maxReadingsPerDatagram%len(datagrams)])
+				if err != nil {
+					b.Fatal(err)
+				}
+				fixture.controller.receiveMessage(message)
+			}
+		})
+	}
+}
--- a/internal/fleet/load_test.go
+++ b/internal/fleet/load_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -111,6 +112,29 @@
 	}
 }
 
+// Guards against small instances that serve in a large fleet and have no processor time left for requests, because they receive the
+// readings of all its servers.
+func TestReadingsStayWithinTheirShareOfTheSmallestProcessor(t *testing.T) {
+	const readingTime = 0.002 * clock.Millisecond
+	for _, servers := range []int{3000, 6000, 12_000} {
+		t.Run(fmt.Sprintf("%d servers", servers), func(t *testing.T) {
+			fixture := newFixture(0)
+			fixture.controller.options.Self.Size = 800
+			fixture.controller.view = newView(servers, 1)
+			fixture.controller.owned = map[settings.TargetName]bool{}
+			for number := range servers / 100 {
+				fixture.controller.serving = append(fixture.controller.serving, identity(number))
+				fixture.controller.owned[targetName(number)] = true
+			}
+			fixture.controller.setMinProbePause()
+			pause := clock.Milliseconds(fixture.controller.minProbePause.Load())
+			require.Positive(t, pause)
+			received := servers - len(fixture.controller.owned)
+			require.LessOrEqual(t, float64(clock.Milliseconds(received)*readingTime/pause), 0.2*0.16*1.01, "processor time of an instance with 0.16 of a processor")
+		})
+	}
+}
+
 // Guards against load reports that are not understood, or that are taken for another message.
 func TestLoadReportIsDecoded(t *testing.T) {
 	report := membership.LoadReport{Sender: "entry-1", Incarnation: 1 << 63, Sequence: 70000, Utilization: 700, WantedServing: 27}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -115,6 +115,7 @@
 		controller.setShares(state)
 	}
 	controller.applyChanges(controller.ownedServers(), newServerChanges())
+	controller.setMinProbePause()
 }
 
 // publish computes owners, target configurations, probe jobs and routes, and puts a new table in force.
