--- a/internal/fleet/virtual_cases_test.go
+++ b/internal/fleet/virtual_cases_test.go
@@ -11,6 +11,7 @@
 // TestVirtualFleetCases runs schedules that once failed, shortened as far as they still failed. Each is named after its
 // failure.
 func TestVirtualFleetCases(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name                            string
 		seed                            uint64
--- a/internal/fleet/virtual_cold_test.go
+++ b/internal/fleet/virtual_cold_test.go
@@ -371,6 +371,7 @@
 // Guards against servers that turn cold, start again or return from an evacuation and are flooded by many instances, each of which
 // sends a request or two because it does not know that they are cold.
 func TestVirtualFleetDoesNotFloodColdServers(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		instances int
 		restarts  bool
--- a/internal/fleet/virtual_revoke_test.go
+++ b/internal/fleet/virtual_revoke_test.go
@@ -98,6 +98,7 @@
 
 // Guards against a revoked key that continues to work at instances with a path to an instance that knows of the revocation.
 func TestRevocationReachesAll(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name string
 		cut  func(number int) bool
@@ -112,6 +113,7 @@
 				continue
 			}
 			t.Run(fmt.Sprintf("%d instances, %s", instances, testCase.name), func(t *testing.T) {
+				t.Parallel()
 				delays := revocations(t, instances, testCase.cut)
 				t.Logf("half after %s, 99 in 100 after %s, all after %s", delays[len(delays)/2], delays[len(delays)*99/100], delays[len(delays)-1])
 				require.LessOrEqual(t, float64(delays[len(delays)-1]), float64(revokedWithin))
--- a/internal/fleet/virtual_statements_test.go
+++ b/internal/fleet/virtual_statements_test.go
@@ -278,6 +278,7 @@
 // Guards against a limit that is exceeded because instances on standby, which callers with old addresses reach, do not know of each
 // other's requests.
 func TestVirtualFleetKeepsLimitsAtStandbyInstances(t *testing.T) {
+	t.Parallel()
 	for _, instances := range []int{24, 100} {
 		for seed := *virtualSeed; seed < *virtualSeed+uint64(*virtualSeeds)/5; seed++ {
 			t.Run(fmt.Sprintf("%d instances, seed %d", instances, seed), func(t *testing.T) {
--- a/internal/membership/announce_test.go
+++ b/internal/membership/announce_test.go
@@ -17,6 +17,7 @@
 // Guards against heartbeats that fill the links of small instances while the configuration changes and instances restart: each serving
 // instance sent each change to all others at once, 0.9 GB within 12 s on a day of planned work with 100 instances.
 func TestChangesAreAnnouncedByFewInstances(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name               string
 		count, dataCentres int
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -553,6 +553,7 @@
 // Guards against a start in which each instance contacts all others, so that the number of datagrams grows with the square of the
 // fleet.
 func TestStartCostIsFlat(t *testing.T) {
+	t.Parallel()
 	perInstance := func(count int) float64 {
 		fleet := newFleet(count, 5, []int{0, 1, 2}, func(number int) int {
 			if number%20 == 5 {
@@ -575,6 +576,7 @@
 // Guards against hundreds of instances that all serve after a power loss because the seeds, through which they discover each other,
 // return last.
 func TestFewServeWhileSeedsAreMissing(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name               string
 		count, dataCentres int
--- a/internal/membership/takeover_test.go
+++ b/internal/membership/takeover_test.go
@@ -59,8 +59,10 @@
 // Guards against a takeover by more instances the larger the fleet is, each of which opens connections to all backend servers: when all
 // serving instances are lost at once, the others know only those members that heartbeats have summarized.
 func TestFewTakeOverAtAnySize(t *testing.T) {
+	t.Parallel()
 	for _, testCase := range []struct{ instances, dataCentres int }{{100, 1}, {300, 5}, {600, 1}} {
 		t.Run(fmt.Sprintf("%d instances, %d data centres", testCase.instances, testCase.dataCentres), func(t *testing.T) {
+			t.Parallel()
 			takeover := takeOver(testCase.instances, testCase.dataCentres, false)
 			t.Logf("at most %d serve, %d before", takeover.most, takeover.needed)
 			require.LessOrEqual(t, takeover.most, 2*takeover.needed)
@@ -70,10 +72,12 @@
 
 // Guards against callers for whom nobody serves for long after all serving instances, or a whole data centre, are lost at once.
 func TestTakeoverIsFast(t *testing.T) {
+	t.Parallel()
 	const maxUnserved = 2 * clock.Second
 	for _, instances := range []int{100, 300} {
 		for _, wholeDataCentre := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%d instances, a data centre is lost: %t", instances, wholeDataCentre), func(t *testing.T) {
+				t.Parallel()
 				require.LessOrEqual(t, takeOver(instances, 5, wholeDataCentre).unserved, maxUnserved)
 			})
 		}
@@ -82,6 +86,7 @@
 
 // Guards against instances on standby that take all serving instances for lost, and take over, because a tenth of all datagrams is lost.
 func TestLostDatagramsDoNotHideAllThatServe(t *testing.T) {
+	t.Parallel()
 	fleet := newFleet(40, 2, []int{0, 1, 2}, equalSize)
 	fleet.loss = 0.1
 	fleet.run(8 * clock.Second)
