Begin a search for the period where the last one ended

A search now begins after the targets of the one before; services whose changes all fit into a search behave as they did before the search was bounded.

--- a/internal/service/learning.go
+++ b/internal/service/learning.go
@@ -54,7 +54,9 @@
 		for _, candidate := range scheduler.ordered {
 			slowdownCycles = append(slowdownCycles, &candidate.slowdownCycle)
 		}
-		scheduler.slowdownPeriod = findPeriod(slowdownCycles, scheduler.random.IntN(len(slowdownCycles)))
+		scheduler.slowdownPeriod = findPeriod(slowdownCycles, scheduler.periodSearchFirst)
+		// A search compares at least as many targets.
+		scheduler.periodSearchFirst = (scheduler.periodSearchFirst + enoughChanges/maxChanges) % len(slowdownCycles)
 	}
 	if scheduler.slowdownPeriod > 0 {
 		candidate.slowdownCycle.learnPhase(scheduler.slowdownPeriod)
--- a/internal/service/scheduler.go
+++ b/internal/service/scheduler.go
@@ -95,6 +95,8 @@
 	// next search for it is due.
 	slowdownPeriod   clock.Milliseconds
 	nextPeriodSearch clock.Moment
+	// periodSearchFirst is the index of the target with which the next search begins.
+	periodSearchFirst int
 }
 
 // Initial estimates, used until requests and readings have replaced them.
