Search the period among all targets in their order while their changes fit

The order now changes only if there are more changes than a search compares, so smaller services behave exactly as before the search was bounded.

--- a/internal/service/slowdowncycle.go
+++ b/internal/service/slowdowncycle.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/jaywheel/jaywheel/pkg/clock"
 )
@@ -212,30 +213,37 @@
 	slowdownCycle.period = period
 }
 
-// searchedCycles returns cycles with enough changes to show a period, from the one with the given index on, until they have
-// enoughChanges.
+// searchedCycles returns the cycles with enough changes to show a period. If they have more than enoughChanges, it returns only some of
+// them, from the one with the given index on.
 func searchedCycles(slowdownCycles []*slowdownCycle, first int) []*slowdownCycle {
-	var searched []*slowdownCycle
+	var observed []*slowdownCycle
 	count := 0
-	for index := range slowdownCycles {
-		slowdownCycle := slowdownCycles[(first+index)%len(slowdownCycles)]
-		if len(slowdownCycle.changes) < minChangesPerTarget {
-			continue
+	for _, slowdownCycle := range slowdownCycles {
+		if len(slowdownCycle.changes) >= minChangesPerTarget {
+			observed = append(observed, slowdownCycle)
+			count += len(slowdownCycle.changes)
 		}
-		searched = append(searched, slowdownCycle)
+	}
+	switch {
+	case count < minChangesTotal:
+		return nil
+	case count <= enoughChanges:
+		return observed
+	}
+	first %= len(observed)
+	searched := slices.Concat(observed[first:], observed[:first])
+	count = 0
+	for index, slowdownCycle := range searched {
 		count += len(slowdownCycle.changes)
 		if count >= enoughChanges {
-			return searched
+			return searched[:index+1]
 		}
 	}
-	if count < minChangesTotal {
-		return nil
-	}
 	return searched
 }
 
-// findPeriod returns the period that fits the changes of the targets best, 0 if none fits well enough. The search begins with the target
-// of the given index, which should be another one each time.
+// findPeriod returns the period that fits the changes of the targets best, 0 if none fits well enough. If there are more
+// changes than enough, the search begins with the observed target of the given index, which should be another one each time.
 func findPeriod(slowdownCycles []*slowdownCycle, first int) clock.Milliseconds {
 	searched := searchedCycles(slowdownCycles, first)
 	if searched == nil {
