--- a/internal/service/limitmodel_test.go
+++ b/internal/service/limitmodel_test.go
@@ -1,8 +1,10 @@
 package service
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -48,6 +50,8 @@
 	limitModelDelay          = 2
 	limitModelReportInterval = 5
 	limitModelWork           = 160 * clock.Millisecond
+	limitModelBurst          = 100 * clock.Millisecond
+	limitModelBurstInterval  = 2500 * clock.Millisecond
 	// standbyShare is the share of a limit that instances on standby used before they borrowed.
 	standbyShare = 0.25
 )
@@ -64,6 +68,12 @@
 	oneSided bool
 	// faults restarts instances and loses a third of the reports.
 	faults bool
+	// bursts brings all requests within limitModelBurst of each limitModelBurstInterval.
+	bursts bool
+	// delay is the number of steps that a datagram takes, limitModelDelay if it is 0.
+	delay int
+	// unnamed is the share of the answers of limited targets that do not name the limit.
+	unnamed float64
 }
 
 var limitScenarios = []limitScenario{
@@ -80,6 +90,21 @@
 	{name: "all limited, overload of 1.3", instances: 3, targets: 10, limited: 10, rate: 2, arrivalRate: 26},
 }
 
+// burstScenarios have requests that come at once to buckets that are full, or datagrams that take long.
+var burstScenarios = []limitScenario{
+	{name: "all limited, bursts, six instances", instances: 6, targets: 6, limited: 6, rate: 0.5, arrivalRate: 12, bursts: true},
+	{name: "all limited, bursts, 17 instances", instances: 17, targets: 6, limited: 6, rate: 0.5, arrivalRate: 12, bursts: true},
+	{name: "all limited to one a second, bursts, 17 instances, delays", instances: 17, targets: 6, limited: 6, rate: 1, arrivalRate: 12, bursts: true, delay: 6},
+	{name: "few limited, bursts, 17 instances, delays", instances: 17, targets: 15, limited: 6, rate: 1, arrivalRate: 40, bursts: true, delay: 6},
+	{name: "all limited, 17 instances, long delays", instances: 17, targets: 6, limited: 6, rate: 1, arrivalRate: 12, delay: 30},
+}
+
+// unnamedScenarios have servers of which some answers do not name the limit.
+var unnamedScenarios = []limitScenario{
+	{name: "a quarter of the answers without the limit", instances: 17, targets: 3, limited: 3, rate: 1, arrivalRate: 340, unnamed: 0.25},
+	{name: "half of the answers without the limit, five a second", instances: 3, standby: 14, targets: 6, limited: 6, rate: 5, arrivalRate: 200, unnamed: 0.5},
+}
+
 // limitInstance is one instance of the model.
 type limitInstance struct {
 	scheduler *Scheduler
@@ -296,7 +321,7 @@
 	model.result.datagrams++
 	for _, to := range model.instances {
 		if to.key == key && (!model.faults || model.random.Float64() >= 0.3) {
-			at := model.step + limitModelDelay
+			at := model.step + cmp.Or(model.delay, limitModelDelay)
 			to.incoming[at] = append(to.incoming[at], delivery)
 		}
 	}
@@ -318,7 +343,7 @@
 func (model *limitModel) answer(instance *limitInstance, permit Permit, now clock.Moment, naming bool) {
 	name := permit.Target.Name
 	statement := Statement{At: now, Limit: RateLimitStatement{Absent: true}}
-	if naming && model.limitedTarget(name) {
+	if naming && model.limitedTarget(name) && model.random.Float64() >= model.unnamed {
 		statement.Limit = RateLimitStatement{Named: true, Rate: model.rate}
 		if _, told := instance.toldAt[name]; !told {
 			instance.toldAt[name] = now
@@ -330,7 +355,14 @@
 
 // arrive sends the requests of callers to instances.
 func (model *limitModel) arrive(now clock.Moment, elapsed clock.Milliseconds) {
-	for model.random.Float64() < model.arrivalRate*float64(limitModelStep/clock.Second)/(1+model.arrivalRate*float64(limitModelStep/clock.Second)) {
+	expected := model.arrivalRate * float64(limitModelStep/clock.Second)
+	if model.bursts {
+		expected *= float64(limitModelBurstInterval / limitModelBurst)
+		if clock.Milliseconds(math.Mod(float64(elapsed), float64(limitModelBurstInterval))) >= limitModelBurst {
+			return
+		}
+	}
+	for model.random.Float64() < expected/(1+expected) {
 		number := model.random.IntN(len(model.instances))
 		if model.standbyOnly {
 			number = model.limitScenario.instances + model.random.IntN(model.standby)
@@ -388,10 +420,26 @@
 
 // Guards against a server that gets more requests than its limit allows, under faults, uneven load and callers at instances on standby.
 func TestServerLimitHoldsInModel(t *testing.T) {
-	for _, scenario := range limitScenarios {
+	requireLimitsHold(t, limitScenarios)
+}
+
+// Guards against a server that gets one request of each instance at once after a pause, since each of them has a token left.
+func TestServerLimitHoldsInBursts(t *testing.T) {
+	requireLimitsHold(t, burstScenarios)
+}
+
+// Guards against a limit that the fleet drops and restores again and again because some answers do not name it.
+func TestServerLimitOutlastsAnswersWithoutIt(t *testing.T) {
+	requireLimitsHold(t, unnamedScenarios)
+}
+
+// requireLimitsHold requires that no server gets more than it allows, and that at least half of the limits is used.
+func requireLimitsHold(t *testing.T, scenarios []limitScenario) {
+	for _, scenario := range scenarios {
 		t.Run(scenario.name, func(t *testing.T) {
 			t.Parallel()
 			figures := playLimits(scenario, countTogether, *limitSeeds)
+			t.Logf("most used of the allowance %.2f, used of the limit %.2f, refused %.4f", figures.worstUse, figures.used, figures.refused)
 			require.LessOrEqual(t, figures.worstUse, 1.0)
 			unlimited := scenario
 			unlimited.rate = 1000
