Play unsteady limits and bursts in the virtual fleet

Limited servers leave out their limit in each fourth answer, and callers send for 0.2 s of each 2.5 s.

--- a/internal/fleet/virtual_checks_test.go
+++ b/internal/fleet/virtual_checks_test.go
@@ -84,7 +84,7 @@
 func newChecks(fleet *virtualFleet) *checks {
 	checks := &checks{
 		fleet: fleet, sent: map[settings.TargetName][]clock.Moment{}, unservedSince: map[settings.DataCentreName]clock.Moment{},
-		misdirectedSince: map[*machine]clock.Moment{}, statements: newStatementChecks(),
+		misdirectedSince: map[*machine]clock.Moment{}, statements: newStatementChecks(&fleet.options),
 		reach: newReachChecks(fleet),
 	}
 	checks.list = []namedCheck{
--- a/internal/fleet/virtual_fleet_test.go
+++ b/internal/fleet/virtual_fleet_test.go
@@ -51,6 +51,9 @@
 	length      clock.Milliseconds
 	// limits makes the servers warm, and some of them name limits, ask for rest and leave.
 	statements bool
+	// unsteadyLimits makes limited servers leave out their limit in each unnamedInterval-th answer, and bursts lets callers send for
+	// burstLength of each burstInterval only.
+	unsteadyLimits, bursts bool
 	// standbyCallers sends all requests of callers to instances on standby.
 	standbyCallers bool
 	// load returns the processor capacity that all requests of callers need together, in thousandths of a core; nil for none. It is
--- a/internal/fleet/virtual_statements_test.go
+++ b/internal/fleet/virtual_statements_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -25,8 +26,19 @@
 	limitKnownTime = 500 * clock.Millisecond
 )
 
+// Limited servers whose limit is unsteady leave it out in each unnamedInterval-th answer. Callers that send in bursts do so for burstLength
+// of each burstInterval.
+const (
+	unnamedInterval = 4
+	burstLength     = 200 * clock.Millisecond
+	burstInterval   = 2500 * clock.Millisecond
+)
+
 // statementChecks sends requests to servers of which some name a limit, and counts them over all instances.
 type statementChecks struct {
+	options *virtualOptions
+	// answers counts the answers of each limited server.
+	answers map[settings.TargetName]int
 	// firstNamed is when a process of a server first named its limit, counted are the requests within the last window.
 	firstNamed map[serverProcess]clock.Moment
 	counted    map[serverProcess][]clock.Moment
@@ -67,8 +79,8 @@
 	started int64
 }
 
-func newStatementChecks() *statementChecks {
-	return &statementChecks{firstNamed: map[serverProcess]clock.Moment{}, counted: map[serverProcess][]clock.Moment{}, shedding: map[settings.TargetName]int{}}
+func newStatementChecks(options *virtualOptions) *statementChecks {
+	return &statementChecks{options: options, firstNamed: map[serverProcess]clock.Moment{}, counted: map[serverProcess][]clock.Moment{}, shedding: map[settings.TargetName]int{}, answers: map[settings.TargetName]int{}}
 }
 
 // limited reports whether the server names a limit: every second one does.
@@ -124,6 +136,9 @@
 		statements.answer(machine, held.permit, processTime, now)
 		return true
 	})
+	if statements.options.bursts && math.Mod(float64(now), float64(burstInterval)) >= float64(burstLength) {
+		return
+	}
 	for _, name := range slices.Sorted(maps.Keys(process.controller.services)) {
 		if permit, granted := process.acquire(name, processTime); granted {
 			statements.count(machine, permit.Target.Name, now)
@@ -170,6 +185,12 @@
 		permit.Release(service.Succeeded)
 		return
 	}
+	statements.answers[name]++
+	if statements.options.unsteadyLimits && statements.answers[name]%unnamedInterval == 0 {
+		permit.ObserveStatement(service.Statement{At: processTime, Limit: service.RateLimitStatement{Absent: true}})
+		permit.Release(service.Succeeded)
+		return
+	}
 	permit.ObserveStatement(statementOf(name, processTime))
 	permit.Release(service.Succeeded)
 	if !limited(name) {
@@ -262,6 +283,36 @@
 	}
 }
 
+// Guards against a limit that is exceeded because some answers do not name it, or because all instances send at once after a pause,
+// whatever happens to instances and links.
+func TestVirtualFleetKeepsUnsteadyLimits(t *testing.T) {
+	cases := []struct {
+		name            string
+		unsteady        bool
+		bursts, standby bool
+	}{
+		{"answers without the limit", true, false, false},
+		{"bursts", false, true, false},
+		{"both, callers at standby instances", true, true, true},
+	}
+	for _, testCase := range cases {
+		for seed := *virtualSeed; seed < *virtualSeed+uint64(*virtualSeeds)/5; seed++ {
+			t.Run(fmt.Sprintf("%s, seed %d", testCase.name, seed), func(t *testing.T) {
+				t.Parallel()
+				options := optionsForSeed(seed)
+				options.statements, options.standbyCallers = true, testCase.standby
+				options.unsteadyLimits, options.bursts = testCase.unsteady, testCase.bursts
+				schedule := newSchedule(options)
+				result := playVirtual(t, options, schedule)
+				t.Logf("%d instances: at most %d requests to a server in a window, %d in all", options.instances, result.mostLimited, result.totalLimited)
+				if result.violation != nil {
+					failVirtual(t, options, schedule, result.violation)
+				}
+			})
+		}
+	}
+}
+
 // Guards against a limit that is not used by a fleet without faults.
 func TestVirtualFleetUsesLimits(t *testing.T) {
 	for _, instances := range []int{5, 13, 30} {
