Retry a request whose server refuses the connection without a retry budget

Callers got 503 although another server was free: the first server had ended and refused the connection, and the retry budget was spent.

The budget limits repeated arrivals at servers. Nothing arrives at a server that refuses the connection, and the answer comes at once, so the attempt at another one is the request's first. The number of attempts stays limited.

TestRefusedConnectionIsRetriedWithoutBudget failed before with 503.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 
@@ -95,6 +96,11 @@
 	return errors.As(err, &failure) && failure.Step == backendserver.StepConnect
 }
 
+// isRefusedConnection reports whether the server's process has ended, so that nothing arrived anywhere and another server costs no time.
+func isRefusedConnection(err error) bool {
+	return isConnectError(err) && errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // handleError classifies a failed attempt and releases its permit.
 func (call *call) handleError(ctx context.Context, sentAt clock.Moment, attempt *attempt) {
 	var failure *backendserver.Error
--- a/internal/caller/forward.go
+++ b/internal/caller/forward.go
@@ -183,7 +183,7 @@
 	if len(call.attempts) >= call.maxAttempts() || call.mayEndServers(ctx) {
 		return false
 	}
-	if attempt.budgetExempt {
+	if attempt.budgetExempt || isRefusedConnection(attempt.err) {
 		return true
 	}
 	return call.attemptNumber() == 0 && call.route.Service.Budget.TryWithdraw(service.Retry{Priority: call.route.Class.Settings.Priority})
--- a/internal/caller/forward_test.go
+++ b/internal/caller/forward_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/jaywheel/jaywheel/internal/service"
 	"github.com/jaywheel/jaywheel/internal/trace"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/outcome"
@@ -272,3 +273,20 @@
 	}
 	t.Fatal("no first attempt went to the server that cuts connections")
 }
+
+// Guards against a caller who is refused because one backend server has ended, while another could serve the request: nothing has arrived
+// at a server that refuses the connection, so the retry budget does not apply.
+func TestRefusedConnectionIsRetriedWithoutBudget(t *testing.T) {
+	ended, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, ended.Close())
+	sound := startBackend(t, func(http.ResponseWriter, *http.Request) {})
+	fixture := newFixture(t, fixtureService(), ended.Addr().String(), sound)
+	for fixture.table.Services()[0].Budget.TryWithdraw(service.Retry{}) {
+		continue
+	}
+	for range 20 {
+		require.Equal(t, http.StatusOK, fixture.send(t, fixture.newRequest(t, "GET", "/slots", http.NoBody)).status)
+		require.Equal(t, http.StatusOK, fixture.send(t, fixture.newRequest(t, "POST", "/payments/1", http.NoBody)).status)
+	}
+}
