Show in the status who counts a server's requests and whether its limit is lifted

Operators could not tell an instance that counts from one that borrows, nor see that answers lack a limit before it ends.

--- a/internal/service/dispatcher.go
+++ b/internal/service/dispatcher.go
@@ -509,6 +509,11 @@
 	// instances whose count of such requests it has received.
 	LimitedSent  uint32 `json:"limitedSent,omitempty"`
 	LimitedPeers int    `json:"limitedPeers,omitempty"`
+	// LimitCounted is whether this instance counts those requests together with others, rather than borrowing; LimitOmitted is the number
+	// of responses in a row that did not name the limit, and LimitLifted whether it allows more than it says because of these.
+	LimitCounted bool `json:"limitCounted,omitempty"`
+	LimitOmitted int  `json:"limitOmitted,omitempty"`
+	LimitLifted  bool `json:"limitLifted,omitempty"`
 	// Rest is the time for which the target wants no request from this instance.
 	Rest clock.Milliseconds `json:"rest,omitempty"`
 	// Leaving is whether the target has said that it is about to stop.
--- a/internal/service/ratelimit_test.go
+++ b/internal/service/ratelimit_test.go
@@ -158,9 +158,14 @@
 	fixture.say(FromAnswer, RateLimitStatement{Absent: true})
 	fixture.manual.Advance(minWithdrawalTime)
 	fixture.say(FromAnswer, RateLimitStatement{Absent: true})
+	states, _ := fixture.State()
+	require.True(t, states[0].LimitLifted)
+	require.Equal(t, 2, states[0].LimitOmitted)
 	require.LessOrEqual(t, fixture.sentWithin(liftDoubling), 6)
 	require.LessOrEqual(t, fixture.sentWithin(liftDoubling), 8)
 	fixture.say(FromAnswer, named(4))
+	states, _ = fixture.State()
+	require.False(t, states[0].LimitLifted)
 	require.InDelta(t, 16, fixture.sentWithin(4*clock.Second), 3)
 }
 
--- a/internal/service/scheduler.go
+++ b/internal/service/scheduler.go
@@ -423,6 +423,8 @@
 				state.Tokens = float64(candidate.declaration.loans.Tokens(now))
 			}
 			state.LimitedSent, state.LimitedPeers = candidate.declaration.sentHere, len(candidate.declaration.peerSent)
+			state.LimitCounted = !scheduler.borrowing
+			state.LimitOmitted, state.LimitLifted = candidate.declaration.statements.omissions, !candidate.declaration.inForce()
 		}
 		states = append(states, state)
 	}
