Bound what one report takes from a team's bucket to a second of its limit

One report takes a second of the limit at most again, and only two of them two. A report names a team once. With 0.3 of the allowed slack in each bucket instead of 0.4, three full buckets hold less than the slack: TestLimitHoldsInBursts got 142 of 140 otherwise.

--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -15,7 +15,7 @@
 	// has. Without them, a team with a limit of one request a second and random arrivals would be refused by a bucket that holds
 	// one. The rest is for the time in which instances do not receive reports of each other.
 	bucketOverShare  = 0.05
-	bucketSlackShare = 0.4
+	bucketSlackShare = 0.3
 	// immediateBurstShare is the share of a burst that may be admitted at once.
 	immediateBurstShare = 0.5
 	// initialFill is the share of its burst that a bucket starts with: the rest may have been used before a restart of the whole
@@ -26,8 +26,10 @@
 	minRetryAfter    = 50 * clock.Millisecond
 	maxRetryAfter    = 2 * clock.Second
 	retryAfterJitter = 1.0
-	// maxDebt is the longest time for which a team is refused because of requests that other instances reported.
-	maxDebt = 2 * clock.Second
+	// maxDebt is the longest time for which a team is refused because of requests that other instances reported: two others may each have
+	// admitted what their buckets held. maxReportDebt is what a single report adds at most, since any process may send one.
+	maxDebt       = 2 * clock.Second
+	maxReportDebt = clock.Second
 )
 
 // bucket is the token bucket of one team.
@@ -116,6 +118,11 @@
 	return -bucket.rate * float64(maxDebt/clock.Second)
 }
 
+// minReportLevel returns the lowest level that one more report can bring the bucket to.
+func (bucket *bucket) minReportLevel() float64 {
+	return max(min(bucket.level, 0)-bucket.rate*float64(maxReportDebt/clock.Second), bucket.minLevel())
+}
+
 // retryAfter returns the time after which a caller that is refused now can expect to be admitted. Jitter keeps callers that are
 // refused at the same time from retrying at the same time.
 func (limiter *Limiter) retryAfter(bucket *bucket) clock.Milliseconds {
--- a/internal/quota/report.go
+++ b/internal/quota/report.go
@@ -123,14 +123,15 @@
 	}
 	lapsed := now.Since(known.receivedAt) > lapseTimeout
 	known.sequence, known.receivedAt = report.Sequence, now
-	for _, count := range report.Counts {
+	for index, count := range report.Counts {
 		bucket, limited := limiter.byKey[count.Team]
-		if !limited {
+		repeated := slices.ContainsFunc(report.Counts[:index], func(earlier Count) bool { return earlier.Team == count.Team })
+		if !limited || repeated {
 			continue
 		}
 		if now.Since(bucket.lastRemote) > lapseTimeout && count.Level != unknownLevel {
 			limiter.refill(now, bucket)
-			bucket.level = min(bucket.level, max(float64(count.Level), bucket.minLevel()))
+			bucket.level = min(bucket.level, max(float64(count.Level), bucket.minReportLevel()))
 		}
 		bucket.lastRemote = now
 		before, knownBefore := known.totals[count.Team]
@@ -155,7 +156,7 @@
 		return
 	}
 	limiter.refill(now, bucket)
-	level := max(bucket.level-float64(step), min(bucket.minLevel(), bucket.level))
+	level := max(bucket.level-float64(step), min(bucket.minReportLevel(), bucket.level))
 	bucket.level = min(level, limiter.capacity(bucket))
 	if step > 0 {
 		bucket.usage.Remote += uint64(step)
