Forget what a borrower or an ended limit knew of responses

By reading: an instance that began to borrow while a limit was lifted would have ended it by itself, and one whose limit had ended could still report an older response that named it.

--- a/internal/service/declaration.go
+++ b/internal/service/declaration.go
@@ -102,7 +102,7 @@
 		if !known.reportDue(now, scheduler.borrowing) {
 			continue
 		}
-		changed, repeated := known.unreported, now >= known.nextReport
+		changed, repeated := known.unreported, !known.unreported && now >= known.nextReport
 		if changed {
 			known.repeatUntil = now.Add(changeRepeatTime)
 		}
@@ -110,7 +110,9 @@
 		if changed || repeated {
 			known.nextReport = now.Add(declarationRefreshInterval)
 		}
-		report := DeclarationReport{Target: name, Started: known.started, Rate: known.rate, Leaving: known.leaving, Sent: known.sent, Changed: changed, Repeated: repeated}
+		report := DeclarationReport{
+			Target: name, Started: known.started, Rate: known.rate, Leaving: known.leaving, Sent: known.sent, Changed: changed, Repeated: repeated,
+		}
 		report.Limited, report.StatedAt = known.takeOwnStatement()
 		report.Observed = report.StatedAt > 0
 		reports = append(reports, report)
--- a/internal/service/limitloan.go
+++ b/internal/service/limitloan.go
@@ -55,11 +55,8 @@
 	now := scheduler.clock.Now()
 	scheduler.borrowing = borrowing
 	for _, known := range scheduler.declarations {
-		// An instance that borrowed has not counted what the others sent.
-		known.refill(now, scheduler.rateShare)
-		known.level = min(known.level, 0)
-		// It was not told of all responses either.
-		known.statements.unnamedSince = 0
+		// An instance that borrowed was told neither what the others sent nor of all responses.
+		known.restart(now, scheduler.rateShare)
 	}
 	scheduler.reindexAll(now)
 }
--- a/internal/service/ratelimit.go
+++ b/internal/service/ratelimit.go
@@ -29,7 +29,7 @@
 	// liftDoubling is the time in which the rate doubles once responses no longer name a limit, for liftTime. A limit that is named again
 	// in that time has hardly been exceeded.
 	liftDoubling = 250 * clock.Millisecond
-	liftTime     = 1000 * clock.Millisecond
+	liftTime     = clock.Second
 )
 
 // Probes of a limited target count against its resources as well. There are at most limitedProbeRate times the limit and
@@ -121,6 +121,15 @@
 	rateLimit.level = min(rateLimit.level, rateLimit.capacity(now))
 }
 
+// restart puts a limit in force whose use, and whose end, this instance did not follow.
+func (rateLimit *rateLimit) restart(now clock.Moment, share float64) {
+	rateLimit.refill(now, share)
+	rateLimit.level = min(rateLimit.level, 0)
+	if rateLimit.named {
+		rateLimit.liftedSince, rateLimit.statements.unnamedSince, rateLimit.statements.omissions = 0, 0, 0
+	}
+}
+
 // limited reports whether the target names a limit.
 func (candidate *candidate) limited() bool {
 	return candidate.declaration != nil && candidate.declaration.named
@@ -238,7 +247,10 @@
 }
 
 func (scheduler *Scheduler) endLimit(now clock.Moment, candidate *candidate) {
-	candidate.declaration.named, candidate.declaration.liftedSince = false, 0
+	declaration := candidate.declaration
+	declaration.named, declaration.liftedSince = false, 0
+	// A response that named the limit must not be reported any more.
+	declaration.own = limitStatements{}
 	scheduler.limitChanged(now, candidate)
 }
 
--- a/internal/service/ratelimit_test.go
+++ b/internal/service/ratelimit_test.go
@@ -130,6 +130,11 @@
 		{"named in a probe, absent in probes", []step{{FromProbe, named(2), 0}, {FromProbe, absent, 0}, {FromProbe, absent, enough}}, false},
 		{"named, then errors without it", []step{{FromAnswer, named(2), 0}, {FromAnswer, RateLimitStatement{}, 0}, {FromAnswer, RateLimitStatement{}, enough}}, true},
 		{"lifted and named again", []step{{FromAnswer, named(2), 0}, {FromAnswer, absent, 0}, {FromAnswer, absent, enough}, {FromAnswer, named(2), liftTime / 2}}, true},
+		{
+			"lifted and named again with another figure",
+			[]step{{FromAnswer, named(50), 0}, {FromAnswer, absent, 0}, {FromAnswer, absent, enough}, {FromAnswer, named(2), liftTime / 2}},
+			true,
+		},
 		{"ended and named again", []step{{FromAnswer, named(2), 0}, {FromAnswer, absent, 0}, {FromAnswer, absent, enough}, {FromAnswer, named(2), 2 * liftTime}}, true},
 	}
 	for _, testCase := range cases {
@@ -169,6 +174,24 @@
 	require.InDelta(t, 16, fixture.sentWithin(4*clock.Second), 3)
 }
 
+// Guards against an instance that goes on lifting a limit, or reports that it is named, by what it knew before it began to borrow.
+func TestBorrowerDoesNotLiftLimit(t *testing.T) {
+	fixture := newLimitFixture(t, limitedName)
+	fixture.say(FromAnswer, named(4))
+	fixture.omit(2, minWithdrawalTime)
+	fixture.SetBorrowing(true)
+	fixture.omit(endResponses, liftTime)
+	states, _ := fixture.State()
+	require.NotNil(t, states[0].RateLimit)
+	require.False(t, states[0].LimitLifted)
+	fixture.ReceiveLoan(LoanAnswer{Target: limitedName, Tokens: 1, Unknown: true})
+	states, _ = fixture.State()
+	require.Nil(t, states[0].RateLimit)
+	for _, report := range fixture.DeclarationReports(fixture.manual.Now()) {
+		require.False(t, report.Observed)
+	}
+}
+
 // Guards against the answer to a request that was sent before a limit was named and that counts as its end.
 func TestAnswerToEarlierRequestDoesNotEndLimit(t *testing.T) {
 	fixture := newLimitFixture(t, limitedName)
