Raise a lifted limit no faster than answers lack it

A server that limits its rate to 1 a second got 1.27 times its allowance, with 9 and with 17 instances that serve, when requests come in bursts each 2.5 s and a quarter of the answers does not name the limit.

The rate of a limit that is lifted doubled each 250 ms, also in the pause between two bursts, in which no answer could name the limit. Each doubling needs one more answer without it now.

--- a/internal/service/limitmodel_test.go
+++ b/internal/service/limitmodel_test.go
@@ -108,6 +108,8 @@
 var unnamedScenarios = []limitScenario{
 	{name: "a quarter of the answers without the limit", instances: 17, targets: 3, limited: 3, rate: 1, arrivalRate: 340, unnamed: 0.25},
 	{name: "a quarter of the answers without the limit, one in two seconds", instances: 3, standby: 14, targets: 6, limited: 6, rate: 0.5, arrivalRate: 60, unnamed: 0.25},
+	{name: "bursts, nine instances, a quarter without the limit", instances: 9, targets: 6, limited: 6, rate: 1, arrivalRate: 24, bursts: true, unnamed: 0.25},
+	{name: "bursts, 17 instances, a quarter without the limit", instances: 17, targets: 6, limited: 6, rate: 1, arrivalRate: 24, bursts: true, unnamed: 0.25},
 	{name: "half of the answers without the limit, five a second", instances: 3, standby: 14, targets: 6, limited: 6, rate: 5, arrivalRate: 200, unnamed: 0.5},
 }
 
--- a/internal/service/limitstatements.go
+++ b/internal/service/limitstatements.go
@@ -10,6 +10,8 @@
 	maxWithdrawalTime  = 5 * clock.Second
 	// endResponses is the number of responses in a row without a limit after which it may end altogether.
 	endResponses = 6
+	// liftResponses is the number of them beyond which each one doubles the rate at most.
+	liftResponses = 2
 )
 
 // limitStatements is when responses named a target's limit and when they did not, as far as this instance knows. A limit ends if all
--- a/internal/service/ratelimit.go
+++ b/internal/service/ratelimit.go
@@ -80,12 +80,15 @@
 	return rateLimit.named && rateLimit.liftedSince == 0
 }
 
-// currentRate returns the limit in requests per second over all instances, raised while it is lifted.
+// currentRate returns the limit in requests per second over all instances, raised while it is lifted: with time, and with each response that
+// lacked it, since a limit that is named again after a pause must not have been raised meanwhile.
 func (rateLimit *rateLimit) currentRate(now clock.Moment) float64 {
 	if rateLimit.liftedSince == 0 {
 		return rateLimit.rate
 	}
-	return max(rateLimit.rate, minLimitRate) * math.Exp2(float64(min(now.Since(rateLimit.liftedSince), liftTime)/liftDoubling))
+	byTime := float64(min(now.Since(rateLimit.liftedSince), liftTime) / liftDoubling)
+	byResponses := float64(rateLimit.statements.omissions - liftResponses)
+	return max(rateLimit.rate, minLimitRate) * math.Exp2(max(min(byTime, byResponses), 0))
 }
 
 // fillRate returns the number of requests per second that this instance may send if no other does.
