Believe a response only if it belongs to this attempt

A faulty server sends a second copy of a refusal where the next response on the connection is due. CheckResponse accepted each response that says "not run" before it compared the request's ID, so the copy counted for the next payment. Comparing the ID is half of it: the caller's ID is forwarded as it came, so a second attempt at the same server over the same connection carries the ID of the copy of the first attempt's refusal.

The ID is now compared before anything in a response counts: what it says of the request, its load and its statements.

Backend servers of jaywheel's own dialect need not echo the ID; one that echoes another request's ID is now rejected there too.

--- a/internal/backendserver/pool.go
+++ b/internal/backendserver/pool.go
@@ -35,6 +35,7 @@
 	address   string
 	idleSince clock.Moment
 	used      bool
+	carried   carriedRequests
 }
 
 // pool holds the connections to one backend server.
@@ -54,9 +55,10 @@
 
 // acquire returns a connection for one exchange: the most recently used idle connection, or a new one. With freshOnly it
 // skips idle connections on which nothing has been received within the freshness period of the settings: a request that
-// must not run twice can't be sent again if the connection turns out to be dead.
+// must not run twice can't be sent again if the connection turns out to be dead. It also skips connections that have carried a request
+// with the ID given by WithRequestID.
 func (pool *pool) acquire(ctx context.Context, freshOnly bool) (*connection, error) {
-	options, idle, err := pool.reserve(freshOnly)
+	options, idle, err := pool.reserve(freshOnly, requestDigestOf(ctx))
 	if idle != nil || err != nil {
 		return idle, err
 	}
@@ -69,7 +71,7 @@
 }
 
 // reserve returns a usable idle connection, or nil after counting a new connection that the caller must open.
-func (pool *pool) reserve(freshOnly bool) (Options, *connection, error) {
+func (pool *pool) reserve(freshOnly bool, digest requestDigest) (Options, *connection, error) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	if pool.closed {
@@ -77,20 +79,20 @@
 	}
 	for position := len(pool.idle) - 1; position >= 0; position-- {
 		candidate := pool.idle[position]
-		switch pool.classify(candidate, freshOnly) {
+		switch pool.classify(candidate, freshOnly, digest) {
 		case usable:
 			pool.idle = slices.Delete(pool.idle, position, position+1)
 			return pool.options, candidate, nil
 		case dead:
 			pool.idle = slices.Delete(pool.idle, position, position+1)
 			pool.closeLocked(candidate)
-		case stale:
-			// Requests that can be sent again may still use it.
+		case unsuitable:
+			// Other requests may still use it.
 		}
 	}
 	maxConnections := pool.options.MaxConnections()
 	if pool.open >= maxConnections && len(pool.idle) > 0 {
-		// Every idle connection is stale. Close the least recently used one to open a fresh one in its place.
+		// No idle connection is suitable. Close the least recently used one to open another in its place.
 		pool.closeLocked(pool.idle[0])
 		pool.idle = slices.Delete(pool.idle, 0, 1)
 	}
@@ -106,16 +108,19 @@
 
 const (
 	usable idleState = iota
-	stale
+	// unsuitable means that only other requests may be sent on the connection.
+	unsuitable
 	dead
 )
 
-func (pool *pool) classify(candidate *connection, freshOnly bool) idleState {
+func (pool *pool) classify(candidate *connection, freshOnly bool, digest requestDigest) idleState {
 	switch {
 	case candidate.client.Err() != nil:
 		return dead
 	case freshOnly && candidate.socket.sinceLastRead(pool.clock.Now()) > pool.options.Connections.FreshFor:
-		return stale
+		return unsuitable
+	case candidate.carried.contains(digest):
+		return unsuitable
 	default:
 		return usable
 	}
--- a/internal/backendserver/servers.go
+++ b/internal/backendserver/servers.go
@@ -175,8 +175,8 @@
 }
 
 // Send writes the request once on a connection to target and returns when the response header has arrived. With freshOnly
-// it uses a new connection, or one on which data has been received within the freshness period of the settings. The error
-// is an *Error.
+// it uses a new connection, or one on which data has been received within the freshness period of the settings. WithRequestID excludes
+// further connections. The error is an *Error.
 func (servers *Servers) Send(ctx context.Context, target settings.TargetName, request *http.Request, freshOnly bool) (*Exchange, error) {
 	found, known := servers.pools.Load(target)
 	if !known {
@@ -194,6 +194,7 @@
 func (pool *pool) exchange(ctx context.Context, connection *connection, request *http.Request) (*Exchange, error) {
 	before := connection.socket.written.Load()
 	reused := connection.used
+	connection.carried.add(requestDigestOf(ctx))
 	if check, found := ctx.Value(writeCheckKey{}).(func() error); found {
 		connection.socket.writeCheck.Store(&check)
 	}
--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -62,7 +62,7 @@
 	target := permit.Target
 	freshOnly := !call.route.Class.Settings.Idempotent
 	before := call.now()
-	exchange, err := call.handler.options.Servers.Send(backendserver.WithWriteCheck(ctx, call.checkCaller), target.Name, request, freshOnly)
+	exchange, err := call.handler.options.Servers.Send(call.sendContext(ctx), target.Name, request, freshOnly)
 	attempt := attempt{permit: permit, exchange: exchange, err: err, connected: !isConnectError(err)}
 	attempt.trace = trace.Attempt{
 		Target: target.Name, DataCentre: target.DataCentre, Considered: permit.Considered, InFlight: permit.InFlight, QueueWait: permit.QueueTime,
@@ -78,6 +78,11 @@
 	return attempt
 }
 
+// sendContext returns the context under which the request is sent to a backend server or to another instance.
+func (call *call) sendContext(ctx context.Context) context.Context {
+	return backendserver.WithRequestID(backendserver.WithWriteCheck(ctx, call.checkCaller), string(call.id))
+}
+
 // errCallerGone means that the caller disconnected before the request was written to a backend server.
 var errCallerGone = errors.New("caller disconnected before the request was sent")
 
@@ -143,14 +148,14 @@
 	attempt.trace.Reused = attempt.exchange.Reused
 	attempt.trace.Status = response.StatusCode
 	attempt.trace.Result = trace.ResultAnswered
+	if attempt.err = dialect.checkResponse(call.id, response); attempt.err != nil {
+		attempt.discard()
+		return
+	}
 	if loadReading, reported := dialect.ParseLoad(response.Header); reported {
 		loadReading.At = call.now()
 		attempt.permit.Observe(loadReading)
 	}
-	if attempt.err = dialect.CheckResponse(call.id, response); attempt.err != nil {
-		attempt.discard()
-		return
-	}
 	statement := dialect.ParseStatement(response)
 	statement.At = call.now()
 	if statement.Limit.Named {
--- a/internal/caller/dialect.go
+++ b/internal/caller/dialect.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/jaywheel/jaywheel/internal/service"
 	"github.com/jaywheel/jaywheel/internal/trace"
 	"github.com/jaywheel/jaywheel/pkg/clock"
@@ -16,6 +18,9 @@
 type Dialect struct {
 	// RequestIDHeader carries the request ID in requests and responses.
 	RequestIDHeader string
+	// EchoesRequestID is whether backend servers' responses carry the ID of their request. A response without it, or with another one,
+	// does not belong to the request.
+	EchoesRequestID bool
 	// TimeoutHeader carries the remaining time in whole milliseconds.
 	TimeoutHeader string
 	// AttemptHeader carries the number of earlier attempts to send the request; empty if attempts are not counted.
@@ -35,8 +40,8 @@
 	RetryAfter func(clock.Milliseconds) string
 	// NotRun reports whether a backend server's response states that the server did not run the request.
 	NotRun func(*http.Response, *settings.Service) bool
-	// CheckResponse returns an error if the response does not belong to the request or does not come from the backend server.
-	CheckResponse func(trace.RequestID, *http.Response) error
+	// CheckResponse returns an error if the response does not come from the backend server as it is.
+	CheckResponse func(*http.Response) error
 	// ParseLoad parses the load that a backend server reports in its response header; false if it reports none.
 	ParseLoad func(http.Header) (service.LoadReading, bool)
 	// ParseStatement parses what a backend server says of itself in a response.
@@ -52,6 +57,24 @@
 	IsReservedPath func(path string) bool
 }
 
+// errForeignResponse means that a response belongs to another request, as a late copy of an earlier response on the connection does.
+var errForeignResponse = errors.New("the response does not carry the request's id")
+
+// belongsTo reports whether the header of a response, also of an informational one, may be that of the request with the ID.
+func (dialect *Dialect) belongsTo(id trace.RequestID, header http.Header) bool {
+	carried := header.Get(dialect.RequestIDHeader)
+	return carried == string(id) || carried == "" && !dialect.EchoesRequestID
+}
+
+// checkResponse returns an error if the response does not belong to the request or does not come from the backend server. Nothing in
+// such a response counts, not even that the request has not run.
+func (dialect *Dialect) checkResponse(id trace.RequestID, response *http.Response) error {
+	if !dialect.belongsTo(id, response.Header) {
+		return errForeignResponse
+	}
+	return dialect.CheckResponse(response)
+}
+
 // NewDialect returns jaywheel's own dialect.
 func NewDialect() *Dialect {
 	return &Dialect{
@@ -64,7 +87,7 @@
 		NotRun: func(response *http.Response, serviceSettings *settings.Service) bool {
 			return response.Header.Get(serviceSettings.NotRunHeader) != ""
 		},
-		CheckResponse:  func(trace.RequestID, *http.Response) error { return nil },
+		CheckResponse:  func(*http.Response) error { return nil },
 		ParseLoad:      func(http.Header) (service.LoadReading, bool) { return service.LoadReading{}, false },
 		ParseStatement: func(*http.Response) service.Statement { return service.Statement{} },
 		IsReservedPath: func(path string) bool { return path == AddressesPath },
--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -210,7 +210,7 @@
 func (call *call) checkRelayedResponse(attempt *attempt) {
 	dialect := call.handler.options.Dialect
 	attempt.trace.Result = trace.ResultAnswered
-	attempt.err = dialect.CheckResponse(call.id, attempt.exchange.Response)
+	attempt.err = dialect.checkResponse(call.id, attempt.exchange.Response)
 	if attempt.err == nil && dialect.MaxBufferedResponseBytes > 0 {
 		attempt.err = attempt.bufferBody(dialect.MaxBufferedResponseBytes)
 	}
