Believe a relayed response only if it belongs to the request

The instance to which a request was relayed was believed that the request has not run before its response's request ID was compared, and a response without an outcome counted as "not run", whatever process had the address. A payment could have been sent on although it had run.

The ID is compared first, and a response without an outcome leaves it open whether the request has run. An instance now also echoes the ID in its rejection of a malformed relayed request.

TestPaymentIsRelayedAtMostOnce has a new case, "another request has not run", which failed before (503 instead of 502). Its case "release that does not know relayed requests" and the last check of TestOutcomes asserted the fault: such a response proves nothing of the request. Both now demand that the outcome is unknown and that no second instance gets the request; all releases in use know relayed requests.

--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -155,8 +155,7 @@
 	defer hints.stop()
 	before := call.now()
 	freshOnly := !call.route.Class.Settings.Idempotent
-	ctx = backendserver.WithWriteCheck(hints.withHints(ctx), call.checkCaller)
-	exchange, err := call.handler.options.Relay.Client.Send(ctx, peer, call.relayedRequest(peer, attempts), freshOnly)
+	exchange, err := call.handler.options.Relay.Client.Send(call.sendContext(hints.withHints(ctx)), peer, call.relayedRequest(peer, attempts), freshOnly)
 	attempt := attempt{exchange: exchange, err: err, connected: !isConnectError(err), trace: trace.Attempt{Relay: peer.Name}}
 	if err != nil {
 		attempt.notRun = backendserver.IsErrNotWritten(err)
@@ -193,6 +192,11 @@
 	result, reason := relay.ParseOutcome(response.Header)
 	relay.RemoveHeaders(response.Header)
 	attempt.trace.Status, attempt.trace.Reused = response.StatusCode, attempt.exchange.Reused
+	if !call.handler.options.Dialect.belongsTo(call.id, response.Header) {
+		attempt.err = errForeignResponse
+		attempt.trace.Result, attempt.trace.Error = trace.ResultNoResponse, attempt.err.Error()
+		return
+	}
 	switch result {
 	case outcome.Answered:
 		call.checkRelayedResponse(attempt)
@@ -210,7 +214,7 @@
 func (call *call) checkRelayedResponse(attempt *attempt) {
 	dialect := call.handler.options.Dialect
 	attempt.trace.Result = trace.ResultAnswered
-	attempt.err = dialect.checkResponse(call.id, attempt.exchange.Response)
+	attempt.err = dialect.CheckResponse(attempt.exchange.Response)
 	if attempt.err == nil && dialect.MaxBufferedResponseBytes > 0 {
 		attempt.err = attempt.bufferBody(dialect.MaxBufferedResponseBytes)
 	}
@@ -255,6 +259,7 @@
 	relayed, err := relay.ParseRequest(request.Header)
 	if err != nil {
 		events.Add(EventRelayInvalid, 1)
+		writer.Header().Set(handler.options.Dialect.RequestIDHeader, request.Header.Get(handler.options.Dialect.RequestIDHeader))
 		relay.SetOutcome(writer.Header(), outcome.NotRun, outcome.ReasonBadRequest)
 		http.Error(writer, err.Error(), http.StatusBadRequest)
 		return
--- a/internal/caller/relay_test.go
+++ b/internal/caller/relay_test.go
@@ -147,9 +147,12 @@
 		{"not run", func(connection net.Conn) {
 			_, _ = io.WriteString(connection, "HTTP/1.1 503 Service Unavailable\r\nJaywheel-Relay-Outcome: notRun\r\nContent-Length: 0\r\n\r\n")
 		}, http.StatusServiceUnavailable, outcome.NotRun, true},
-		{"release that does not know relayed requests", func(connection net.Conn) {
+		{"response without an outcome", func(connection net.Conn) {
 			_, _ = io.WriteString(connection, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
-		}, http.StatusServiceUnavailable, outcome.NotRun, true},
+		}, http.StatusBadGateway, outcome.Unknown, false},
+		{"another request has not run", func(connection net.Conn) {
+			_, _ = io.WriteString(connection, "HTTP/1.1 503 Service Unavailable\r\nJaywheel-Relay-Outcome: notRun\r\nJaywheel-Request-Id: other\r\nContent-Length: 0\r\n\r\n")
+		}, http.StatusBadGateway, outcome.Unknown, false},
 	}
 	for _, testCase := range cases {
 		t.Run(testCase.name, func(t *testing.T) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -90,14 +90,12 @@
 	header.Set(headerReason, string(reason))
 }
 
-// ParseOutcome returns how a relayed request ended, from the header of its response. A response without an outcome does not come from
-// an instance that knows relayed requests, so the request has not run.
+// ParseOutcome returns how a relayed request ended, from the header of its response. A response without an outcome may come from any
+// process that has the address by now, so the outcome is not known.
 func ParseOutcome(header http.Header) (outcome.Outcome, outcome.Reason) {
 	switch result := outcome.Outcome(header.Get(headerOutcome)); result {
 	case outcome.Answered, outcome.NotRun, outcome.Unknown:
 		return result, outcome.Reason(header.Get(headerReason))
-	case "":
-		return outcome.NotRun, ""
 	default:
 		return outcome.Unknown, ""
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -61,7 +61,7 @@
 	result, _ := ParseOutcome(http.Header{headerOutcome: {"perhaps"}})
 	require.Equal(t, outcome.Unknown, result)
 	result, _ = ParseOutcome(http.Header{})
-	require.Equal(t, outcome.NotRun, result, "an instance that does not know relayed requests")
+	require.Equal(t, outcome.Unknown, result, "whatever has the address may have run the request")
 }
 
 // Guards against requests that are relayed to instances which cannot serve them.
