Forward informational responses only of the request itself

A late informational response of an earlier request on a connection was forwarded to the caller of the next one, with its headers. It is now dropped if it carries another request's ID, or none where servers echo it.

TestHintOfAnotherRequestIsNotForwarded failed before: the caller got status 103 of another request.

--- a/internal/caller/hints.go
+++ b/internal/caller/hints.go
@@ -37,6 +37,9 @@
 	if hints.stopped || status == http.StatusContinue || status == http.StatusSwitchingProtocols {
 		return nil
 	}
+	if !hints.call.handler.options.Dialect.belongsTo(hints.call.id, http.Header(received)) {
+		return nil
+	}
 	forwarded := http.Header(received)
 	removeHopByHop(forwarded)
 	header := hints.call.writer.Header()
--- a/internal/caller/response_test.go
+++ b/internal/caller/response_test.go
@@ -183,6 +183,27 @@
 	require.Equal(t, "42", response.Trailer.Get("Checksum"))
 }
 
+// Guards against an informational response of an earlier request on the connection that is forwarded to another caller.
+func TestHintOfAnotherRequestIsNotForwarded(t *testing.T) {
+	backend := startRawBackend(t, func(connection net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(connection)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(connection, "HTTP/1.1 103 Early Hints\r\nJaywheel-Request-Id: other\r\nLink: </private>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	})
+	fixture := newFixture(t, fixtureService(), backend)
+	connection, err := net.Dial("tcp", fixture.address)
+	require.NoError(t, err)
+	defer connection.Close()
+	_, err = io.WriteString(connection, "GET /slots HTTP/1.1\r\nHost: "+fixtureHost+"\r\n\r\n")
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Empty(t, response.Header.Get("Link"))
+}
+
 // A streamed response is forwarded as it arrives: the backend server sends the second part only when the caller has read the
 // first one.
 func TestAnswerStreams(t *testing.T) {
