Take no response to a request for the response to a probe

Probes use the connections of requests. A late copy of a response to a request was taken for the health of its server, with a load and statements that were out of date, and the connection was kept although the response to the probe was still to come on it. A response of another server was read to its end, and its connection kept as well.

A late copy of the response to an earlier probe cannot be told from the response to the next one; it is out of date by one interval, and the connection ends with the response that follows it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,7 +70,7 @@
 	// Dialect defines headers and reserved paths of requests.
 	Dialect *caller.Dialect
 	// ReadProbe reads a backend server's health from its response to a probe.
-	ReadProbe func(*http.Response) sensing.Health
+	ReadProbe func(*http.Response) (sensing.Health, error)
 	// Directory and Readiness return the handlers for callers that request the addresses of instances and for readiness
 	// checks of this instance.
 	Directory func(addresses func() ([]string, clock.Milliseconds)) http.Handler
--- a/internal/sensing/sensing.go
+++ b/internal/sensing/sensing.go
@@ -106,8 +106,8 @@
 type Options struct {
 	// Send sends the probe of a target; the last argument is whether it needs a fresh connection.
 	Send func(context.Context, settings.TargetName, *http.Request, bool) (*backendserver.Exchange, error)
-	// Read parses the response to a probe.
-	Read func(*http.Response) Health
+	// Read parses the response to a probe. It returns an error if the response does not belong to the probe.
+	Read func(*http.Response) (Health, error)
 	// Deliver receives the result of each probe, on the goroutine of the probed target.
 	Deliver func(Result)
 	// MaxConcurrent is the maximum number of probes in progress, 0 for no limit. All others wait, and their time limit begins later. Without
@@ -288,7 +288,14 @@
 		return Health{}, err
 	}
 	defer exchange.Close()
-	health := prober.options.Read(exchange.Response)
+	// The connection is closed unless the response is read to its end: after one that belongs to something else, that of the probe follows.
+	health, err := prober.options.Read(exchange.Response)
+	if err != nil {
+		return Health{}, err
+	}
+	if health.Target != "" && health.Target != job.Target {
+		return health, errWrongServer
+	}
 	health.LoadReading.At = prober.options.Clock.Now()
 	health.Statement.At = health.LoadReading.At
 	if err := drain(exchange); err != nil {
@@ -298,9 +305,6 @@
 		// This process stood still or had no processor time. The target can be reached, but may have become cold since it responded.
 		health.LoadReading.ColdKnown, health.LoadReading.ColdUnclear = false, true
 	}
-	if health.Target != "" && health.Target != job.Target {
-		return health, errWrongServer
-	}
 	return health, nil
 }
 
--- a/internal/sensing/sensing_test.go
+++ b/internal/sensing/sensing_test.go
@@ -77,7 +77,7 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			prober := NewProber(Options{
-				Send: servers.Send, Read: func(*http.Response) Health { return Health{} },
+				Send: servers.Send, Read: func(*http.Response) (Health, error) { return Health{}, nil },
 				Deliver: func(result Result) {
 					select {
 					case results <- result:
@@ -154,3 +154,34 @@
 		require.Len(t, answered, targets)
 	})
 }
+
+// Guards against a response to a request that is taken for the response to a probe, and against a connection that is kept although the
+// response to the probe is still to come on it.
+func TestConnectionEndsWithAResponseThatIsNotTheProbes(t *testing.T) {
+	cases := []struct {
+		name   string
+		health Health
+		err    error
+	}{
+		{"response to a request", Health{}, errNoServer},
+		{"response of another server", Health{Target: "two"}, nil},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+			defer server.Close()
+			address := server.Listener.Addr().String()
+			servers := backendserver.NewServers(clock.New())
+			defer servers.Close()
+			servers.Set("one", backendserver.Options{
+				Address: address, MaxConnections: backendserver.FixedLimit(1), Connections: settings.Connections{ConnectTimeout: clock.Second, IdleTimeout: clock.Second},
+			})
+			prober := NewProber(Options{
+				Send: servers.Send, Read: func(*http.Response) (Health, error) { return testCase.health, testCase.err }, Clock: clock.New(), Events: new(expvar.Map).Init(),
+			})
+			_, err := prober.probe(t.Context(), Job{Target: "one", Address: address, Path: "/health"})
+			require.Error(t, err)
+			require.Zero(t, servers.OpenConnections("one"))
+		})
+	}
+}
