Close a connection only when its caller has received everything

Whether to read on before closing was decided once, for connections with a pipeline alone, by the bytes that lay unread at that moment, and for 500 ms whatever was left to send. A body in chunks ends the pipeline for good. Bytes that were unread, or arrived after the close, reset the connection, and the kernel dropped what it had not sent. The listener took the connection for ended meanwhile, so that the process could exit.

Each connection now ends in the same way (internal/linger): it closes its sending side, and discards what arrives until the caller has closed its side, or has acknowledged everything (SIOCOUTQ) and been quiet for 500 ms, for 2 s at most; while something is left to send, until the caller has received nothing for the maximum stall. This applies after a response that closes the connection, and whenever bytes are unread or unacknowledged; a connection that is cut on purpose is still reset. A drain waits for these connections, and again for those that the HTTP server's shutdown closes.

--- a/internal/caller/connection.go
+++ b/internal/caller/connection.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/jaywheel/jaywheel/internal/linger"
 	"github.com/jaywheel/jaywheel/internal/pipeline"
 )
 
@@ -18,9 +19,9 @@
 type guardedConnection struct {
 	*net.TCPConn
 	guard headGuard
-	// untrack removes the connection from those that its listener waits for; release ends its count among connections.
-	untrack, release func()
-	connections      *Connections
+	// track adds the connection to those that its listener waits for, and untrack removes it; release ends its count among connections.
+	track, untrack, release func()
+	connections             *Connections
 	// beyondLimit means that more connections than allowed were open when this one was accepted. It belongs to the goroutine that handles
 	// the connection's requests.
 	beyondLimit bool
@@ -51,8 +52,8 @@
 	resetting bool
 	// readAborted means that reads fail at once.
 	readAborted bool
-	// lingerUntil is until when bytes are discarded before the connection is closed, zero before that has begun.
-	lingerUntil time.Time
+	// closed means that Close has been called.
+	closed bool
 	// pipeline is nil unless requests have been received behind the one that is being handled.
 	pipeline *requestPipeline
 }
@@ -163,14 +164,7 @@
 // hasUnreadBytes reports whether the kernel holds bytes that have not been read: a process that is short of CPU time reads them
 // late.
 func (guardedConnection *guardedConnection) hasUnreadBytes() bool {
-	raw, err := guardedConnection.SyscallConn()
-	if err != nil {
-		return false
-	}
-	var count int
-	var ioctlErr error
-	err = raw.Control(func(descriptor uintptr) { count, ioctlErr = unix.IoctlGetInt(int(descriptor), unix.TIOCINQ) })
-	return err == nil && ioctlErr == nil && count > 0
+	return linger.Unread(guardedConnection.TCPConn) > 0
 }
 
 // disconnected reports whether the caller has closed the connection or its sending side. The HTTP server notices that only when
@@ -247,21 +241,52 @@
 	_ = guardedConnection.SetLinger(0)
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. It returns before the caller has received everything; the connection counts as open until then.
 func (guardedConnection *guardedConnection) Close() error {
-	defer guardedConnection.untrack()
 	if guardedConnection.unhandledBytes.Swap(false) {
 		guardedConnection.onUnfinished()
 	}
-	if guardedConnection.endPipeline() {
-		// The responses that have been sent would be lost with a reset.
-		go func() {
-			defer guardedConnection.release()
-			_, _ = io.Copy(io.Discard, guardedConnection.TCPConn)
-			_ = guardedConnection.TCPConn.Close()
-		}()
+	first, lingers := guardedConnection.endRequests()
+	if !first {
 		return nil
 	}
+	if lingers {
+		guardedConnection.track()
+		go guardedConnection.lingerAndClose()
+		return nil
+	}
+	defer guardedConnection.untrack()
 	defer guardedConnection.release()
 	return guardedConnection.TCPConn.Close()
 }
+
+// endRequests cancels the requests in progress behind the one that the HTTP server reads itself. It reports whether the connection is
+// closed for the first time, and whether it has to be read on before it is closed: a reset would cut off responses that the caller has
+// not received. A caller may still send requests or the rest of a body after a response that closes the connection.
+func (guardedConnection *guardedConnection) endRequests() (bool, bool) {
+	guardedConnection.mutex.Lock()
+	defer guardedConnection.mutex.Unlock()
+	if guardedConnection.closed {
+		return false, false
+	}
+	guardedConnection.closed = true
+	if requestPipeline := guardedConnection.pipeline; requestPipeline != nil {
+		if len(requestPipeline.unread) > 0 {
+			guardedConnection.pipelining.events.Add(EventPipelineUnread, 1)
+		}
+		guardedConnection.abandonLocked()
+	}
+	if guardedConnection.resetting {
+		return true, false
+	}
+	answered := guardedConnection.state == http.StateActive && !guardedConnection.disconnected()
+	return true, answered || linger.Needed(guardedConnection.TCPConn)
+}
+
+// lingerAndClose closes the connection when the caller has received everything.
+func (guardedConnection *guardedConnection) lingerAndClose() {
+	defer guardedConnection.untrack()
+	defer guardedConnection.release()
+	linger.Wait(guardedConnection.TCPConn, linger.Options{MaxStall: guardedConnection.pipelining.maxStall})
+	_ = guardedConnection.TCPConn.Close()
+}
--- a/internal/caller/listener.go
+++ b/internal/caller/listener.go
@@ -39,7 +39,7 @@
 	pipelining   *pipelining
 
 	mutex sync.Mutex
-	// open contains the open connections that are not known to be multiplexed.
+	// open contains the open connections that are not known to be multiplexed, and those whose callers have not received everything yet.
 	open                map[*guardedConnection]struct{}
 	accepting, draining bool
 	// acceptedScarce is the number of connections accepted while they were scarce since idle ones were last searched for.
@@ -121,12 +121,23 @@
 		onSent: listener.onSent, release: sync.OnceFunc(listener.connections.release), since: time.Now(),
 		beyondLimit: listener.connections.overLimit(),
 	}
+	guarded.track = func() { listener.addOpen(guarded) }
 	guarded.untrack = func() { listener.untrack(guarded) }
 	guarded.guard.reset()
+	guarded.track()
+	return guarded
+}
+
+// addOpen adds a connection to those that are open, also one that was removed because it is multiplexed.
+func (listener *Listener) addOpen(guarded *guardedConnection) {
 	listener.mutex.Lock()
 	defer listener.mutex.Unlock()
 	listener.open[guarded] = struct{}{}
-	return guarded
+	select {
+	case <-listener.drained:
+		listener.drained = make(chan struct{})
+	default:
+	}
 }
 
 func (listener *Listener) setAccepting(accepting bool) {
@@ -162,21 +173,21 @@
 }
 
 // Drain waits briefly until the connections that are already queued have been accepted, stops listening, closes connections that
-// wait for a request, and returns when all others have been closed after their current request. It returns an error if ctx is
-// done before that.
+// wait for a request, and returns when all others have been closed after their current request and their callers have received
+// everything. It returns an error if ctx is done before that.
 // http.Server.Shutdown, which closes multiplexed connections gracefully, must be called after Drain: it drops requests that have
-// been read but not handled yet.
+// been read but not handled yet. Another Drain waits for the connections that it has closed.
 func (listener *Listener) Drain(ctx context.Context) error {
 	listener.waitForAcceptQueue(ctx)
 	if err := listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		return errors.Wrap(err, "stop listening for callers")
 	}
-	listener.closeWhenIdle(false)
+	drained := listener.closeWhenIdle(false)
 	timer := time.NewTimer(newConnectionTimeout.Duration())
 	defer timer.Stop()
 	for {
 		select {
-		case <-listener.drained:
+		case <-drained:
 			return nil
 		case <-timer.C:
 			listener.closeWhenIdle(true)
@@ -216,8 +227,9 @@
 	return err == nil && count > 0
 }
 
-// closeWhenIdle marks the listener as draining and calls closeWhenIdle for each open connection.
-func (listener *Listener) closeWhenIdle(includeNew bool) {
+// closeWhenIdle marks the listener as draining and calls closeWhenIdle for each open connection. The returned channel is closed when none
+// is open any more.
+func (listener *Listener) closeWhenIdle(includeNew bool) <-chan struct{} {
 	listener.mutex.Lock()
 	defer listener.mutex.Unlock()
 	listener.draining = true
@@ -225,4 +237,5 @@
 		guarded.closeWhenIdle(includeNew)
 	}
 	listener.checkDrained()
+	return listener.drained
 }
--- a/internal/caller/pipelining.go
+++ b/internal/caller/pipelining.go
@@ -32,9 +32,6 @@
 	maxUnsentBytes = 64 << 10
 	// disconnectPollInterval is how often a connection that is not read on is checked for a disconnect of the caller.
 	disconnectPollInterval = 50 * clock.Millisecond
-	// lingerTimeout is how long bytes are read and discarded before a connection is closed: unread bytes would reset it, and the
-	// caller might lose responses that it has not read yet.
-	lingerTimeout = 500 * clock.Millisecond
 )
 
 // pipelining is what all connections of a listener have in common for requests that callers send before earlier ones have been answered.
@@ -133,23 +130,3 @@
 	requestPipeline.notify()
 	return true
 }
-
-// endPipeline cancels the requests in progress behind the one that the HTTP server reads itself. It reports whether the connection has
-// to be read on for a moment before it is closed, which would otherwise reset it, and ends its sending side in that case.
-func (guardedConnection *guardedConnection) endPipeline() bool {
-	guardedConnection.mutex.Lock()
-	defer guardedConnection.mutex.Unlock()
-	requestPipeline := guardedConnection.pipeline
-	if requestPipeline == nil {
-		return false
-	}
-	if len(requestPipeline.unread) > 0 {
-		guardedConnection.pipelining.events.Add(EventPipelineUnread, 1)
-	}
-	guardedConnection.abandonLocked()
-	if guardedConnection.resetting || !guardedConnection.lingerUntil.IsZero() || !guardedConnection.hasUnreadBytes() {
-		return false
-	}
-	return guardedConnection.TCPConn.CloseWrite() == nil &&
-		guardedConnection.TCPConn.SetReadDeadline(time.Now().Add(lingerTimeout.Duration())) == nil
-}
--- a/internal/caller/pipelining_test.go
+++ b/internal/caller/pipelining_test.go
@@ -62,6 +62,10 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { connection.Close() })
 	require.NoError(t, connection.SetReadDeadline(time.Now().Add(maxWait)))
+	return newPipelinedCaller(t, connection)
+}
+
+func newPipelinedCaller(t testing.TB, connection net.Conn) *pipelinedCaller {
 	return &pipelinedCaller{t: t, connection: connection.(*net.TCPConn), reader: bufio.NewReader(connection)} //nolint:forcetypeassert // TCP was dialed.
 }
 
--- a/internal/caller/readbehind.go
+++ b/internal/caller/readbehind.go
@@ -20,8 +20,8 @@
 	stepReceive
 	// stepDiscard receives bytes of requests that will not be read.
 	stepDiscard
-	// stepLinger does so before the connection is closed.
-	stepLinger
+	// stepEnd lets the HTTP server close the connection.
+	stepEnd
 	// stepWait waits for a change without receiving.
 	stepWait
 )
@@ -43,7 +43,9 @@
 			if err := guardedConnection.awaitChange(); err != nil {
 				return 0, err
 			}
-		case stepReceive, stepDiscard, stepLinger:
+		case stepEnd:
+			return 0, io.EOF
+		case stepReceive, stepDiscard:
 			if err := guardedConnection.receive(buffer, next); err != nil {
 				return 0, err
 			}
@@ -70,7 +72,7 @@
 	case !guardedConnection.guard.complete() && behind == 0 && (guardedConnection.handling || !ended):
 		return stepDeliver
 	case ended && behind == 0 && !guardedConnection.handling:
-		return stepLinger
+		return stepEnd
 	case ended:
 		return stepDiscard
 	case requestPipeline == nil || len(requestPipeline.unread) == 0:
@@ -149,12 +151,6 @@
 		}
 		buffer = requestPipeline.buffer
 	}
-	if next == stepLinger {
-		if guardedConnection.lingerUntil.IsZero() {
-			guardedConnection.lingerUntil = time.Now().Add(lingerTimeout.Duration())
-		}
-		_ = guardedConnection.TCPConn.SetReadDeadline(guardedConnection.lingerUntil)
-	}
 	guardedConnection.mutex.Unlock()
 	count, err := guardedConnection.TCPConn.Read(buffer)
 	if count > 0 && next == stepReceive {
@@ -166,12 +162,10 @@
 	case !isTimeout(err):
 		guardedConnection.abandonRequests()
 		return err
-	case next == stepLinger:
-		return io.EOF
 	default:
 		guardedConnection.mutex.Lock()
 		defer guardedConnection.mutex.Unlock()
-		if guardedConnection.nextStep() == stepLinger {
+		if guardedConnection.nextStep() == stepEnd {
 			return nil
 		}
 		return err
--- a/internal/httppart/httppart.go
+++ b/internal/httppart/httppart.go
@@ -16,19 +16,66 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/jaywheel/jaywheel/internal/linger"
+	"github.com/jaywheel/jaywheel/pkg/clock"
 )
 
 // Listener accepts a server's connections.
 type Listener struct {
 	net.Listener
-	// Drain stops accepting connections and returns when the accepted ones have ended. It may be nil.
+	// Drain stops accepting connections and returns when the accepted ones have ended. It is called again for the connections that the
+	// HTTP server itself has closed. It may be nil.
 	Drain func(context.Context) error
 }
 
-// Listen listens on a TCP address.
+// Listen listens on a TCP address. The connections are not reset before their peers have received what was sent.
 func Listen(address string) (Listener, error) {
 	listener, err := net.Listen("tcp", address)
-	return Listener{Listener: listener}, err
+	if err != nil {
+		return Listener{}, err
+	}
+	return Listener{Listener: lingeringListener{listener}}, nil
+}
+
+// maxStall is how long the peer of a closed connection may receive nothing.
+const maxStall = 10 * clock.Second
+
+type lingeringListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (lingeringListener lingeringListener) Accept() (net.Conn, error) {
+	accepted, err := lingeringListener.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	connection, isTCP := accepted.(*net.TCPConn)
+	if !isTCP {
+		return accepted, nil
+	}
+	return &lingeringConnection{TCPConn: connection}, nil
+}
+
+type lingeringConnection struct {
+	*net.TCPConn
+
+	closeOnce sync.Once
+}
+
+// Close implements net.Conn. It returns before the peer has received everything.
+func (lingeringConnection *lingeringConnection) Close() error {
+	var err error
+	lingeringConnection.closeOnce.Do(func() {
+		if !linger.Needed(lingeringConnection.TCPConn) {
+			err = lingeringConnection.TCPConn.Close()
+			return
+		}
+		go func() {
+			linger.Wait(lingeringConnection.TCPConn, linger.Options{MaxStall: maxStall})
+			_ = lingeringConnection.TCPConn.Close()
+		}()
+	})
+	return err
 }
 
 // Server is an HTTP server as a component of a supervisor tree. It is safe for concurrent use.
@@ -114,6 +161,14 @@
 	server.drained = true
 	listeners := append([]Listener{server.listener}, server.previous...)
 	server.mutex.Unlock()
+	if err := drainAll(ctx, listeners); err != nil {
+		return err
+	}
+	return errors.Join(server.httpServer.Shutdown(ctx), drainAll(ctx, listeners))
+}
+
+// drainAll drains all listeners at the same time.
+func drainAll(ctx context.Context, listeners []Listener) error {
 	var draining sync.WaitGroup
 	drainErrors := make([]error, len(listeners))
 	for index, listener := range listeners {
@@ -122,8 +177,5 @@
 		}
 	}
 	draining.Wait()
-	if err := errors.Join(drainErrors...); err != nil {
-		return err
-	}
-	return server.httpServer.Shutdown(ctx)
+	return errors.Join(drainErrors...)
 }
--- a/internal/httppart/httppart_test.go
+++ b/internal/httppart/httppart_test.go
@@ -1,9 +1,12 @@
 package httppart
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -53,3 +56,32 @@
 	}
 	require.ElementsMatch(t, []int{0, 1}, drainedBy)
 }
+
+// Guards against an operator's response that is cut off because its connection is closed with the next request unread.
+func TestResponseOutlastsItsConnection(t *testing.T) {
+	const length = 400 << 10
+	server, err := New(&http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Connection", "close")
+		_, _ = writer.Write(make([]byte, length))
+	})}, "127.0.0.1:0", Listen)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(ctx) }()
+	connection, err := net.Dial("tcp", server.Address())
+	require.NoError(t, err)
+	defer connection.Close()
+	require.NoError(t, connection.SetDeadline(time.Now().Add(waitTimeout)))
+	const request = "GET / HTTP/1.1\r\nHost: operators\r\n\r\n"
+	// The HTTP server reads 4 KB ahead; what follows them stays unread.
+	_, err = io.WriteString(connection, strings.Repeat(request, 300))
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Len(t, body, length)
+	cancel()
+	require.ErrorIs(t, <-ended, context.Canceled)
+}
