Bound the heads of responses, and what buffered responses take together

Informational responses without end were never broken off, since net/http leaves their number to whoever receives them (550 MB read in ten seconds).

A head is read up to 32 KB, including the informational responses before it, and all heads beyond 8 KB together hold 1 MB. Bodies without end had the same effect: each response was buffered up to 1 MB with no bound on all. All buffered responses now hold 32 MB; beyond it, responses are forwarded as they arrive.

TestBufferedResponsesAreBoundedTogether fails without the limit.

--- a/internal/backendserver/pool.go
+++ b/internal/backendserver/pool.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
@@ -45,6 +46,8 @@
 	dial   func(context.Context, Options) (*connection, error)
 	// idlePools are the pools of all backend servers that may hold idle connections.
 	idlePools *sync.Map // *pool to nothing
+	// longHeads is the length of all long heads of responses.
+	longHeads *atomic.Int64
 
 	mutex   sync.Mutex
 	options Options
@@ -227,9 +230,11 @@
 func newConnector(clock *clock.Clock) *connector {
 	connector := &connector{clock: clock}
 	connector.transport = &http.Transport{
-		DisableCompression:    true,
-		ExpectContinueTimeout: expectContinueTimeout.Duration(),
-		DialContext:           connector.dialSocket,
+		DisableCompression: true,
+		// Heads are counted by the socket, together with the informational responses before them.
+		MaxResponseHeaderBytes: maxHeadBytes,
+		ExpectContinueTimeout:  expectContinueTimeout.Duration(),
+		DialContext:            connector.dialSocket,
 	}
 	return connector
 }
--- a/internal/backendserver/servers.go
+++ b/internal/backendserver/servers.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -28,6 +29,8 @@
 	clock     *clock.Clock
 	connector *connector
 	pools     sync.Map // settings.TargetName to *pool
+	// longHeads is the length of all long heads of responses, in bytes.
+	longHeads atomic.Int64
 	// idlePools are the pools that may hold idle connections: a few of the thousands of an instance on standby.
 	idlePools sync.Map // *pool to nothing
 }
@@ -61,6 +64,7 @@
 		target:    target,
 		clock:     servers.clock,
 		idlePools: &servers.idlePools,
+		longHeads: &servers.longHeads,
 		dial: func(ctx context.Context, options Options) (*connection, error) {
 			return servers.connect(ctx, target, options)
 		},
@@ -198,8 +202,12 @@
 	if check, found := ctx.Value(writeCheckKey{}).(func() error); found {
 		connection.socket.writeCheck.Store(&check)
 	}
+	head := &head{longHeads: pool.longHeads}
+	connection.socket.head.Store(head)
 	response, err := connection.client.RoundTrip(request.WithContext(ctx)) //nolint:bodyclose // Exchange.Close does.
+	head.end()
 	if err != nil {
+		defer head.release()
 		// Close the socket before reading the count, so that no byte of the request is sent after the read.
 		connection.socket.Conn.Close()
 		written := connection.socket.written.Load() != before
@@ -238,5 +246,8 @@
 	}
 	exchange.closed = true
 	exchange.Response.Body.Close()
+	if head := exchange.connection.socket.head.Swap(nil); head != nil {
+		head.release()
+	}
 	exchange.pool.release(exchange.connection, exchange.fullyRead)
 }
--- a/internal/backendserver/socket.go
+++ b/internal/backendserver/socket.go
@@ -19,16 +19,28 @@
 
 	written  atomic.Int64
 	lastRead atomic.Int64
+	// head is that of the response that is awaited or has not been forwarded completely, nil if there is none.
+	head atomic.Pointer[head]
 	// writeCheck is called before the next write, if it is not nil.
 	writeCheck atomic.Pointer[func() error]
 }
 
 // Read implements net.Conn.
 func (socket *socket) Read(buffer []byte) (int, error) {
+	if head := socket.head.Load(); head != nil {
+		if err := head.check(); err != nil {
+			return 0, err
+		}
+	}
 	count, err := socket.Conn.Read(buffer)
 	if count > 0 {
 		socket.lastRead.Store(int64(socket.clock.Now()))
 	}
+	if head := socket.head.Load(); head != nil {
+		if err := head.add(count); err != nil {
+			return 0, err
+		}
+	}
 	return count, err
 }
 
--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -19,7 +19,9 @@
 	exchange *backendserver.Exchange
 	// buffered is the part of the response body that has been read but not forwarded.
 	buffered []byte
-	err      error
+	// share is what buffered takes of the memory for buffered responses, nil if nothing is buffered.
+	share *bufferShare
+	err   error
 	// notRun means that the request certainly did not run.
 	notRun bool
 	// budgetExempt means that a retry is not charged to the retry budget: the request failed on an idle connection that had
@@ -166,7 +168,7 @@
 		call.handler.options.OnStatement(change)
 	}
 	if dialect.MaxBufferedResponseBytes > 0 {
-		if attempt.err = attempt.bufferBody(dialect.MaxBufferedResponseBytes); attempt.err != nil {
+		if attempt.err = attempt.bufferBody(dialect.MaxBufferedResponseBytes, &call.handler.bufferedResponses); attempt.err != nil {
 			attempt.discard()
 			return
 		}
@@ -183,6 +185,7 @@
 	if attempt == nil {
 		return
 	}
+	attempt.share.release()
 	if attempt.exchange != nil {
 		attempt.exchange.Close()
 		attempt.exchange = nil
--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -37,8 +37,8 @@
 	buffered []byte
 	// bufferComplete means that buffered has been read completely.
 	bufferComplete bool
-	// reservedBytes is the length counted towards maxBufferedBodyBytes.
-	reservedBytes int64
+	// share is what a longer buffered body takes of the memory for them, nil for others.
+	share *bufferShare
 	// stream is the body if it is streamed; it can be read only once.
 	stream  *callerBody
 	present bool
@@ -92,12 +92,8 @@
 	if length > call.handler.options.Dialect.MaxReplayBodyBytes {
 		return false
 	}
-	if call.handler.bufferedBodyBytes.Add(length) > maxBufferedBodyBytes {
-		call.handler.bufferedBodyBytes.Add(-length)
-		return false
-	}
-	body.reservedBytes = length
-	return true
+	body.share = &bufferShare{memory: &call.handler.bufferedBodies}
+	return body.share.reserve(length)
 }
 
 // replayable reports whether the body can be sent again. A stream that a connection has been given cannot, even if nothing
@@ -144,9 +140,9 @@
 	return func() { stopWatching() }
 }
 
-// finish makes all later reads of the stream fail, and frees the body's share of maxBufferedBodyBytes.
-func (body *body) finish(handler *Handler) {
-	handler.bufferedBodyBytes.Add(-body.reservedBytes)
+// finish makes all later reads of the stream fail, and gives back the body's share of the memory for buffered bodies.
+func (body *body) finish() {
+	body.share.release()
 	if body.stream != nil {
 		body.stream.finish()
 	}
--- a/internal/caller/body_test.go
+++ b/internal/caller/body_test.go
@@ -81,8 +81,8 @@
 	require.NotNil(t, upload(length).body.stream, "a body beyond the total limit is streamed")
 	require.Nil(t, upload(1<<10).body.stream, "a small body is always buffered")
 	for _, call := range buffered {
-		call.body.finish(handler)
+		call.body.finish()
 	}
-	require.Zero(t, handler.bufferedBodyBytes.Load())
+	require.Zero(t, handler.bufferedBodies.used.Load())
 	require.Nil(t, upload(length).body.stream)
 }
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -86,7 +86,7 @@
 	ctx, cancel := context.WithTimeout(call.request.Context(), call.deadline.Since(call.now()).Duration())
 	defer cancel()
 	defer call.setUnreadBodyDeadline()
-	defer call.body.finish(call.handler)
+	defer call.body.finish()
 	if errorResponse := call.body.prepare(call); errorResponse != nil {
 		call.respondWithError(*errorResponse)
 		return
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -68,9 +68,9 @@
 	// baseContext is the parent context of all requests; cancelAll cancels it.
 	baseContext context.Context
 	cancelAll   context.CancelCauseFunc
-	// bufferedBodyBytes is the total length of the buffered bodies longer than alwaysBufferedBytes.
-	bufferedBodyBytes atomic.Int64
-	endChecks         endChecks
+	// bufferedBodies is the memory for request bodies longer than alwaysBufferedBytes, bufferedResponses that for responses.
+	bufferedBodies, bufferedResponses bufferMemory
+	endChecks                         endChecks
 }
 
 // NewHandler returns a Handler with the given options.
@@ -79,6 +79,7 @@
 		options.Dialect = NewDialect()
 	}
 	handler := &Handler{options: options}
+	handler.bufferedBodies.limit, handler.bufferedResponses.limit = maxBufferedBodyBytes, maxBufferedResponsesBytes
 	handler.baseContext, handler.cancelAll = context.WithCancelCause(context.Background())
 	return handler
 }
--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -216,7 +216,7 @@
 	attempt.trace.Result = trace.ResultAnswered
 	attempt.err = dialect.CheckResponse(attempt.exchange.Response)
 	if attempt.err == nil && dialect.MaxBufferedResponseBytes > 0 {
-		attempt.err = attempt.bufferBody(dialect.MaxBufferedResponseBytes)
+		attempt.err = attempt.bufferBody(dialect.MaxBufferedResponseBytes, &call.handler.bufferedResponses)
 	}
 	if attempt.err != nil {
 		attempt.trace.Result, attempt.trace.Error = trace.ResultNoResponse, attempt.err.Error()
--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -21,6 +21,14 @@
 	largeResponseBytes = 1 << 20
 )
 
+const (
+	// bufferPieceBytes is the length of the pieces in which responses of unknown length are buffered.
+	bufferPieceBytes = 32 << 10
+	// maxBufferedResponsesBytes bounds the total length of buffered responses: a faulty server may send bodies without end, and many of
+	// them must not exhaust the memory of an instance. Responses beyond it are forwarded as they arrive.
+	maxBufferedResponsesBytes = 32 << 20
+)
+
 var (
 	copyBuffers      = newBufferPool(copyBytes)
 	copyBuffersLarge = newBufferPool(copyBytesLarge)
@@ -175,23 +183,34 @@
 	}
 }
 
-// bufferBody reads the response body up to maxBytes; a body known to be longer is not read. If the response is cut off, none
-// of it has been forwarded yet, so the request can be retried.
-func (attempt *attempt) bufferBody(maxBytes int64) error {
+// bufferBody reads the response body up to maxBytes, and as far as the memory for buffered responses allows; a body known to be longer is
+// not read. If the response is cut off, none of it has been forwarded yet, so the request can be retried.
+func (attempt *attempt) bufferBody(maxBytes int64, memory *bufferMemory) error {
 	length := attempt.exchange.Response.ContentLength
 	if length > maxBytes {
 		return nil
 	}
+	attempt.share = &bufferShare{memory: memory}
 	var body bytes.Buffer
-	if length > 0 {
-		body.Grow(int(length) + bytes.MinRead)
-	}
-	_, err := io.CopyN(&body, attempt.exchange, maxBytes+1)
-	attempt.buffered = body.Bytes()
-	if err == nil || err == io.EOF { //nolint:errorlint // io.CopyN returns it bare.
-		return nil
+	piece := int64(bufferPieceBytes)
+	if length >= 0 {
+		// The end of the body is noticed when more is read.
+		piece = length + 1
+	}
+	for int64(body.Len()) <= maxBytes && attempt.share.reserve(piece) {
+		if length > 0 {
+			body.Grow(int(length) + bytes.MinRead)
+		}
+		_, err := io.CopyN(&body, attempt.exchange, piece)
+		attempt.buffered = body.Bytes()
+		if err == io.EOF { //nolint:errorlint // io.CopyN returns it bare.
+			return nil
+		}
+		if err != nil {
+			return errors.Join(errServerRead, err)
+		}
 	}
-	return errors.Join(errServerRead, err)
+	return nil
 }
 
 func (call *call) copyTrailers(response *http.Response) {
--- a/internal/caller/response_test.go
+++ b/internal/caller/response_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -183,6 +184,60 @@
 	require.Equal(t, "42", response.Trailer.Get("Checksum"))
 }
 
+// Guards against bodies without end that fill the memory of an instance: beyond the memory for buffered responses, a response is forwarded
+// as it arrives.
+func TestBufferedResponsesAreBoundedTogether(t *testing.T) {
+	const limit, part = 80 << 10, 64 << 10
+	cases := []struct {
+		name string
+		// length is the length of the response in bytes, -1 if it is not stated.
+		length int
+		// early means that the caller gets the first part before the response is complete.
+		early bool
+	}{
+		{"length that fits", limit - 1, false},
+		{"length beyond the limit", 2 * part, true},
+		{"unknown length", -1, true},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			proceed := make(chan struct{})
+			backend := startBackend(t, func(writer http.ResponseWriter, request *http.Request) {
+				length := 2 * part
+				if testCase.length >= 0 {
+					length = testCase.length
+					writer.Header().Set("Content-Length", strconv.Itoa(length))
+				}
+				_, _ = writer.Write(make([]byte, part))
+				_ = http.NewResponseController(writer).Flush()
+				select {
+				case <-proceed:
+				case <-request.Context().Done():
+				}
+				_, _ = writer.Write(make([]byte, length-part))
+			})
+			fixture := newFixture(t, fixtureService(), backend)
+			fixture.handler.options.Dialect.MaxBufferedResponseBytes = 1 << 20
+			fixture.handler.bufferedResponses.limit = limit
+			if !testCase.early {
+				close(proceed)
+			}
+			response, err := http.DefaultTransport.RoundTrip(fixture.newRequest(t, http.MethodGet, "/slots", http.NoBody))
+			require.NoError(t, err)
+			defer response.Body.Close()
+			_, err = io.ReadFull(response.Body, make([]byte, part))
+			require.NoError(t, err)
+			require.LessOrEqual(t, fixture.handler.bufferedResponses.used.Load(), int64(limit))
+			if testCase.early {
+				close(proceed)
+			}
+			_, err = io.Copy(io.Discard, response.Body)
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return fixture.handler.bufferedResponses.used.Load() == 0 }, maxWait, pollInterval)
+		})
+	}
+}
+
 // Guards against an informational response of an earlier request on the connection that is forwarded to another caller.
 func TestHintOfAnotherRequestIsNotForwarded(t *testing.T) {
 	backend := startRawBackend(t, func(connection net.Conn) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -189,7 +189,7 @@
 		Send: gateway.datagrams.Send, SetJobs: gateway.prober.Set, Verify: gateway.prober.Verify,
 		CheckConnection: gateway.checkConnection, SetRelayPeers: gateway.relay.SetPeers, Regions: gatewaySettings.Regions,
 	})
-	peers := &peerReader{http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	peers := &peerReader{http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxPeerHeadBytes}}}
 	gateway.reader = catalog.NewReader(catalog.Options{
 		Source: gateway.options.Platform.Source, Publish: gateway.controller.SetView,
 		FetchFromPeer: func(ctx context.Context, after catalog.Revision) (catalog.Update, error) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -74,6 +74,9 @@
 	return encoded, nil
 }
 
+// maxPeerHeadBytes limits the head of another instance's response, for which net/http would read 10 MB.
+const maxPeerHeadBytes = 32 << 10
+
 // peerReader reads the catalogs of other instances.
 type peerReader struct {
 	http *http.Client
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -19,6 +19,9 @@
 // holds invalid values.
 var ErrInvalidResponse = errors.New("response not understood")
 
+// maxHeadBytes limits the head of a response, for which net/http would read 10 MB.
+const maxHeadBytes = 32 << 10
+
 // Client reads from the platform's services. It is safe for concurrent use.
 type Client struct {
 	settings settings.Platform
@@ -27,7 +30,7 @@
 
 // NewClient returns a client for the addresses in the settings.
 func NewClient(platformSettings settings.Platform) *Client {
-	transport := &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2}
+	transport := &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{settings: platformSettings, http: &http.Client{Transport: transport}}
 }
 
