Check the server of a suspect before its first repetition

The first repetition of a request does not wait for the check whether its server has ended, so that a lookup loses no time. That held also for one under which a server had ended before, here or at another instance: it went on to the next server before the end of this one counted, which would have quarantined it.

--- a/internal/caller/serverend.go
+++ b/internal/caller/serverend.go
@@ -151,9 +151,9 @@
 }
 
 // mayEndServers reports whether the request must not be sent to another server because servers have ended under it. Its first repetition
-// does not wait for the check of the first server.
+// does not wait for the check of the first server, unless a server has ended under the same request before.
 func (call *call) mayEndServers(ctx context.Context) bool {
-	if len(call.endChecks) >= 2 {
+	if len(call.endChecks) >= 2 || call.suspected() {
 		call.awaitEndChecks(ctx)
 	}
 	_, blocked := call.quarantined()
