--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -55,6 +55,8 @@
 	endChecks []*endCheck
 	// counted means that the request has been counted towards the retry budget.
 	counted bool
+	// retryDenied means that the retry budget did not allow another attempt.
+	retryDenied bool
 	// mustClose means that the caller's connection is closed after this request.
 	mustClose bool
 }
--- a/internal/caller/forward.go
+++ b/internal/caller/forward.go
@@ -186,7 +186,11 @@
 	if attempt.budgetExempt || isRefusedConnection(attempt.err) {
 		return true
 	}
-	return call.attemptNumber() == 0 && call.route.Service.Budget.TryWithdraw(service.Retry{Priority: call.route.Class.Settings.Priority})
+	if call.attemptNumber() > 0 {
+		return false
+	}
+	call.retryDenied = !call.route.Service.Budget.TryWithdraw(service.Retry{Priority: call.route.Class.Settings.Priority})
+	return !call.retryDenied
 }
 
 func (call *call) maxAttempts() int {
--- a/internal/caller/record.go
+++ b/internal/caller/record.go
@@ -13,7 +13,7 @@
 	elapsed := call.now().Since(call.started)
 	requestTrace := trace.Request{
 		ID: call.id, Started: time.Now().Add(-elapsed.Duration()), Method: call.request.Method,
-		Attempts: call.attempts, Outcome: result, Reason: reason, Status: status, Duration: elapsed, Behind: call.behind,
+		Attempts: call.attempts, Outcome: result, Reason: reason, Status: status, Duration: elapsed, Behind: call.behind, RetryDenied: call.retryDenied,
 	}
 	if cause != nil {
 		requestTrace.Error = cause.Error()
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -56,6 +56,9 @@
 		attempts.Object(attemptFields{&requestTrace.Attempts[index]})
 	}
 	line.Array("attempts", attempts)
+	if requestTrace.RetryDenied {
+		line.Bool("retryDenied", true)
+	}
 	if requestTrace.Behind > 0 {
 		line.Int("behind", requestTrace.Behind)
 	}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -85,6 +85,8 @@
 	Behind int `json:"behind,omitempty"`
 	// Held is how long the response was held until those to the earlier requests had been sent. Duration does not include it.
 	Held clock.Milliseconds `json:"held,omitempty"`
+	// RetryDenied is whether the retry budget did not allow another attempt.
+	RetryDenied bool `json:"retryDenied,omitempty"`
 	// Origin is the instance that relayed the request to this one, empty if it came from a caller.
 	Origin settings.InstanceName `json:"origin,omitempty"`
 	Error  string                `json:"error,omitempty"`
