Leave a part of the retry budget to requests that failed

A caller got 502 for a lookup whose server had ended under another request, while nine servers were free: the retry budget was spent ("retryDenied"). While an instance is slow, hedged requests take what the budget accumulates, since nothing was reserved as long as no failed request had been denied a retry. But the first one that is denied fails for good, where a request that is not hedged may only be late.

Hedged requests now leave an eighth of the capacity, or of what has been deposited since the start. How much of the budget they get over time stays the same.

--- a/internal/service/retrybudget.go
+++ b/internal/service/retrybudget.go
@@ -13,9 +13,10 @@
 // accumulate enough retries for a retry storm.
 const maxBudget = 10 * thousandthsPerRetry
 
-// While a budget is short, reserveStep of its capacity is left to more useful retries: to those of requests with a more urgent priority,
-// and to those of requests that failed rather than hedged requests. It is short from the moment at which the retry of a failed request is
-// denied until plentyShare of its capacity has accumulated again.
+// Hedged requests leave reserveStep of the capacity to retries of requests that failed: without a retry these fail for good, while a
+// request that is not hedged may only be late. A budget that has just started leaves as much of what has been deposited. While a budget is
+// short, reserveStep of its capacity is left to requests with a more urgent priority as well. It is short from the moment at which the retry
+// of a failed request is denied until plentyShare of its capacity has accumulated again.
 const (
 	reserveStep = 0.125
 	plentyShare = 0.5
@@ -25,8 +26,10 @@
 // load exactly when backend servers fail because they are overloaded. It is safe for concurrent use.
 type RetryBudget struct {
 	thousandths atomic.Int64
-	perRequest  atomic.Int64
-	capacity    atomic.Int64
+	// deposited is what requests have contributed, up to the capacity.
+	deposited  atomic.Int64
+	perRequest atomic.Int64
+	capacity   atomic.Int64
 	// priorities has a bit for each priority of which there have been requests.
 	priorities atomic.Uint32
 	short      atomic.Bool
@@ -45,6 +48,7 @@
 	budget := &RetryBudget{}
 	budget.capacity.Store(maxBudget)
 	budget.thousandths.Store(maxBudget)
+	budget.deposited.Store(maxBudget)
 	budget.SetRetryRatio(ratio)
 	return budget
 }
@@ -76,6 +80,9 @@
 		budget.priorities.Or(bit)
 	}
 	balance, capacity := budget.thousandths.Load(), budget.capacity.Load()
+	if budget.deposited.Load() < capacity {
+		budget.deposited.Add(budget.perRequest.Load())
+	}
 	if balance < capacity {
 		balance = budget.thousandths.Add(budget.perRequest.Load())
 	}
@@ -101,17 +108,14 @@
 	}
 }
 
-// reserved returns the part of the capacity that the retry must leave to others.
+// reserved returns the part of the budget that the retry must leave to others.
 func (budget *RetryBudget) reserved(retry Retry, capacity int64) int64 {
-	if !budget.short.Load() {
-		return 0
-	}
-	steps := 0.0
-	if moreUrgent := uint32(1)<<retry.Priority - 1; budget.priorities.Load()&moreUrgent != 0 {
-		steps++
+	reserved := 0.0
+	if moreUrgent := uint32(1)<<retry.Priority - 1; budget.short.Load() && budget.priorities.Load()&moreUrgent != 0 {
+		reserved += reserveStep * float64(capacity)
 	}
 	if retry.Hedged {
-		steps++
+		reserved += reserveStep * float64(min(budget.deposited.Load(), capacity))
 	}
-	return int64(steps * reserveStep * float64(capacity))
+	return int64(reserved)
 }
