--- a/internal/caller/linger_test.go
+++ b/internal/caller/linger_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/jaywheel/jaywheel/internal/httppart"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 )
 
@@ -133,3 +136,59 @@
 		})
 	}
 }
+
+// Guards against responses on an HTTP/2 connection that are cut off because the process ends before the caller has received them.
+func TestMultiplexedResponsesOutlastTheShutdown(t *testing.T) {
+	const requests, length = 4, 200 << 10
+	gate := newGate()
+	fixture := newUnservedFixture(t, fixtureService(), startBackend(t, func(writer http.ResponseWriter, request *http.Request) {
+		gate.serve(writer, request)
+		_, _ = writer.Write(make([]byte, length))
+	}), startBackend(t, func(writer http.ResponseWriter, request *http.Request) {
+		gate.serve(writer, request)
+		_, _ = writer.Write(make([]byte, length))
+	}))
+	limits := pipelinedLimits()
+	listener, err := Listen("127.0.0.1:0", limits, &fixture.registry.Events)
+	require.NoError(t, err)
+	fixture.address, fixture.listener = listener.Addr().String(), listener
+	server, err := httppart.New(NewServer(fixture.handler, limits, &fixture.registry.Events), fixture.address, func(string) (httppart.Listener, error) {
+		return httppart.Listener{Listener: listener, Drain: listener.Drain}, nil
+	})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(ctx) }()
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{Protocols: protocols}
+	defer transport.CloseIdleConnections()
+	results := make(chan int, requests)
+	for number := range requests {
+		request := fixture.newRequest(t, http.MethodGet, fmt.Sprint("/", number), http.NoBody)
+		go func() {
+			response, err := transport.RoundTrip(request)
+			if err != nil {
+				results <- 0
+				return
+			}
+			defer response.Body.Close()
+			text, _ := io.ReadAll(response.Body)
+			results <- len(text)
+		}()
+	}
+	gate.awaitArrived(t, requests)
+	fixture.handler.Drain(10*clock.Second, 20*clock.Second)
+	shutDown := make(chan error, 1)
+	go func() { shutDown <- server.Shutdown(t.Context()) }()
+	require.Eventually(t, fixture.isClosing, maxWait, pollInterval)
+	gate.release("/0", "/1", "/2", "/3")
+	<-shutDown
+	// The process would exit now.
+	require.Empty(t, fixture.listener.open)
+	cancel()
+	require.ErrorIs(t, <-ended, context.Canceled)
+	for range requests {
+		require.Equal(t, length+len("/0"), <-results)
+	}
+}
