Bound what the number of a target's slots costs a scheduler

The model of how many requests a target runs at once held an element for each of its slots, and a model for each number of slots that was ever seen.

More than 512 slots are modelled as 512, models without targets go when there are 16 or more, the sums over all targets are kept instead of being computed for each choice, and a record is complete before others see it.

--- a/internal/service/admission.go
+++ b/internal/service/admission.go
@@ -93,11 +93,8 @@
 	scheduler.reindexDue(now)
 	inFlight, limit := 0, 0
 	for _, slotClass := range scheduler.concurrencyModel.slotClasses {
-		targetLimit := slotClass.currentLimit()
-		for count, targets := range slotClass.targetCounts {
-			limit += targets * targetLimit
-			inFlight += targets * min(count, targetLimit)
-		}
+		classInFlight, classLimit := slotClass.inFlight()
+		inFlight, limit = inFlight+classInFlight, limit+classLimit
 	}
 	return inFlight, limit
 }
--- a/internal/service/candidateindex.go
+++ b/internal/service/candidateindex.go
@@ -199,10 +199,10 @@
 		return
 	}
 	if indexEntry.slotClass != nil {
-		indexEntry.slotClass.targetCounts[indexEntry.inFlight]--
+		indexEntry.slotClass.addTargets(indexEntry.inFlight, -1)
 	}
 	if slotClass != nil {
-		slotClass.targetCounts[inFlight]++
+		slotClass.addTargets(inFlight, 1)
 	}
 	indexEntry.slotClass, indexEntry.inFlight = slotClass, inFlight
 }
--- a/internal/service/changetargets_test.go
+++ b/internal/service/changetargets_test.go
@@ -71,6 +71,9 @@
 			schedulers[1].SetTargets(slices.Collect(maps.Values(configs)))
 			require.Equal(t, configs, countsOf(schedulers[0], configs).configs)
 			require.Equal(t, countsOf(schedulers[1], configs), countsOf(schedulers[0], configs))
+			for _, scheduler := range schedulers {
+				requireModelsAttached(t, scheduler)
+			}
 			name := settings.TargetName(fmt.Sprintf("target-%d", random.IntN(30)))
 			limit := RateLimitStatement{Named: random.IntN(2) == 0, Rate: 5}
 			for index, scheduler := range schedulers {
@@ -88,6 +91,18 @@
 	}
 }
 
+// requireModelsAttached checks that each target has the model for its slots, and each model counts its targets.
+func requireModelsAttached(t *testing.T, scheduler *Scheduler) {
+	attached := map[*slotClass]int{}
+	for _, candidate := range scheduler.candidates {
+		require.Same(t, scheduler.concurrencyModel.bySlots[candidate.config.Slots], candidate.slotClass)
+		attached[candidate.slotClass]++
+	}
+	for _, class := range scheduler.concurrencyModel.slotClasses {
+		require.Equal(t, attached[class], class.attached)
+	}
+}
+
 // Guards against records that are kept for ever of targets that were removed while requests were in flight on them: a list that turns over
 // would fill the memory of a serving instance.
 func TestRecordOfRemovedTargetIsDropped(t *testing.T) {
--- a/internal/service/concurrency.go
+++ b/internal/service/concurrency.go
@@ -1,6 +1,11 @@
 package service
 
-import "github.com/jaywheel/jaywheel/pkg/clock"
+import (
+	"maps"
+	"slices"
+
+	"github.com/jaywheel/jaywheel/pkg/clock"
+)
 
 // concurrencyModel learns how much longer requests take on targets that run many others. Some targets slow down before their
 // last slots are in use, so that a full target has less throughput than one with a slot or two free; on other targets, slots
@@ -28,9 +33,13 @@
 	// explorations is the number of requests in flight beyond that limit.
 	explorations int
 
+	// attached is the number of targets, in use or not, whose model this is.
+	attached int
 	// targetCounts counts the targets in use by their number of requests in flight; the last element also counts those with
-	// more.
-	targetCounts []int
+	// more. targets is their number, withinLimit the sum of their requests in flight, of each target up to the concurrency limit, and
+	// beyondLimit the number of targets with more requests than that.
+	targetCounts                      []int
+	targets, withinLimit, beyondLimit int
 	// availableBeyondLimit lists targets that are available only for one request beyond the limit; indexedLimit is the limit
 	// by which targets are indexed.
 	availableBeyondLimit availableTargets
@@ -59,14 +68,21 @@
 	// maxExplorations requests at a time explore it.
 	minFactorSamples = 12
 	maxExplorations  = 2
+	// maxModelledSlots is the number of slots as which larger ones are modelled, because memory and the time of learning are in proportion
+	// to it. Each request needs a connection, and a server accepts some hundred of them from all instances.
+	maxModelledSlots = 512
+	// keptSlotClasses is the number of classes up to which those without targets are kept: when all servers of a class restart, what was
+	// learned of them still holds.
+	keptSlotClasses = 16
 )
 
 // slotClassOf returns the model for targets with the given number of slots.
 func (concurrencyModel *concurrencyModel) slotClassOf(slots int) *slotClass {
-	slots = max(slots, 1)
+	slots = min(max(slots, 1), maxModelledSlots)
 	if class, found := concurrencyModel.bySlots[slots]; found {
 		return class
 	}
+	concurrencyModel.dropUnused()
 	fresh := &slotClass{model: concurrencyModel, durationFactors: make([]float64, slots+1), samples: make([]int, slots+1), targetCounts: make([]int, slots+2)}
 	for count := range fresh.durationFactors {
 		fresh.durationFactors[count] = 1
@@ -84,6 +100,29 @@
 	return fresh
 }
 
+// dropUnused drops the classes without targets if there are many classes.
+func (concurrencyModel *concurrencyModel) dropUnused() {
+	if len(concurrencyModel.slotClasses) < keptSlotClasses {
+		return
+	}
+	unused := func(class *slotClass) bool { return class.attached == 0 }
+	concurrencyModel.slotClasses = slices.DeleteFunc(concurrencyModel.slotClasses, unused)
+	maps.DeleteFunc(concurrencyModel.bySlots, func(_ int, class *slotClass) bool { return unused(class) })
+}
+
+// attach makes the model for the given number of slots that of the target.
+func (concurrencyModel *concurrencyModel) attach(candidate *candidate, slots int) {
+	class := concurrencyModel.slotClassOf(slots)
+	if class == candidate.slotClass {
+		return
+	}
+	class.attached++
+	if candidate.slotClass != nil {
+		candidate.slotClass.attached--
+	}
+	candidate.slotClass = class
+}
+
 // uncontended reports whether the given number of requests is assumed not to slow each other down.
 func (slotClass *slotClass) uncontended(count int) bool {
 	slots := len(slotClass.durationFactors) - 1
@@ -101,9 +140,37 @@
 	}
 	if slotClass.concurrencyLimit == 0 || slotClass.throughput(best) > minThroughputGain*slotClass.throughput(slotClass.concurrencyLimit) {
 		slotClass.concurrencyLimit = best
+		slotClass.recount()
 	}
 }
 
+// recount computes the sums over the targets in use after a change of the limit.
+func (slotClass *slotClass) recount() {
+	counts := slotClass.targetCounts
+	slotClass.targets, slotClass.withinLimit, slotClass.beyondLimit = 0, 0, 0
+	for count, targets := range counts {
+		counts[count] = 0
+		slotClass.addTargets(count, targets)
+	}
+}
+
+// addTargets counts more targets in use with the given number of requests in flight, or less if the number of targets is negative.
+func (slotClass *slotClass) addTargets(inFlight, targets int) {
+	slotClass.targetCounts[inFlight] += targets
+	slotClass.targets += targets
+	slotClass.withinLimit += targets * min(inFlight, slotClass.concurrencyLimit)
+	if inFlight > slotClass.concurrencyLimit {
+		slotClass.beyondLimit += targets
+	}
+}
+
+// inFlight returns the number of requests in flight on the targets in use, counting each target up to the current limit, and the sum of
+// these limits.
+func (slotClass *slotClass) inFlight() (int, int) {
+	limit := slotClass.currentLimit()
+	return slotClass.withinLimit + slotClass.beyondLimit*(limit-slotClass.concurrencyLimit), slotClass.targets * limit
+}
+
 // throughput is the relative throughput of a target with the given number of requests in flight.
 func (slotClass *slotClass) throughput(count int) float64 {
 	return float64(count) / slotClass.durationFactors[count]
--- a/internal/service/scheduler.go
+++ b/internal/service/scheduler.go
@@ -194,19 +194,27 @@
 		return false
 	}
 	scheduler.removeFromIndex(candidate)
+	candidate.slotClass.attached--
 	delete(scheduler.candidates, candidate.Name)
 	return true
 }
 
+// newCandidate returns the record of a target, with all that reindex needs.
+func (scheduler *Scheduler) newCandidate(now clock.Moment, config *TargetConfig) *candidate {
+	candidate := &candidate{
+		Target: &Target{Name: config.Name, Address: config.Address, DataCentre: config.DataCentre}, tokensAt: now, learningSince: now,
+		rateShare: &scheduler.rateShare, borrowing: &scheduler.borrowing, concurrencyModel: &scheduler.concurrencyModel,
+	}
+	candidate.indexEntry.bucketEntry.item, candidate.indexEntry.bucketEntry.bucket = candidate, notIndexed
+	candidate.indexEntry.reindexTimer.item = candidate
+	scheduler.concurrencyModel.attach(candidate, config.Slots)
+	return candidate
+}
+
 func (scheduler *Scheduler) setTarget(now clock.Moment, config TargetConfig) {
 	existing, found := scheduler.candidates[config.Name]
 	if !found {
-		existing = &candidate{
-			Target: &Target{Name: config.Name, Address: config.Address, DataCentre: config.DataCentre}, tokensAt: now, learningSince: now,
-			rateShare: &scheduler.rateShare, borrowing: &scheduler.borrowing, concurrencyModel: &scheduler.concurrencyModel,
-		}
-		existing.indexEntry.bucketEntry = bucketEntry[candidate]{item: existing, bucket: notIndexed}
-		existing.indexEntry.reindexTimer.item = existing
+		existing = scheduler.newCandidate(now, &config)
 		scheduler.candidates[config.Name] = existing
 		scheduler.ordered = append(scheduler.ordered, existing)
 	}
@@ -220,7 +228,7 @@
 	existing.refill(now)
 	existing.config, existing.removed = config, false
 	scheduler.attachDeclaration(existing)
-	existing.slotClass = existing.concurrencyModel.slotClassOf(config.Slots)
+	existing.concurrencyModel.attach(existing, config.Slots)
 	if existing.Address != config.Address || existing.DataCentre != config.DataCentre {
 		existing.Target = &Target{Name: config.Name, Address: config.Address, DataCentre: config.DataCentre}
 	}
