Follow the store past what cannot be decoded

One item of a page or of a watch that could not be decoded failed the whole response, and a watch whose response was longer than 16 MB or no JSON was repeated for ever with the same result: no later change was put in force, and a route that had been added got 404.

Items are decoded one by one. One with a key counts as an entry that is not understood, others are counted and logged. A watch that cannot be read is followed by a read of everything, whose calls have shorter responses.

--- a/internal/catalog/apply.go
+++ b/internal/catalog/apply.go
@@ -15,6 +15,7 @@
 }
 
 func (reader *Reader) applySnapshot(snapshot Snapshot) {
+	reader.reportUnreadable(snapshot.Unreadable)
 	present := map[Key]bool{}
 	for index := range snapshot.Items {
 		present[snapshot.Items[index].Key] = true
@@ -35,6 +36,7 @@
 }
 
 func (reader *Reader) applyChanges(ctx context.Context, changes Changes) error {
+	reader.reportUnreadable(changes.Unreadable)
 	for index := range changes.Set {
 		reader.set(&changes.Set[index])
 	}
@@ -59,6 +61,14 @@
 	return nil
 }
 
+// reportUnreadable logs and counts items without a key.
+func (reader *Reader) reportUnreadable(count int) {
+	if count > 0 {
+		reader.options.Events.Add(EventUnreadable, int64(count))
+		reader.options.Log.Warn().Int("entries", count).Msg("entries without a key, passed over")
+	}
+}
+
 func (reader *Reader) set(item *Item) {
 	switch {
 	case item.Problem != nil:
--- a/internal/catalog/item.go
+++ b/internal/catalog/item.go
@@ -46,6 +46,8 @@
 type Snapshot struct {
 	Revision Revision
 	Items    []Item
+	// Unreadable is the number of items that could not be decoded so far that they have a key.
+	Unreadable int
 }
 
 // Changes are the changes of a source since an earlier revision.
@@ -53,11 +55,16 @@
 	Revision Revision
 	Set      []Item
 	Removed  []Key
+	// Unreadable is the number of changes that could not be decoded so far that they have a key.
+	Unreadable int
 }
 
 // ErrCompacted means that a source no longer has the changes since the requested revision.
 var ErrCompacted = errors.New("changes since the requested revision are no longer available")
 
+// ErrUnreadable means that a source has responded with more than can be read, or with something else than the content that was requested.
+var ErrUnreadable = errors.New("response is too long or cannot be decoded")
+
 // Source is read access to a platform's store. Its fields are functions so that tests can replace each of them.
 type Source struct {
 	// ReadAll reads everything. It fails if the response to one call takes longer than callTimeout; a large content takes many calls.
@@ -66,6 +73,6 @@
 	// ReadStale reads everything as it was up to some seconds ago, at little cost for the store.
 	ReadStale func(ctx context.Context, callTimeout clock.Milliseconds) (Snapshot, error)
 	// Watch returns the changes after a revision as soon as there are any, or none after the wait. The error is ErrCompacted when
-	// the store no longer has them.
+	// the store no longer has them, and ErrUnreadable when they cannot be read.
 	Watch func(ctx context.Context, after Revision, wait clock.Milliseconds) (Changes, error)
 }
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -203,6 +203,10 @@
 		reader.adoptPeerView(ctx, *peerView, false)
 		return nil
 	}
+	if errors.Is(err, ErrUnreadable) {
+		// The next watch would get the same response. Reading everything takes several calls, each with a shorter response.
+		reader.complete = false
+	}
 	if errors.Is(err, ErrCompacted) {
 		reader.complete = false
 		reader.options.Log.Info().Uint64("revision", uint64(reader.revision)).Msg("changes since the revision are no longer available, reading everything")
--- a/internal/catalog/reader_test.go
+++ b/internal/catalog/reader_test.go
@@ -26,7 +26,9 @@
 	// hangs makes every call hang, compacted makes watches fail with ErrCompacted, refuses makes reads fail at once.
 	hangs, compacted bool
 	refuses          bool
-	reads            int
+	// unreadable makes watches that have changes fail with ErrUnreadable.
+	unreadable bool
+	reads      int
 }
 
 type event struct {
@@ -64,6 +66,12 @@
 	source.hangs, source.compacted = hangs, compacted
 }
 
+func (source *source) setUnreadable(unreadable bool) {
+	source.mutex.Lock()
+	defer source.mutex.Unlock()
+	source.unreadable = unreadable
+}
+
 func (source *source) readCount() int {
 	source.mutex.Lock()
 	defer source.mutex.Unlock()
@@ -105,7 +113,7 @@
 	timeout := time.After(wait.Duration())
 	for {
 		source.mutex.Lock()
-		hangs, compacted, changed := source.hangs, source.compacted, source.changed
+		hangs, compacted, unreadable, changed := source.hangs, source.compacted, source.unreadable, source.changed
 		changes := Changes{Revision: source.revision}
 		for _, event := range source.events {
 			switch {
@@ -123,6 +131,8 @@
 			return Changes{}, ctx.Err()
 		case compacted:
 			return Changes{}, ErrCompacted
+		case len(changes.Set)+len(changes.Removed) > 0 && unreadable:
+			return Changes{}, errors.Wrap(ErrUnreadable, "more than 16 bytes")
 		case len(changes.Set)+len(changes.Removed) > 0:
 			return changes, nil
 		}
