Hold what other instances pass on to the same ranges

An instance of an earlier release passes an odd entry or configuration on in its updates, so the checks at the store alone would not have kept it from the schedulers. CBOR also carries NaN and infinity, which JSON does not: a rate or a time of NaN makes every comparison with it fail.

Values of a configuration are replaced while an update is decoded. Servers out of range stay in the list that the digest covers, since the updates of the other instance would no longer apply otherwise, and are left out of the view that the controller puts in force. The digest of a cold time that no integer holds no longer depends on the kind of machine.

--- a/internal/catalog/encoding.go
+++ b/internal/catalog/encoding.go
@@ -62,7 +62,9 @@
 	return encoded.Bytes(), nil
 }
 
-// DecodeUpdate reads an encoded update until the end of the reader. The error is ErrEncoding, or that of the reader.
+// DecodeUpdate reads an encoded update until the end of the reader. The error is ErrEncoding, or that of the reader. Values of the
+// configuration that are out of range are replaced. Servers that are out of range stay, since they count for the digest: ServerList.Valid
+// leaves them out.
 func DecodeUpdate(reader io.Reader) (Update, error) {
 	var update Update
 	var form [1]byte
@@ -83,5 +85,11 @@
 	if err := decoding.Unmarshal(text, &update); err != nil {
 		return Update{}, errors.Wrapf(ErrEncoding, "%v", err)
 	}
+	if update.Configuration != nil {
+		if update.Configuration.Version > MaxVersion {
+			return Update{}, errors.Wrapf(ErrEncoding, "version %d", update.Configuration.Version)
+		}
+		update.Configuration.Normalize()
+	}
 	return update, nil
 }
--- a/internal/catalog/serverlist.go
+++ b/internal/catalog/serverlist.go
@@ -5,8 +5,10 @@
 	"encoding/binary"
 	"iter"
 	"maps"
+	"math"
 	"slices"
 
+	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
 
@@ -16,7 +18,9 @@
 type ServerList struct {
 	chunks [][]Server
 	length int
-	digest Digest
+	// invalid is the number of servers that cannot be used.
+	invalid int
+	digest  Digest
 }
 
 const (
@@ -84,10 +88,24 @@
 	return cmp.Compare(server.Name, name)
 }
 
+// Valid returns the list without the servers that cannot be used. Instances of earlier releases pass them on.
+func (list ServerList) Valid() ServerList {
+	if list.invalid == 0 {
+		return list
+	}
+	edits := make(ServerEdits, list.invalid)
+	for server := range list.All() {
+		if server.Validate() != nil {
+			edits[server.Name] = nil
+		}
+	}
+	return list.Edit(edits)
+}
+
 // Edit returns the list after the edits. Edits that change nothing are ignored.
 func (list ServerList) Edit(edits ServerEdits) ServerList {
 	edited := ServerList{chunks: make([][]Server, 0, len(list.chunks)+1)}
-	edited.length, edited.digest = list.length, list.digest
+	edited.length, edited.invalid, edited.digest = list.length, list.invalid, list.digest
 	names := slices.Sorted(maps.Keys(edits))
 	if len(list.chunks) == 0 {
 		edited.add(edited.merge(nil, names, edits))
@@ -133,13 +151,11 @@
 		index, found := slices.BinarySearchFunc(chunk, name, compareName)
 		keep(index)
 		if found {
-			list.digest ^= chunk[0].digest()
-			list.length--
+			list.count(&chunk[0], -1)
 			chunk = chunk[1:]
 		}
 		if server := edits[name]; server != nil {
-			list.digest ^= server.digest()
-			list.length++
+			list.count(server, 1)
 			merged = append(merged, *server)
 		}
 	}
@@ -147,6 +163,15 @@
 	return merged
 }
 
+// count updates the counts and the digest for a server that is added, or removed if the number is negative.
+func (list *ServerList) count(server *Server, number int) {
+	list.digest ^= server.digest()
+	list.length += number
+	if server.Validate() != nil {
+		list.invalid += number
+	}
+}
+
 // add appends a changed chunk, joined with the previous one if both are short, and divided if it is too long.
 func (list *ServerList) add(chunk []Server) {
 	if last := len(list.chunks) - 1; last >= 0 && len(list.chunks[last])+len(chunk) <= joinedChunkLength {
@@ -247,9 +272,22 @@
 	var numbers [24]byte
 	binary.LittleEndian.PutUint64(numbers[:], uint64(server.Slots))
 	binary.LittleEndian.PutUint64(numbers[8:], uint64(server.Started))
-	binary.LittleEndian.PutUint64(numbers[16:], uint64(server.ColdFor))
+	binary.LittleEndian.PutUint64(numbers[16:], wholeMilliseconds(server.ColdFor))
 	for _, part := range numbers {
 		digest = (digest ^ Digest(part)) * digestPrime
 	}
 	return digest
 }
+
+// wholeMilliseconds converts a duration to an integer, to the nearest one if it is out of range. Without that, the digests of instances on
+// different kinds of machines would differ.
+func wholeMilliseconds(duration clock.Milliseconds) uint64 {
+	switch {
+	case duration >= math.MaxUint64:
+		return math.MaxUint64
+	case duration > 0:
+		return uint64(duration)
+	default:
+		return 0
+	}
+}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -70,6 +70,7 @@
 	}
 	// The time is 0 after a suspension of the machine, when the table has been discarded.
 	inForce := controller.viewAppliedAt > 0 && controller.table.Load() != nil
+	view = controller.usableView(view)
 	controller.view = view
 	controller.viewAppliedAt = controller.options.Clock.Now()
 	controller.history.Record(view)
@@ -92,6 +93,19 @@
 	}
 }
 
+// usableView returns the view without the servers that cannot be used. The store's reader leaves them out, but an instance of an earlier
+// release may pass them on.
+func (controller *Controller) usableView(view *catalog.View) *catalog.View {
+	servers := view.Servers.Valid()
+	if servers.Len() == view.Servers.Len() {
+		return view
+	}
+	controller.options.Log.Warn().Int("servers", view.Servers.Len()-servers.Len()).Msg("backend servers out of range, passed over")
+	usable := *view
+	usable.Servers = servers
+	return &usable
+}
+
 // publishIfServingChanged publishes again unless a change of membership concerns only standby instances. A hundred such
 // changes arrive within a moment when a fleet starts.
 func (controller *Controller) publishIfServingChanged() {
