Limit the conversion of milliseconds to a standard duration

Go leaves the conversion of a float64 out of range to the machine: on arm64 it gives the nearest duration, on x86-64 the longest negative one, with which a timer is due at once and a deadline has passed. NaN differs as well. The result is now limited to a hundred years, so that sums of two do not overflow, and NaN is 0.

TestDurationIsLimited failed before: 3.2e12 ms gave more than a hundred years, on arm64.

--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -15,6 +15,7 @@
 package clock
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -40,9 +41,23 @@
 	return Milliseconds(float64(duration) / float64(time.Millisecond))
 }
 
-// Duration converts to a standard duration, truncated to whole nanoseconds.
+// maxDuration is the longest standard duration that Duration returns: a hundred years, so that sums of two do not overflow.
+const maxDuration = 100 * 365 * 24 * time.Hour
+
+// Duration converts to a standard duration, truncated to whole nanoseconds and limited to a hundred years in either direction. NaN becomes 0.
+// Go leaves it to the machine what the conversion of a number out of range results in: on x86-64 the longest negative duration.
 func (milliseconds Milliseconds) Duration() time.Duration {
-	return time.Duration(float64(milliseconds) * float64(time.Millisecond))
+	nanoseconds := float64(milliseconds) * float64(time.Millisecond)
+	switch {
+	case nanoseconds >= float64(maxDuration):
+		return maxDuration
+	case nanoseconds <= -float64(maxDuration):
+		return -maxDuration
+	case math.IsNaN(nanoseconds):
+		return 0
+	default:
+		return time.Duration(nanoseconds)
+	}
 }
 
 // String formats the duration as in settings, for example "0.5ms", "250ms" or "1m30s". It uses no unit below the
--- a/pkg/clock/clock_test.go
+++ b/pkg/clock/clock_test.go
@@ -1,7 +1,9 @@
 package clock
 
 import (
+	"math"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -29,6 +31,32 @@
 	}
 }
 
+// Guards against a timer that is due at once on one kind of machine and never on another, because its duration was out of range.
+func TestDurationIsLimited(t *testing.T) {
+	const hundredYears = 100 * 365 * 24 * time.Hour
+	cases := []struct {
+		milliseconds float64
+		want         time.Duration
+	}{
+		{0, 0},
+		{0.0000019, time.Nanosecond},
+		{-1.5, -1500 * time.Microsecond},
+		{1e12, 1e12 * time.Millisecond},
+		{3.2e12, hundredYears},
+		{1e15, hundredYears},
+		{math.MaxInt64, hundredYears},
+		{1e308, hundredYears},
+		{math.Inf(1), hundredYears},
+		{-1e15, -hundredYears},
+		{math.MinInt64, -hundredYears},
+		{math.Inf(-1), -hundredYears},
+		{math.NaN(), 0},
+	}
+	for _, testCase := range cases {
+		require.Equal(t, testCase.want, Milliseconds(testCase.milliseconds).Duration(), "%g ms", testCase.milliseconds)
+	}
+}
+
 func TestManual(t *testing.T) {
 	manual := NewManual()
 	start := manual.Now()
