Limit the numbers that instances tell each other

A server's numbers were cut to 16 bits: one that reported 65,536 running requests was idle to all other instances, and the age of an old reading was that of a new one. The conversion of a float64 out of range has another result on x86-64 than on arm64. From others, a period of almost no time was believed, with which the scheduler indexes the target again at each use, a cold time of 24 days, and a limit so high that the sums of its bucket are infinite and then no number, after which the server gets nothing.

The nearest number is sent, and received ones are limited to what servers report.

Before, TestReadingsOutOfRangeAreLimited failed, as did TestReceivedReadingsOutOfRangeAreLimited and TestInvalidDeclarationsAreIgnored with its new case of the highest rate.

--- a/internal/fleet/declarations.go
+++ b/internal/fleet/declarations.go
@@ -22,6 +22,9 @@
 	declarationReporterTimeout = 5 * clock.Second
 	// maxStatementAge is the maximum age of a statement, in milliseconds, in a report.
 	maxStatementAge = math.MaxUint32
+	// maxSharedRate is the highest limit that an instance passes on, in requests per second, far more than a server runs: the sums of a
+	// bucket with a higher one could be infinite, which is no number once it is multiplied by no time.
+	maxSharedRate = 1e6
 )
 
 // Event names of what backend servers say of themselves.
@@ -158,7 +161,7 @@
 		shared := &message.Reports[index]
 		ref, known := controller.targets[shared.Target]
 		// NaN fails the comparison. Any process may send a datagram.
-		if valid := shared.Rate >= 0 && shared.Rate <= math.MaxFloat64; !known || !valid {
+		if valid := shared.Rate >= 0 && shared.Rate <= maxSharedRate; !known || !valid {
 			continue
 		}
 		change := controller.services[ref.service].scheduler.ReceiveDeclaration(service.PeerKey(message.Sender), service.DeclarationReport{
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/jaywheel/jaywheel/internal/catalog"
 	"github.com/jaywheel/jaywheel/internal/membership"
 	"github.com/jaywheel/jaywheel/internal/quarantine"
 	"github.com/jaywheel/jaywheel/internal/quota"
@@ -59,28 +60,52 @@
 func newSharedReading(key TargetKey, own ownReading, steady, period clock.Milliseconds, now clock.Moment) SharedReading {
 	reading := own.reading
 	sharedReading := SharedReading{
-		Target: key, Running: uint16(reading.Running), Waiting: uint16(reading.Waiting), Slots: uint16(reading.Slots),
-		SlowdownPercent: uint16(reading.Slowdown * slowdownUnit), AgeMs: uint16(max(now.Since(reading.At), 0)), ColdMs: unknownCold, Down: own.down,
+		Target: key, Running: nearestOf[uint16](reading.Running), Waiting: nearestOf[uint16](reading.Waiting), Slots: nearestOf[uint16](reading.Slots),
+		SlowdownPercent: nearestOf[uint16](reading.Slowdown * slowdownUnit), AgeMs: nearestOf[uint16](now.Since(reading.At)),
+		ColdMs: unknownCold, Down: own.down,
 	}
 	if period > 0 {
 		sharedReading.SteadyMs = float32(steady + clock.Milliseconds(sharedReading.AgeMs))
 		sharedReading.PeriodMs = float32(period)
 	}
 	if reading.ColdKnown {
-		sharedReading.ColdMs = int32(reading.ColdFor)
+		sharedReading.ColdMs = int32(nearestOf[uint32](min(reading.ColdFor, catalog.MaxColdFor)))
 	}
 	return sharedReading
 }
 
-// maxSteady is the maximum time for which a slowdown may be reported to stay as it is: far longer than any period that the
-// slowdown model searches for.
-const maxSteady = clock.Minute
+// nearestOf converts a number that is not negative to the nearest one of the smaller type, so that a server with 65,536 waiting requests
+// does not look idle to other instances.
+func nearestOf[Result uint16 | uint32, Number ~int | ~float64](number Number) Result {
+	highest := ^Result(0)
+	switch value := float64(number); {
+	case value >= float64(highest):
+		return highest
+	case value > 0:
+		return Result(value)
+	default:
+		// NaN as well.
+		return 0
+	}
+}
+
+// Ranges of what a reading of another instance says. Any process may send a datagram.
+const (
+	// maxSteady is the maximum time for which a slowdown may be reported to stay as it is: far longer than any period that the slowdown
+	// model searches for.
+	maxSteady = clock.Minute
+	// minSharedPeriod is the shortest period, a quarter of the shortest one that the model searches for. Targets are indexed again at each
+	// end of their periods.
+	minSharedPeriod = 10 * clock.Millisecond
+	// maxSharedSlowdown is the highest slowdown: servers that reported a higher one would not be believed either.
+	maxSharedSlowdown = 100
+)
 
 // slowdownCycle returns for how long the slowdown stays as it is and the period of its changes, or zeros if the received
 // values are implausible. Any process may send a datagram, and a NaN period would make every prediction for the target NaN.
 func (sharedReading *SharedReading) slowdownCycle() (clock.Milliseconds, clock.Milliseconds) {
 	steady, period := clock.Milliseconds(sharedReading.SteadyMs), clock.Milliseconds(sharedReading.PeriodMs)
-	if plausible := steady >= 0 && steady <= maxSteady && period > 0 && period <= maxSteady; !plausible {
+	if plausible := steady >= 0 && steady <= maxSteady && period >= minSharedPeriod && period <= maxSteady; !plausible {
 		return 0, 0
 	}
 	return steady, period
@@ -92,9 +117,9 @@
 	return service.LoadReading{
 		At:      now.Add(-clock.Milliseconds(sharedReading.AgeMs)),
 		Running: int(sharedReading.Running), Waiting: int(sharedReading.Waiting), Slots: int(sharedReading.Slots),
-		Slowdown:  float64(sharedReading.SlowdownPercent) / slowdownUnit,
+		Slowdown:  min(float64(sharedReading.SlowdownPercent)/slowdownUnit, maxSharedSlowdown),
 		SteadyFor: steady, Period: period,
-		ColdKnown: sharedReading.ColdMs != unknownCold, ColdFor: clock.Milliseconds(max(sharedReading.ColdMs, 0)),
+		ColdKnown: sharedReading.ColdMs != unknownCold, ColdFor: min(clock.Milliseconds(max(sharedReading.ColdMs, 0)), catalog.MaxColdFor),
 		Source: service.FromPeer,
 	}
 }
--- a/internal/fleet/message_test.go
+++ b/internal/fleet/message_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/jaywheel/jaywheel/internal/catalog"
 	"github.com/jaywheel/jaywheel/internal/membership"
 	"github.com/jaywheel/jaywheel/internal/service"
 	"github.com/jaywheel/jaywheel/pkg/settings"
@@ -25,6 +26,41 @@
 	}, reading)
 }
 
+// Guards against numbers that the smaller types of a message do not hold: what is left of them after a conversion is another number, and on
+// another kind of machine yet another.
+func TestReadingsOutOfRangeAreLimited(t *testing.T) {
+	cases := []struct {
+		name     string
+		reading  service.LoadReading
+		expected SharedReading
+	}{
+		{"more requests than fit", service.LoadReading{At: 1000, Running: 65_536, Waiting: 1 << 20, Slots: math.MaxInt}, SharedReading{
+			Running: math.MaxUint16, Waiting: math.MaxUint16, Slots: math.MaxUint16,
+		}},
+		{"negative numbers", service.LoadReading{At: 1000, Running: -1, Waiting: math.MinInt, Slowdown: -1}, SharedReading{}},
+		{"a high slowdown", service.LoadReading{At: 1000, Slowdown: 1e300}, SharedReading{SlowdownPercent: math.MaxUint16}},
+		{"a slowdown that is not a number", service.LoadReading{At: 1000, Slowdown: math.NaN()}, SharedReading{}},
+		{"an old reading", service.LoadReading{At: -1e9}, SharedReading{AgeMs: math.MaxUint16}},
+		{"a reading of the future", service.LoadReading{At: 2000}, SharedReading{}},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			testCase.expected.ColdMs = unknownCold
+			require.Equal(t, testCase.expected, newSharedReading(0, ownReading{reading: testCase.reading}, 0, 0, 1000))
+		})
+	}
+	cold := service.LoadReading{At: 1000, ColdKnown: true, ColdFor: 1e18}
+	require.Equal(t, int32(catalog.MaxColdFor), newSharedReading(0, ownReading{reading: cold}, 0, 0, 1000).ColdMs)
+}
+
+// Guards against numbers of other instances that no server reports: a period of almost no time has the scheduler index its target again and
+// again, and a cold time of weeks keeps a server from its share.
+func TestReceivedReadingsOutOfRangeAreLimited(t *testing.T) {
+	sharedReading := SharedReading{SlowdownPercent: math.MaxUint16, ColdMs: math.MaxInt32, SteadyMs: 1, PeriodMs: math.SmallestNonzeroFloat32}
+	reading := sharedReading.loadReading(1000)
+	require.Equal(t, service.LoadReading{At: 1000, Slowdown: maxSharedSlowdown, ColdKnown: true, ColdFor: catalog.MaxColdFor, Source: service.FromPeer}, reading)
+}
+
 // Guards against declarations that are changed by the transmission, or do not fit into one packet.
 func TestDeclarationsRoundTrip(t *testing.T) {
 	report := service.DeclarationReport{Target: "i-954b387330", Started: 1700000000000, Observed: true, Limited: true, Rate: 0.1, StatedAt: 900, Leaving: true, Sent: 7}
@@ -72,7 +108,7 @@
 
 // Guards against declarations of any sender that reaches the port: they must neither limit an unknown server nor distort a limit.
 func TestInvalidDeclarationsAreIgnored(t *testing.T) {
-	for _, rate := range []float64{math.NaN(), math.Inf(1), -1} {
+	for _, rate := range []float64{math.NaN(), math.Inf(1), -1, math.MaxFloat64} {
 		fixture := newFixture(0, 0)
 		view := newView(1, 1)
 		fixture.controller.applyView(view)
