Convert fractions to indices the same way on each kind of machine

Go's conversion of NaN, of infinity and of numbers out of range to an integer is negative on x86-64 and the nearest number on arm64, so that an index which holds here could be out of range there. No input that leads to one is known: readings and settings are limited before. The time after which another instance drops retained servers was not limited, and of NaN the reader read everything anew.

TestRetentionOfPeerIsLimited failed before for four of six values. TestIndexOfNumbersOutOfRange was not run with the conversion before, nor on x86-64.

--- a/internal/catalog/configuration_test.go
+++ b/internal/catalog/configuration_test.go
@@ -47,6 +47,18 @@
 	require.ErrorIs(t, err, ErrEncoding)
 }
 
+// Guards against a time until servers are dropped that never ends or is no number, with which the next change would be read late.
+func TestRetentionOfPeerIsLimited(t *testing.T) {
+	cases := []struct{ given, want float64 }{{0, 0}, {700.5, 700.5}, {-1, 0}, {math.NaN(), 0}, {1e18, float64(maxRetention)}, {math.Inf(1), float64(maxRetention)}}
+	for _, testCase := range cases {
+		encoded, err := (&Update{Revision: 3, RetainedFor: clock.Milliseconds(testCase.given)}).Encode()
+		require.NoError(t, err)
+		update, err := DecodeUpdate(bytes.NewReader(encoded))
+		require.NoError(t, err)
+		require.InDelta(t, testCase.want, float64(update.RetainedFor), 0)
+	}
+}
+
 // Guards against a server that an instance of another release passes on although it cannot be used, and against following that instance no
 // longer: the digests count all servers that it has.
 func TestServersOfPeerOutOfRange(t *testing.T) {
--- a/internal/catalog/encoding.go
+++ b/internal/catalog/encoding.go
@@ -85,6 +85,7 @@
 	if err := decoding.Unmarshal(text, &update); err != nil {
 		return Update{}, errors.Wrapf(ErrEncoding, "%v", err)
 	}
+	update.RetainedFor = within(update.RetainedFor, 0, maxRetention)
 	if update.Configuration != nil {
 		if update.Configuration.Version > MaxVersion {
 			return Update{}, errors.Wrapf(ErrEncoding, "version %d", update.Configuration.Version)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -45,7 +45,7 @@
 
 // Record adds a duration. A duration outside the range is recorded as the nearest end of the range.
 func (histogram *Histogram) Record(length clock.Milliseconds) {
-	microseconds := min(max(int64(length*microsecondsPerMilli), 1), maxMicroseconds)
+	microseconds := int64(min(max(length*microsecondsPerMilli, 1), maxMicroseconds))
 	histogram.mutex.Lock()
 	defer histogram.mutex.Unlock()
 	if histogram.counts == nil {
--- a/internal/service/candidateindex.go
+++ b/internal/service/candidateindex.go
@@ -68,7 +68,20 @@
 		return phaseCount
 	}
 	periods := float64(at) / float64(period)
-	return min(int((periods-math.Floor(periods))*phaseCount), phaseCount-1)
+	return indexOf((periods-math.Floor(periods))*phaseCount, phaseCount)
+}
+
+// indexOf converts a number to an index of a list of the given length: to the nearest one if it is out of range, to 0 if it is NaN. The
+// result of Go's conversion is negative on x86-64 then.
+func indexOf(number float64, length int) int {
+	switch {
+	case number >= float64(length):
+		return length - 1
+	case number > 0:
+		return int(number)
+	default:
+		return 0
+	}
 }
 
 const (
@@ -233,7 +246,7 @@
 	if times <= 1 {
 		return 0
 	}
-	return min(int(bucketsPerDoubling*math.Log2(times)), bucketCount-1)
+	return indexOf(bucketsPerDoubling*math.Log2(times), bucketCount)
 }
 
 // nextReindexAt returns the next moment at which the passing of time may change the position of the candidate.
--- a/internal/service/slots_test.go
+++ b/internal/service/slots_test.go
@@ -66,3 +66,28 @@
 	scheduler.SetTargets([]TargetConfig{{Name: "two", Slots: 4, Usable: true}})
 	require.Same(t, before, scheduler.candidates["two"].slotClass)
 }
+
+// Guards against an index out of range on one kind of machine alone: of a target whose expected time is infinite, and of a period of almost
+// no time.
+func TestIndexOfNumbersOutOfRange(t *testing.T) {
+	const length = 16
+	cases := []struct {
+		number float64
+		want   int
+	}{
+		{-1, 0}, {0, 0}, {0.9, 0}, {15, 15}, {15.9, 15}, {16, 15}, {1e300, 15}, {math.Inf(1), 15}, {math.Inf(-1), 0}, {math.NaN(), 0},
+	}
+	for _, testCase := range cases {
+		require.Equal(t, testCase.want, indexOf(testCase.number, length), "%g", testCase.number)
+	}
+	for _, slowdown := range []float64{0, 1, 1e300, math.Inf(1), math.NaN()} {
+		bucket := (&indexEntry{forecast: slowdownForecast{slowdown: clock.Milliseconds(slowdown)}}).bucket()
+		require.GreaterOrEqual(t, bucket, 0)
+		require.Less(t, bucket, bucketCount)
+	}
+	for _, period := range []clock.Milliseconds{math.SmallestNonzeroFloat64, 1e-30, 150, 1e300} {
+		phase := phaseOf(1e12, period)
+		require.GreaterOrEqual(t, phase, 0)
+		require.Less(t, phase, phaseCount)
+	}
+}
