End and serve while nobody reads the log

Operators saw a gateway that was told to leave and was still there at the end of its grace time: with standard output a pipe that is full and never read, the process never ends. Closing the log waits for the write under way, which never returns. The same holds for the last message on standard error (invalid settings) and for the report of a panic: the runtime stops all goroutines before it writes there, so that the process neither serves nor ends.

Package logoutput buffers log lines, counts those that are dropped or can't be written (log.lineDropped, log.writeFailed) and gives up the last ones after 0.2 s. serve uses it as well; it wrote its lines synchronously. Standard error is opened anew without blocking if it is a pipe. The number of dropped lines was shared between goroutines without synchronisation; it is a counter now.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -10,10 +10,11 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
 
 	"github.com/jaywheel/jaywheel/internal/gateway"
 	"github.com/jaywheel/jaywheel/internal/hangup"
+	"github.com/jaywheel/jaywheel/internal/logoutput"
+	"github.com/jaywheel/jaywheel/internal/metrics"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 	"github.com/jaywheel/jaywheel/platform"
 )
@@ -25,11 +26,6 @@
 
 // Parameters of the gateway command.
 const (
-	// logBufferLines is the number of log lines that are buffered until they are written. Further lines are dropped and
-	// counted, so that a slow reader of the log never blocks a request.
-	logBufferLines = 2048
-	// logFlushInterval is the interval at which buffered lines are written.
-	logFlushInterval = 20 * time.Millisecond
 	// filePollInterval is the interval at which the settings file is checked for changes. The file may change without a
 	// signal, and file events are not available on the platform.
 	filePollInterval = 500 * time.Millisecond
@@ -54,16 +50,13 @@
 		return withExitCode(ExitInvalid, err)
 	}
 	debug.SetGCPercent(gcPercent)
-	var droppedLines int
-	writer := diode.NewWriter(gatewayCommand.streams.out, logBufferLines, logFlushInterval, func(count int) { droppedLines += count })
-	defer func() {
-		// Close writes the buffered lines. A failure can't be logged any more.
-		_ = writer.Close()
-	}()
-	log := zerolog.New(writer).Level(level).With().Timestamp().Str("instance", string(file.Instance)).Logger()
+	registry := metrics.NewRegistry()
+	output := logoutput.New(gatewayCommand.streams.out, &registry.Events)
+	defer output.Close()
+	log := zerolog.New(output).Level(level).With().Timestamp().Str("instance", string(file.Instance)).Logger()
 	store := platform.NewStore(file.StoreAddress)
 	instance, err := gateway.New(gateway.Options{
-		Settings: file, Log: log,
+		Settings: file, Log: log, Registry: registry,
 		Platform: gateway.Platform{
 			Source: store.Source(), SetStoreAddress: store.SetAddress, Dialect: platform.NewDialect(), ReadProbe: platform.ParseProbeResponse,
 			Directory: platform.NewDirectory, Readiness: platform.NewReadiness,
@@ -76,7 +69,9 @@
 		log.Warn().Str("field", warning.Path).Str("problem", warning.Reason).Msg("field of the settings not understood")
 	}
 	log.Info().Str("callers", file.CallerAddress).Str("dataCentre", string(file.DataCentre)).Msg("started")
-	defer func() { log.Info().Int("linesDropped", droppedLines).Msg("stopped") }()
+	defer func() {
+		log.Info().Int64("linesDropped", metrics.EventCount(&registry.Events, logoutput.EventLineDropped)).Msg("stopped")
+	}()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go gatewayCommand.watchFile(ctx, instance, log)
--- a/cmd/main.go
+++ b/cmd/main.go
@@ -89,7 +89,11 @@
 
 // Main runs the command line and returns the exit code.
 func Main(arguments []string) int {
-	return run(arguments, streams{out: os.Stdout, err: os.Stderr})
+	streams := streams{out: os.Stdout, err: os.Stderr}
+	if isLongRunning(arguments) {
+		streams = withoutBlocking(streams)
+	}
+	return run(arguments, streams)
 }
 
 func run(arguments []string, streams streams) int {
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -10,6 +10,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jaywheel/jaywheel/internal/entry"
+	"github.com/jaywheel/jaywheel/internal/logoutput"
+	"github.com/jaywheel/jaywheel/internal/metrics"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
@@ -37,8 +39,11 @@
 	if err != nil {
 		return withExitCode(ExitInvalid, err)
 	}
-	log := zerolog.New(serveCommand.streams.err).Level(level).With().Timestamp().Str("instance", string(process.Instance)).Logger()
-	instance, err := entry.New(entry.Options{Settings: process, Log: log})
+	registry := metrics.NewRegistry()
+	output := logoutput.New(serveCommand.streams.err, &registry.Events)
+	defer output.Close()
+	log := zerolog.New(output).Level(level).With().Timestamp().Str("instance", string(process.Instance)).Logger()
+	instance, err := entry.New(entry.Options{Settings: process, Log: log, Registry: registry})
 	if err != nil {
 		return err
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -45,6 +45,8 @@
 	Seed uint64
 	// Policy selects targets. It is set only to measure a baseline policy.
 	Policy service.Policy
+	// Registry holds the metrics; nil selects a new one.
+	Registry *metrics.Registry
 }
 
 // Entry is one entry instance.
@@ -69,7 +71,10 @@
 	if options.Seed == 0 {
 		options.Seed = rand.Uint64()
 	}
-	entry := &Entry{options: options, clock: clock.New(), registry: metrics.NewRegistry()}
+	if options.Registry == nil {
+		options.Registry = metrics.NewRegistry()
+	}
+	entry := &Entry{options: options, clock: clock.New(), registry: options.Registry}
 	entry.servers = backendserver.NewServers(entry.clock)
 	if err := entry.makeControl(); err != nil {
 		return nil, err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,6 +86,8 @@
 	Seed uint64
 	// DialServer opens connections to backend servers; nil selects the dialer of package net.
 	DialServer backendserver.DialFunc
+	// Registry holds the metrics; nil selects a new one.
+	Registry *metrics.Registry
 }
 
 // Gateway is one instance of the load balancer.
@@ -127,7 +129,10 @@
 	if options.Seed == 0 {
 		options.Seed = rand.Uint64()
 	}
-	gateway := &Gateway{options: options, clock: clock.New(), registry: metrics.NewRegistry(), traces: trace.NewRing(traceCapacity)}
+	if options.Registry == nil {
+		options.Registry = metrics.NewRegistry()
+	}
+	gateway := &Gateway{options: options, clock: clock.New(), registry: options.Registry, traces: trace.NewRing(traceCapacity)}
 	gateway.bounds.Store(&options.Settings.Bounds)
 	gateway.storeAddress.Store(&options.Settings.StoreAddress)
 	gateway.servers = backendserver.NewServers(gateway.clock)
