Wait for addresses that are in use

A gateway ended at once (status 1, "address already in use") if one of its five addresses was still in use. A predecessor that drains keeps some of them for up to leaveMost, so a successor that is started within that time ends again and again. The port for datagrams was not noticed at all: gnet opens it with SO_REUSEPORT, so that two processes of one user share it and each gets a part of the datagrams (by reading).

The command now checks all addresses by binding without listening, and tries again every 100 ms while one is in use or not available. It never listens at the others meanwhile, so that nobody connects to a queue that is not read. It waits without a limit: a process that ended instead would be started again, find the same and count as one that ends by itself. Settings that change meanwhile apply, SIGTERM ends the wait with 0. A change of the file between its first read and the start of the poll is noticed now.

A port for datagrams that is taken between the check and gnet's start is tried again by the supervisor, as before.

Now the waiting process refuses connections at all other addresses (100 tries each) and serves when the address is free.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -15,20 +15,24 @@
 	"github.com/jaywheel/jaywheel/internal/hangup"
 	"github.com/jaywheel/jaywheel/internal/logoutput"
 	"github.com/jaywheel/jaywheel/internal/metrics"
+	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 	"github.com/jaywheel/jaywheel/platform"
 )
 
 const gatewayLong = `Runs one instance on the users' platform until it receives a signal. It finds the other instances by the seeds
-in its settings, and reads routes and backend servers from the platform's store. SIGTERM or SIGINT makes it drain without
-interrupting a request; a SIGINT after that ends it immediately, with 4. Its settings are reloaded on SIGHUP and whenever the
-file changes. Log lines are JSON on standard output.`
+in its settings, and reads routes and backend servers from the platform's store. An address that is in use or not
+available yet is waited for. SIGTERM or SIGINT makes it drain without interrupting a request; a SIGINT after that ends
+it immediately, with 4. Its settings are reloaded on SIGHUP and whenever the file changes. Log lines are JSON on
+standard output.`
 
 // Parameters of the gateway command.
 const (
 	// filePollInterval is the interval at which the settings file is checked for changes. The file may change without a
 	// signal, and file events are not available on the platform.
 	filePollInterval = 500 * time.Millisecond
+	// addressRetryInterval is the interval at which binding an address that is in use is tried again.
+	addressRetryInterval = 100 * clock.Millisecond
 	// gcPercent is the growth of the heap between two garbage collections, in percent. It is not higher because memory
 	// costs more here than the processor time that fewer collections would save.
 	gcPercent = 100
@@ -41,44 +45,120 @@
 
 // Execute implements flags.Commander.
 func (gatewayCommand *gatewayCommand) Execute([]string) error {
-	file, err := settings.LoadGateway(gatewayCommand.Settings)
-	if err != nil {
-		return withInvalidCode(err)
-	}
-	level, err := zerolog.ParseLevel(file.LogLevel)
-	if err != nil {
-		return withExitCode(ExitInvalid, err)
-	}
-	debug.SetGCPercent(gcPercent)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
 	registry := metrics.NewRegistry()
 	output := logoutput.New(gatewayCommand.streams.out, &registry.Events)
 	defer output.Close()
-	log := zerolog.New(output).Level(level).With().Timestamp().Str("instance", string(file.Instance)).Logger()
-	store := platform.NewStore(file.StoreAddress)
-	instance, err := gateway.New(gateway.Options{
-		Settings: file, Log: log, Registry: registry,
-		Platform: gateway.Platform{
-			Source: store.Source(), SetStoreAddress: store.SetAddress, Dialect: platform.NewDialect(), ReadProbe: platform.ParseProbeResponse,
-			Directory: platform.NewDirectory, Readiness: platform.NewReadiness,
-		},
-	})
+	gatewayRun := &gatewayRun{path: gatewayCommand.Settings, registry: registry, output: output, signals: signals}
+	if err := gatewayRun.load(); err != nil {
+		return withInvalidCode(err)
+	}
+	debug.SetGCPercent(gcPercent)
+	return gatewayRun.run()
+}
+
+// gatewayRun is one run of the gateway command.
+type gatewayRun struct {
+	path     string
+	registry *metrics.Registry
+	output   *logoutput.Output
+	signals  <-chan os.Signal
+	// read is the version of the settings file that was read last.
+	read fileState
+	file *settings.Gateway
+	log  zerolog.Logger
+}
+
+// load reads the settings file.
+func (gatewayRun *gatewayRun) load() error {
+	// A change during the read is noticed as one after it.
+	gatewayRun.read = statFile(gatewayRun.path)
+	file, err := settings.LoadGateway(gatewayRun.path)
 	if err != nil {
 		return err
 	}
+	level, err := zerolog.ParseLevel(file.LogLevel)
+	if err != nil {
+		return withExitCode(ExitInvalid, err)
+	}
+	gatewayRun.file = file
+	gatewayRun.log = zerolog.New(gatewayRun.output).Level(level).With().Timestamp().Str("instance", string(file.Instance)).Logger()
 	for _, warning := range file.Warnings {
-		log.Warn().Str("field", warning.Path).Str("problem", warning.Reason).Msg("field of the settings not understood")
+		gatewayRun.log.Warn().Str("field", warning.Path).Str("problem", warning.Reason).Msg("field of the settings not understood")
 	}
-	log.Info().Str("callers", file.CallerAddress).Str("dataCentre", string(file.DataCentre)).Msg("started")
+	return nil
+}
+
+// run serves until a signal arrives.
+func (gatewayRun *gatewayRun) run() error {
 	defer func() {
-		log.Info().Int64("linesDropped", metrics.EventCount(&registry.Events, logoutput.EventLineDropped)).Msg("stopped")
+		dropped := metrics.EventCount(&gatewayRun.registry.Events, logoutput.EventLineDropped)
+		gatewayRun.log.Info().Int64("linesDropped", dropped).Msg("stopped")
 	}()
+	instance, err := gatewayRun.awaitInstance()
+	if err != nil || instance == nil {
+		return err
+	}
+	gatewayRun.log.Info().Str("callers", gatewayRun.file.CallerAddress).Str("dataCentre", string(gatewayRun.file.DataCentre)).Msg("started")
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go gatewayCommand.watchFile(ctx, instance, log)
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
-	return lifecycle{serve: instance.Serve, drain: instance.Leave, forcesExit: isInterrupt, bounded: true}.run(signals, 0)
+	go watchFile(ctx, gatewayRun.path, gatewayRun.read, instance, gatewayRun.log)
+	return lifecycle{serve: instance.Serve, drain: instance.Leave, forcesExit: isInterrupt, bounded: true}.run(gatewayRun.signals, 0)
+}
+
+// awaitInstance creates the instance as soon as all its addresses can be bound. It waits for as long as that takes: the process that has
+// an address may be a predecessor that drains, and a process that ended instead would be started again and find the same. Changed
+// settings apply meanwhile. It returns nil if a signal to end the process arrives first.
+func (gatewayRun *gatewayRun) awaitInstance() (*gateway.Gateway, error) {
+	ticker := time.NewTicker(addressRetryInterval.Duration())
+	defer ticker.Stop()
+	problem := ""
+	for {
+		instance, err := gatewayRun.newInstance()
+		if err == nil && problem != "" {
+			gatewayRun.log.Info().Msg("all addresses are bound")
+		}
+		if !gateway.IsErrAddressUnavailable(err) {
+			return instance, err
+		}
+		if err.Error() != problem {
+			problem = err.Error()
+			gatewayRun.log.Warn().Str("problem", problem).Msg("waiting for an address that can't be bound yet")
+		}
+		select {
+		case <-gatewayRun.signals:
+			return nil, nil
+		case <-hangup.Signals():
+			gatewayRun.reloadWhileWaiting()
+		case <-ticker.C:
+			if statFile(gatewayRun.path) != gatewayRun.read {
+				gatewayRun.reloadWhileWaiting()
+			}
+		}
+	}
+}
+
+func (gatewayRun *gatewayRun) reloadWhileWaiting() {
+	if err := gatewayRun.load(); err != nil {
+		gatewayRun.log.Error().Str("problem", err.Error()).Msg("settings rejected, keeping the previous settings")
+	}
+}
+
+// newInstance binds the addresses and creates the instance. IsErrAddressUnavailable of package gateway reports whether to try again.
+func (gatewayRun *gatewayRun) newInstance() (*gateway.Gateway, error) {
+	if err := gateway.CheckAddresses(gatewayRun.file); err != nil {
+		return nil, err
+	}
+	store := platform.NewStore(gatewayRun.file.StoreAddress)
+	return gateway.New(gateway.Options{
+		Settings: gatewayRun.file, Log: gatewayRun.log, Registry: gatewayRun.registry,
+		Platform: gateway.Platform{
+			Source: store.Source(), SetStoreAddress: store.SetAddress, Dialect: platform.NewDialect(), ReadProbe: platform.ParseProbeResponse,
+			Directory: platform.NewDirectory, Readiness: platform.NewReadiness,
+		},
+	})
 }
 
 // isInterrupt reports whether the signal is SIGINT, which a person sends from a terminal. The platform may repeat SIGTERM while
@@ -89,11 +169,10 @@
 }
 
 // watchFile reloads the settings on SIGHUP and when the file has changed. If they are invalid or can't be applied, it logs that and
-// the previous settings stay in force.
-func (gatewayCommand *gatewayCommand) watchFile(ctx context.Context, instance *gateway.Gateway, log zerolog.Logger) {
+// the previous settings stay in force. before is the version of the file that has been read.
+func watchFile(ctx context.Context, path string, before fileState, instance *gateway.Gateway, log zerolog.Logger) {
 	ticker := time.NewTicker(filePollInterval)
 	defer ticker.Stop()
-	before := statFile(gatewayCommand.Settings)
 	for {
 		why := "the file has changed"
 		select {
@@ -102,12 +181,12 @@
 		case <-hangup.Signals():
 			why = "signal"
 		case <-ticker.C:
-			if statFile(gatewayCommand.Settings) == before {
+			if statFile(path) == before {
 				continue
 			}
 		}
-		before = statFile(gatewayCommand.Settings)
-		file, err := settings.LoadGateway(gatewayCommand.Settings)
+		before = statFile(path)
+		file, err := settings.LoadGateway(path)
 		if err == nil {
 			err = instance.Reload(ctx, file)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -123,8 +123,8 @@
 	name string
 }
 
-// New binds all addresses and creates all components; nothing runs until Serve. It returns an error if an address cannot
-// be bound.
+// New binds the HTTP servers' addresses and creates all components; nothing runs until Serve. It returns an error if an address cannot
+// be bound; IsErrAddressUnavailable reports whether it may be bound later.
 func New(options Options) (*Gateway, error) {
 	if options.Seed == 0 {
 		options.Seed = rand.Uint64()
