Start with times that a template leaves empty

Times are treated like numbers now, and kept within the same limits as those with an exponent (an hour at most).

Before, on: seven of eight new cases of TestTextFieldsOfAnyForm and TestRandomTextFields, which draws times without a unit as well, failed with "does not match pattern" (one with 100 h unclamped).

--- a/pkg/settings/text_fields.go
+++ b/pkg/settings/text_fields.go
@@ -118,26 +118,28 @@
 		return value, err == nil
 	}
 	if textField.kind == durationField {
-		if length, err := time.ParseDuration(given); err == nil && length > 0 || !strings.HasSuffix(given, "s") {
-			// The schema validates texts with another unit.
-			return given, true
-		}
-		given = strings.TrimSuffix(given, "s")
+		return textField.parseDuration(given)
 	}
 	number, err := strconv.ParseFloat(given, 64)
 	if err != nil || math.IsNaN(number) || math.IsInf(number, 0) {
 		return nil, false
 	}
-	if textField.kind == durationField && number <= 0 {
-		return nil, false
-	}
 	number = min(max(number, textField.minimum), textField.maximum)
-	switch textField.kind {
-	case integerField:
+	if textField.kind == integerField {
 		return math.Floor(number), true
-	case durationField:
-		return strconv.FormatFloat(number, 'f', -1, 64) + "s", true
-	default:
-		return number, true
 	}
+	return number, true
+}
+
+// parseDuration converts a duration with its unit to seconds, which the schema accepts. Seconds may have an exponent.
+func (textField textField) parseDuration(given string) (any, bool) {
+	length, err := time.ParseDuration(given)
+	seconds := length.Seconds()
+	if number, hasUnit := strings.CutSuffix(given, "s"); err != nil && hasUnit {
+		seconds, err = strconv.ParseFloat(number, 64)
+	}
+	if err != nil || math.IsNaN(seconds) || math.IsInf(seconds, 0) || seconds <= 0 {
+		return nil, false
+	}
+	return strconv.FormatFloat(min(max(seconds, textField.minimum), textField.maximum), 'f', -1, 64) + "s", true
 }
--- a/pkg/settings/text_fields_test.go
+++ b/pkg/settings/text_fields_test.go
@@ -49,6 +49,14 @@
 		{"a share above one", "retryShare", "7", func(gateway *Gateway) any { return gateway.Bounds.RetryShare }, 1.0, 0},
 		{"no probes", "probesPerSecond", "0", func(gateway *Gateway) any { return gateway.Bounds.ProbesPerSecond }, minPositive, 0},
 		{"a unit without a number", "leaveMost", "s", func(gateway *Gateway) any { return gateway.Bounds.DrainTimeout }, 6 * clock.Second, 0},
+		{"a duration that is empty", "leaveMost", "", func(gateway *Gateway) any { return gateway.Bounds.DrainTimeout }, 6 * clock.Second, 0},
+		{"a duration of blanks", "answerKeptMost", "  ", func(gateway *Gateway) any { return gateway.Bounds.MaxAddressTTL }, 5 * clock.Second, 0},
+		{"a duration without a unit", "answerKeptMost", "3", func(gateway *Gateway) any { return gateway.Bounds.MaxAddressTTL }, 5 * clock.Second, 1},
+		{"a duration in an unknown unit", "quotaWindow", "3 years", func(gateway *Gateway) any { return gateway.Bounds.QuotaWindow }, 5 * clock.Second, 1},
+		{"a duration with a sign", "quotaWindow", "+3s", func(gateway *Gateway) any { return gateway.Bounds.QuotaWindow }, 3 * clock.Second, 0},
+		{"a negative duration", "revokeWithin", "-3m", func(gateway *Gateway) any { return gateway.Bounds.RevokeWithin }, 5 * clock.Second, 1},
+		{"a duration that is far too long", "leaveMost", "9e300h", func(gateway *Gateway) any { return gateway.Bounds.DrainTimeout }, 6 * clock.Second, 1},
+		{"a duration that is too long", "leaveMost", "100h", func(gateway *Gateway) any { return gateway.Bounds.DrainTimeout }, 60 * clock.Minute, 0},
 		{"an exponent with a unit", "leaveMost", "6e0s", func(gateway *Gateway) any { return gateway.Bounds.DrainTimeout }, 6 * clock.Second, 0},
 		{"a fraction with a unit", "answerKeptMost", "2.5s", func(gateway *Gateway) any { return gateway.Bounds.MaxAddressTTL }, 2500 * clock.Millisecond, 0},
 		{"a duration in another unit", "answerKeptMost", "250ms", func(gateway *Gateway) any { return gateway.Bounds.MaxAddressTTL }, 250 * clock.Millisecond, 0},
@@ -76,10 +84,11 @@
 	for range 300 {
 		bounds := map[string]string{}
 		for _, textField := range gatewayTextFields {
-			if textField.section == "bounds" && textField.kind != durationField {
+			if textField.section == "bounds" {
 				bounds[textField.name] = draw()
-			} else if textField.section == "bounds" {
-				bounds[textField.name] = strings.TrimSuffix(draw(), "s") + "s"
+			}
+			if textField.kind == durationField && random.IntN(2) == 0 {
+				bounds[textField.name] = strings.TrimSuffix(bounds[textField.name], "s") + "s"
 			}
 		}
 		gateway, err := loadTextFields(t, draw(), bounds)
