Ignore unknown fields of a gateway's settings

Its file is filled in from a template of the repository, so that a fleet that runs two versions, or a deployment that adds a field, stopped every instance of the older one; DEPLOY.md asks to ignore new fields. Against that stands a typing error in the template: it is still named, by a warning at the start instead of a refusal, and a required field that is misspelled still keeps the instance from starting, as missing. Files that operators write by hand (serve, check, render) stay strict.

Unknown fields are removed before decoding: package json would otherwise take "SEEDS" for "seeds". A duplicated field is an error in every file now; it was accepted if the file had fields as text.

--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -1,7 +1,11 @@
 package settings
 
 import (
+	"encoding/json"
+	"maps"
 	"net/netip"
+	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -55,7 +59,7 @@
 	Bounds GatewayBounds `json:"bounds,omitzero"`
 	// LogLevel is the minimum level of log lines.
 	LogLevel string `json:"logLevel,omitempty" jsonschema:"enum=debug,enum=info,enum=warn,enum=error,default=info"`
-	// Warnings lists the fields that were not understood and have their default value instead.
+	// Warnings lists the fields that were not understood and have their default value instead, and those that are unknown.
 	Warnings []Problem `json:"-"`
 }
 
@@ -88,22 +92,72 @@
 }
 
 // LoadGateway loads and validates the settings file at path. For invalid settings IsErrInvalid reports true of the
-// error; any other error means that the file could not be read.
+// error; any other error means that the file could not be read. Fields that a deployment of another version fills in are not an error:
+// they are ignored, and Warnings names them.
 func LoadGateway(path string) (*Gateway, error) {
 	document, err := readDocument(path)
 	if err != nil {
 		return nil, err
 	}
+	problems := document.checkText()
+	if !json.Valid(document.text) {
+		return nil, &InvalidError{Problems: problems, unfinished: true}
+	}
+	if len(problems) > 0 {
+		return nil, invalid(problems)
+	}
 	// The defaults are set before decoding, so that an explicit 0 in the file is kept.
 	gateway := &Gateway{}
 	gateway.ApplyDefaults()
+	var unknown []Problem
 	document.text, gateway.Warnings = normalizeTextFields(document.name, document.text)
+	document.text, unknown = removeUnknownFields(document.name, document.text)
+	gateway.Warnings = append(gateway.Warnings, unknown...)
 	if _, err := decodePair(document, nil, gatewayDefinition, gateway); err != nil {
 		return nil, err
 	}
 	return gateway, invalid(gateway.check(document.name))
 }
 
+// removeUnknownFields removes the fields that a Gateway does not have, and returns a problem for each of them. They must not be decoded:
+// package json would also take one whose name differs in case.
+func removeUnknownFields(file string, text []byte) ([]byte, []Problem) {
+	var root map[string]any
+	if json.Unmarshal(text, &root) != nil {
+		return text, nil
+	}
+	problems := removeUnknown(file, "", root, reflect.TypeFor[Gateway]())
+	if bounds, isObject := root["bounds"].(map[string]any); isObject {
+		problems = append(problems, removeUnknown(file, "bounds.", bounds, reflect.TypeFor[GatewayBounds]())...)
+	}
+	if len(problems) == 0 {
+		return text, nil
+	}
+	known, err := json.Marshal(root)
+	if err != nil {
+		return text, problems
+	}
+	return known, problems
+}
+
+// removeUnknown removes the entries of an object that are no fields of the structure.
+func removeUnknown(file, prefix string, object map[string]any, structure reflect.Type) []Problem {
+	known := map[string]bool{}
+	for index := range structure.NumField() {
+		if name, _, _ := strings.Cut(structure.Field(index).Tag.Get("json"), ","); name != "-" {
+			known[name] = true
+		}
+	}
+	var problems []Problem
+	for _, name := range slices.Sorted(maps.Keys(object)) {
+		if !known[name] {
+			delete(object, name)
+			problems = append(problems, Problem{File: file, Path: prefix + name, Reason: "unknown field, ignored"})
+		}
+	}
+	return problems
+}
+
 // ApplyDefaults sets the fields that have their zero value to their defaults.
 func (gateway *Gateway) ApplyDefaults() {
 	setDefault(&gateway.Cores, 1)
--- a/pkg/settings/problem.go
+++ b/pkg/settings/problem.go
@@ -28,6 +28,8 @@
 // InvalidError is returned for invalid settings and carries all their problems.
 type InvalidError struct {
 	Problems []Problem
+	// unfinished states that the text is not a complete document.
+	unfinished bool
 }
 
 // Error implements error, with one problem per line.
@@ -45,6 +47,13 @@
 	return errors.As(err, &invalidError)
 }
 
+// IsErrUnfinished reports whether err says that a settings file can't be read or is not a complete document. Either may be so only for
+// a moment, while another process writes the file.
+func IsErrUnfinished(err error) bool {
+	var invalidError *InvalidError
+	return err != nil && (!errors.As(err, &invalidError) || invalidError.unfinished)
+}
+
 // ProblemsOf returns the problems that err carries, or nil if it is not an InvalidError.
 func ProblemsOf(err error) []Problem {
 	var invalidError *InvalidError
