Wait for settings that are still being written

A gateway that found its settings file half written, empty or missing ended at once (3, "unexpected EOF", or 1), although the file was complete 0.1 s later. The file is read every 50 ms now until it is a complete document, for 3 s; SIGTERM meanwhile ends the process with 0. A file that stays as it is still ends it with the same code and message, which names the file, and a complete file that is invalid does so at once. What ends too early is always called "unexpected EOF"; some such files were reported as "EOF".

Before, on: TestProcessAwaitsItsSettings failed in all three cases ("the process ended: exit status 1", 3 and 3), and TestSignalsDuringTheWaitForSettings did.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -31,6 +31,10 @@
 	// filePollInterval is the interval at which the settings file is checked for changes. The file may change without a
 	// signal, and file events are not available on the platform.
 	filePollInterval = 500 * time.Millisecond
+	// settingsTimeout is how long a settings file that is missing or incomplete is waited for at the start, and settingsRetryInterval the
+	// interval at which it is read. A file is written in a few milliseconds; one that stays incomplete must be reported.
+	settingsTimeout       = 3 * clock.Second
+	settingsRetryInterval = 50 * clock.Millisecond
 	// addressRetryInterval is the interval at which binding an address that is in use is tried again.
 	addressRetryInterval = 100 * clock.Millisecond
 	// gcPercent is the growth of the heap between two garbage collections, in percent. It is not higher because memory
@@ -52,7 +56,7 @@
 	output := logoutput.New(gatewayCommand.streams.out, &registry.Events)
 	defer output.Close()
 	gatewayRun := &gatewayRun{path: gatewayCommand.Settings, registry: registry, output: output, signals: signals}
-	if err := gatewayRun.load(); err != nil {
+	if loaded, err := gatewayRun.awaitSettings(gatewayRun.load); err != nil || !loaded {
 		return withInvalidCode(err)
 	}
 	debug.SetGCPercent(gcPercent)
@@ -71,6 +75,32 @@
 	log  zerolog.Logger
 }
 
+// awaitSettings loads the settings. It tries again while the file is missing or not a complete document, because the platform may still be
+// writing it, until settingsTimeout. It returns false if a signal to end the process arrives first.
+func (gatewayRun *gatewayRun) awaitSettings(load func() error) (bool, error) {
+	ticker := time.NewTicker(settingsRetryInterval.Duration())
+	defer ticker.Stop()
+	timeout := time.NewTimer(settingsTimeout.Duration())
+	defer timeout.Stop()
+	for logged := false; ; logged = true {
+		err := load()
+		if !settings.IsErrUnfinished(err) {
+			return err == nil, err
+		}
+		if !logged {
+			log := zerolog.New(gatewayRun.output).With().Timestamp().Logger()
+			log.Warn().Str("problem", err.Error()).Msg("waiting for the settings file")
+		}
+		select {
+		case <-gatewayRun.signals:
+			return false, nil
+		case <-timeout.C:
+			return false, err
+		case <-ticker.C:
+		}
+	}
+}
+
 // load reads the settings file.
 func (gatewayRun *gatewayRun) load() error {
 	// A change during the read is noticed as one after it.
--- a/pkg/settings/document.go
+++ b/pkg/settings/document.go
@@ -36,6 +36,9 @@
 
 // describeSyntax returns the text of a syntax error with its line number.
 func describeSyntax(text []byte, err error) string {
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
 	var syntaxError *json.SyntaxError
 	if !errors.As(err, &syntaxError) {
 		return err.Error()
