Reject responses of HTTP/1.0 with a Transfer-Encoding

net/http ignores and removes the Transfer-Encoding of a response whose version is below 1.1, so that the chunks became the body, ended by the end of the connection: a server that stopped anywhere behind the head of such a response looked as if it had sent all of it, and callers got 200 with an empty or short body, framed as whole. A whole one reached the caller with the lengths of its chunks in it. RFC 9112, section 6.1, calls such a response faulty; it now counts as none (502, or a retry where that is allowed). So do versions other than 1.x, and HTTP/1.0 with an informational response before it.

--- a/internal/backendserver/servers.go
+++ b/internal/backendserver/servers.go
@@ -206,6 +206,11 @@
 	connection.socket.head.Store(head)
 	response, err := connection.client.RoundTrip(request.WithContext(ctx)) //nolint:bodyclose // Exchange.Close does.
 	head.end()
+	if err == nil {
+		if err = head.checkFraming(response); err != nil {
+			response.Body.Close()
+		}
+	}
 	if err != nil {
 		defer head.release()
 		// Close the socket before reading the count, so that no byte of the request is sent after the read.
--- a/internal/backendserver/socket.go
+++ b/internal/backendserver/socket.go
@@ -37,7 +37,7 @@
 		socket.lastRead.Store(int64(socket.clock.Now()))
 	}
 	if head := socket.head.Load(); head != nil {
-		if err := head.add(count); err != nil {
+		if err := head.add(buffer[:count]); err != nil {
 			return 0, err
 		}
 	}
--- a/internal/caller/pipelining_test.go
+++ b/internal/caller/pipelining_test.go
@@ -41,13 +41,18 @@
 		addresses = append(addresses, startBackend(t, handler))
 	}
 	fixture := newUnservedFixture(t, serviceSettings, addresses...)
+	fixture.serve(t, limits)
+	return fixture
+}
+
+// serve starts a server with the given limits.
+func (fixture *fixture) serve(t testing.TB, limits settings.Callers) {
 	listener, err := Listen("127.0.0.1:0", limits, &fixture.registry.Events)
 	require.NoError(t, err)
 	server := NewServer(fixture.handler, limits, &fixture.registry.Events)
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { server.Close() })
 	fixture.address, fixture.listener = listener.Addr().String(), listener
-	return fixture
 }
 
 // pipelinedCaller is a caller that sends requests without waiting for responses.
