Reject final responses with a status below 200

A response 101 to a request that asked for no upgrade ended the exchange and was forwarded, although no caller had asked for another protocol: the form "upgrade" failed before, directly (streamed and buffered) and relayed. A status of 000 was not forwarded before either; by reading, the HTTP server panics and closes the connection.

--- a/internal/backendserver/head.go
+++ b/internal/backendserver/head.go
@@ -29,6 +29,7 @@
 // Errors of checkFraming.
 var (
 	errProtocol         = errors.New("the response is not of HTTP/1")
+	errStatus           = errors.New("the response has a status that no final response has")
 	errTransferEncoding = errors.New("the response of HTTP/1.0 has a Transfer-Encoding")
 )
 
@@ -94,13 +95,15 @@
 	}
 }
 
-// checkFraming returns an error if it is not certain where the response ends. In HTTP/1.0 a
+// checkFraming returns an error if it is not certain where the response ends, or if it is none that ends an exchange. In HTTP/1.0 a
 // Transfer-Encoding is a fault (RFC 9112, section 6.1). net/http ignores and removes it, so that chunks would be taken for the body, and
 // chunks that are cut off for a complete one.
 func (head *head) checkFraming(response *http.Response) error {
 	switch {
 	case response.ProtoMajor != 1:
 		return errProtocol
+	case response.StatusCode < http.StatusOK:
+		return errStatus
 	case response.ProtoAtLeast(1, 1):
 		return nil
 	}
--- a/internal/caller/truncation_test.go
+++ b/internal/caller/truncation_test.go
@@ -97,6 +97,8 @@
 	{name: "HTTP/0.9 chunked", text: "HTTP/0.9 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"},
 	{name: "unknown encoding", text: "HTTP/1.1 200 OK\r\n@Transfer-Encoding: chun\r\n\r\n5\r\nhello\r\n0\r\n\r\n"},
 	{name: "gzip and chunked", text: "HTTP/1.1 200 OK\r\n@Transfer-Encoding: gzip, chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"},
+	{name: "upgrade", text: "HTTP/1.1 101 Switching Protocols\r\n@Connection: Upgrade\r\nUpgrade: echo\r\n\r\nhello, world"},
+	{name: "status 0", text: "HTTP/1.1 000 OK\r\n@Content-Length: 12\r\n\r\nhello, world"},
 	{name: "status 20", text: "HTTP/1.1 20 OK\r\n@Content-Length: 12\r\n\r\nhello, world"},
 	{name: "another head within a name", text: "HTTP/1.1 200 OK\r\n@X-CuHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"},
 }
