Reject responses that carry the IDs of two requests

A head that breaks off behind a line and goes on with that of another response on the same connection has one ID of each. Only the first was compared, and the status of the one response came with the body of the other: form "another head behind a line" gave 200 with the other body, whole, directly (streamed and buffered) and relayed.

--- a/internal/caller/dialect.go
+++ b/internal/caller/dialect.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -60,10 +61,14 @@
 // errForeignResponse means that a response belongs to another request, as a late copy of an earlier response on the connection does.
 var errForeignResponse = errors.New("the response does not carry the request's id")
 
-// belongsTo reports whether the header of a response, also of an informational one, may be that of the request with the ID.
+// belongsTo reports whether the header of a response, also of an informational one, may be that of the request with the ID. A head that
+// was broken off within a line and goes on with that of another response has two IDs.
 func (dialect *Dialect) belongsTo(id trace.RequestID, header http.Header) bool {
-	carried := header.Get(dialect.RequestIDHeader)
-	return carried == string(id) || carried == "" && !dialect.EchoesRequestID
+	carried := header.Values(dialect.RequestIDHeader)
+	if len(carried) == 0 || len(carried) == 1 && carried[0] == "" {
+		return !dialect.EchoesRequestID
+	}
+	return !slices.ContainsFunc(carried, func(value string) bool { return value != string(id) })
 }
 
 // checkResponse returns an error if the response does not belong to the request or does not come from the backend server. Nothing in
--- a/internal/caller/truncation_test.go
+++ b/internal/caller/truncation_test.go
@@ -100,6 +100,7 @@
 	{name: "upgrade", text: "HTTP/1.1 101 Switching Protocols\r\n@Connection: Upgrade\r\nUpgrade: echo\r\n\r\nhello, world"},
 	{name: "status 0", text: "HTTP/1.1 000 OK\r\n@Content-Length: 12\r\n\r\nhello, world"},
 	{name: "status 20", text: "HTTP/1.1 20 OK\r\n@Content-Length: 12\r\n\r\nhello, world"},
+	{name: "another head behind a line", text: "HTTP/1.1 200 OK\r\n@X-Cut: HTTP/1.1 200 OK\r\n" + outcome.HeaderRequestID + ": other\r\nContent-Length: 5\r\n\r\nother"},
 	{name: "another head within a name", text: "HTTP/1.1 200 OK\r\n@X-CuHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"},
 }
 
