Detect within a second that the store answers none of its readers

Cause: a watch that gets no response was noticed 2.6 s after its start, all watches started with the last change, and another instance read only 0.6 s after the last reader reported it, when 2 s are allowed after the acknowledgement.

Change: - The watches of the readers end in turn, counted from the last change, which all learn of at the same time: with three readers one ends every 0.67 s without more calls. - A watch is overdue 0.2 s and the longest recent delay after its wait. The reader then counts as unanswered, which its heartbeats say, and calls the store once on a new connection while the watch goes on. A slow store is overdue once, not with each watch. - An instance that serves next reads 0.1 s after any serving instance has reported that, for at most 2.6 s if others get answers. - All instances follow any that reads the store and gets answers, whether it serves or not.

--- a/internal/catalog/catchup_test.go
+++ b/internal/catalog/catchup_test.go
@@ -26,9 +26,16 @@
 			<-ctx.Done()
 			return Changes{}, ctx.Err()
 		},
+		Check: noCheck,
 	}
 }
 
+// noCheck gets no response.
+func noCheck(ctx context.Context, _ Revision) (Changes, error) {
+	<-ctx.Done()
+	return Changes{}, ctx.Err()
+}
+
 // Guards against an instance on a slow link whose reads never complete because each is cancelled when a peer has a newer revision.
 func TestReadCompletesWhilePeersHaveNewerRevision(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -90,6 +97,7 @@
 						sleep(ctx, testCase.watch)
 						return Changes{Revision: 9, Set: []Item{{Key: "configuration", Configuration: configured(4)}}}, ctx.Err()
 					},
+					Check: noCheck,
 				}
 				reader := NewReader(Options{
 					Source: source, Clock: clock.New(), Events: new(expvar.Map).Init(), Log: zerolog.Nop(),
--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -54,6 +54,9 @@
 	if outdated || view.Configuration == nil {
 		return
 	}
+	if view.Revision > reader.revision {
+		reader.changedAt = reader.options.Clock.Now()
+	}
 	reader.recheckPeerAt = view.RetainedUntil
 	if view.RetainedUntil > 0 {
 		// Another peer may know already that the retained servers are gone.
--- a/internal/catalog/item.go
+++ b/internal/catalog/item.go
@@ -68,4 +68,6 @@
 	// Watch returns the changes after a revision as soon as there are any, or none after the wait. The error is ErrCompacted when
 	// the store no longer has them.
 	Watch func(ctx context.Context, after Revision, wait clock.Milliseconds) (Changes, error)
+	// Check returns the changes after a revision at once, on a new connection: that of a watch may have stopped responding.
+	Check func(ctx context.Context, after Revision) (Changes, error)
 }
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"math"
 	"sync"
 	"time"
 
@@ -21,10 +22,14 @@
 	readTimeout = clock.Second
 	// staleTimeout bounds each call of a stale read, during which callers wait.
 	staleTimeout = 300 * clock.Millisecond
-	// watchWait is how long a watch waits for a change, and watchSlack how much later its response may arrive. A connection that
-	// has stopped responding is detected when both have passed; instances must apply changes within 3 s of its failure.
+	// watchWait is how long a watch waits for a change, and watchSlack how much later its response may arrive before it is given up.
 	watchWait  = 2 * clock.Second
 	watchSlack = 600 * clock.Millisecond
+	// minOverdueSlack is the minimum time after the end of its wait from which a watch is overdue. The longest delay of recent watches
+	// is added to it.
+	minOverdueSlack = 200 * clock.Millisecond
+	// minAlignedWait is the shortest wait of a watch that ends in the phase of its reader.
+	minAlignedWait = 300 * clock.Millisecond
 	// minWatchWait is the shortest time that a watch waits.
 	minWatchWait = 10 * clock.Millisecond
 	// batchPause is the pause after changes before the next call. Calls are billed and limited in number, and changes come in batches
@@ -61,6 +66,7 @@
 	EventRead       = "catalog.read"
 	EventReadStale  = "catalog.readStale"
 	EventWatch      = "catalog.watch"
+	EventCheck      = "catalog.check"
 	EventFailed     = "catalog.failed"
 	EventFromPeer   = "catalog.fromPeer"
 	EventPeerFailed = "catalog.peerFailed"
@@ -102,6 +108,8 @@
 	failing                      bool
 	// watching is whether the call in progress waits for changes.
 	watching bool
+	// phase is the part of watchWait after a change at which this reader's watches end.
+	phase float64
 	// peerFailing is whether the last request to peers failed.
 	peerFailing bool
 	cancelIO    context.CancelFunc
@@ -124,6 +132,10 @@
 	lapsed    map[Key]clock.Moment
 	// calledAt is when the last call to the source began, failedAt when the last failed one did.
 	calledAt, failedAt clock.Moment
+	// changedAt is when the view last changed. All readers of a fleet learn of a change at about the same time.
+	changedAt clock.Moment
+	// lateness is the longest delay of recent responses to watches.
+	lateness clock.Milliseconds
 	// retainUntil is the time until which removed entries are retained that may only have lapsed.
 	retainUntil clock.Moment
 	// retainedByPeer are the servers that the peer retains whose view was adopted.
@@ -213,6 +225,9 @@
 	if err != nil {
 		return errors.Wrap(err, "watch")
 	}
+	if len(changes.Set)+len(changes.Removed) > 0 {
+		reader.changedAt = reader.options.Clock.Now()
+	}
 	reader.recordResponse()
 	return reader.applyChanges(ctx, changes)
 }
@@ -227,10 +242,27 @@
 // without changes would end much later, and the server would get requests until then. After a failure and after a time as follower the
 // watch waits only for minWatchWait, to find out whether the source responds.
 func (reader *Reader) nextWatchWait() clock.Milliseconds {
-	if reader.failures > 0 || !reader.confirmed {
+	if reader.failures > 0 || !reader.confirmed || reader.Failing() {
 		return minWatchWait
 	}
-	return max(min(watchWait, reader.untilNextDrop()), minWatchWait)
+	return max(min(reader.untilPhase(), reader.untilNextDrop()), minWatchWait)
+}
+
+// untilPhase returns the time until the next end of watches in the phase of this reader. If the watches of all readers ended at the same
+// time, a source that stops responding to all of them would be noticed only then.
+func (reader *Reader) untilPhase() clock.Milliseconds {
+	if reader.changedAt == 0 {
+		return watchWait
+	}
+	reader.mutex.Lock()
+	offset := watchWait * clock.Milliseconds(1-reader.phase)
+	reader.mutex.Unlock()
+	passed := reader.options.Clock.Now().Since(reader.changedAt) + offset
+	left := watchWait - clock.Milliseconds(math.Mod(float64(passed), float64(watchWait)))
+	if left < minAlignedWait {
+		left += watchWait / 2
+	}
+	return left
 }
 
 // untilNextDrop returns the time until the first entry is dropped that may only have lapsed; a minute when none is retained.
@@ -275,6 +307,7 @@
 	}
 	reader.recordResponse()
 	reader.applySnapshot(snapshot)
+	reader.changedAt = reader.options.Clock.Now()
 	reader.complete = true
 	reader.refreshing = false
 	return reader.publish(ctx)
@@ -285,15 +318,15 @@
 	now := reader.options.Clock.Now()
 	reader.mutex.Lock()
 	silent := now.Since(reader.lastResponse)
-	first := reader.lastResponse == 0
+	first, again := reader.lastResponse == 0, reader.failing
 	reader.lastResponse = now
 	reader.failing = false
 	reader.mutex.Unlock()
-	if reader.failures > 0 {
+	if again && !first {
 		reader.options.Log.Info().Stringer("silentFor", silent).Int("failures", reader.failures).Msg("store answers again")
-		if silent > outageThreshold+watchWait || reader.failures > 1 {
-			reader.retainUntil = min(now.Add(reregistrationPeriod), reader.failedAt.Add(maxRetention))
-		}
+	}
+	if reader.failures > 1 || reader.failures > 0 && silent > outageThreshold+watchWait {
+		reader.retainUntil = min(now.Add(reregistrationPeriod), reader.failedAt.Add(maxRetention))
 	}
 	if first {
 		reader.options.Log.Info().Msg("store answers")
--- a/internal/catalog/reader_test.go
+++ b/internal/catalog/reader_test.go
@@ -136,6 +136,10 @@
 	}
 }
 
+func (source *source) check(ctx context.Context, after Revision) (Changes, error) {
+	return source.watch(ctx, after, minWatchWait)
+}
+
 // fixture is a reader with its source, and the view that it published last.
 type fixture struct {
 	source *source
@@ -174,7 +178,7 @@
 func newFixture(t *testing.T) *fixture {
 	fixture := &fixture{source: &source{revision: 5, items: map[Key]Item{}, changed: make(chan struct{})}}
 	fixture.reader = NewReader(Options{
-		Source: Source{ReadAll: fixture.source.readAll, ReadStale: fixture.source.readAll, Watch: fixture.source.watch},
+		Source: Source{ReadAll: fixture.source.readAll, ReadStale: fixture.source.readAll, Watch: fixture.source.watch, Check: fixture.source.check},
 		FetchFromPeer: func(_ context.Context, after Revision) (Update, error) {
 			fixture.mutex.Lock()
 			defer fixture.mutex.Unlock()
--- a/internal/catalog/role.go
+++ b/internal/catalog/role.go
@@ -26,6 +26,14 @@
 	reader.signal()
 }
 
+// SetPhase sets the part of the time between two watches after which this reader's watches end, counted from the last change. It is
+// above 0 and at most 1.
+func (reader *Reader) SetPhase(phase float64) {
+	reader.mutex.Lock()
+	defer reader.mutex.Unlock()
+	reader.phase = phase
+}
+
 // SetPeerRevision sets the newest revision that a peer is known to have.
 func (reader *Reader) SetPeerRevision(revision Revision) {
 	reader.mutex.Lock()
@@ -85,7 +93,8 @@
 	return reader.lastResponse
 }
 
-// Failing reports whether the last call to the source was refused or got no response.
+// Failing reports whether the last call to the source was refused or got no response, or whether the response to the watch in progress
+// is overdue.
 func (reader *Reader) Failing() bool {
 	reader.mutex.Lock()
 	defer reader.mutex.Unlock()
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -45,6 +45,11 @@
 	// receive the view that the next one reads, and hundreds of calls to a store that is down help no caller.
 	leaderlessTimeoutNext   = 600 * clock.Millisecond
 	leaderlessTimeoutOthers = 12 * clock.Second
+	// doubtDelay is how long a serving instance may report that it gets no answers of the store before one that is next to serve reads
+	// the store as well. An instance that has just begun to serve has no answer yet. After doubtPeriod, the watches of all other
+	// serving instances have ended, and only if none of them gets answers does it continue.
+	doubtDelay  = 100 * clock.Millisecond
+	doubtPeriod = 2600 * clock.Millisecond
 	// silentLeadersTimeout is how long all serving instances with a fresh view may be silent before a standby instance reads
 	// the store itself. Each of them sends it a message once a second. They count as lost only after 3.2 s of silence, but a
 	// server that leaves must receive no requests after 2 s.
@@ -130,6 +135,9 @@
 	history         *catalog.History
 	role            catalog.Role
 	leaderlessSince clock.Moment
+	// unanswered is the number of serving instances that get no answers of the store, which last increased at unansweredSince.
+	unanswered      int
+	unansweredSince clock.Moment
 	started         clock.Moment
 	// servingSince is when this instance last began to serve.
 	servingSince             clock.Moment
--- a/internal/fleet/fixture_test.go
+++ b/internal/fleet/fixture_test.go
@@ -64,6 +64,7 @@
 	fixture.controller.SetCatalogReader(CatalogReader{
 		SetRole:         func(role catalog.Role) { fixture.readsStore = role != catalog.RoleFollower },
 		SetPeerRevision: func(revision catalog.Revision) { fixture.peerRevision = revision },
+		SetPhase:        func(float64) {},
 		Refresh:         func() { fixture.refreshed = true }, CatchUp: func(catalog.Revision) { fixture.refreshed = true }, ReadStale: func() { fixture.staleReads++ },
 		LastResponse: func() clock.Moment { return 0 }, Failing: func() bool { return false },
 		PeerFailing: func() bool { return fixture.peerFailing },
--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -62,7 +62,9 @@
 
 // CatalogReader has the functions of the catalog reader that the control loop calls.
 type CatalogReader struct {
-	SetRole         func(catalog.Role)
+	SetRole func(catalog.Role)
+	// SetPhase sets the part of the time between two watches after which those of this instance end.
+	SetPhase        func(float64)
 	SetPeerRevision func(catalog.Revision)
 	Refresh         func()
 	// CatchUp makes the reader catch up with a revision that a serving peer has had for a while.
--- a/internal/fleet/ownership_test.go
+++ b/internal/fleet/ownership_test.go
@@ -95,7 +95,8 @@
 		SetJobs: func(jobs []sensing.Job) { node.jobs = jobs },
 	})
 	node.controller.SetCatalogReader(CatalogReader{
-		SetRole: func(catalog.Role) {}, SetPeerRevision: func(catalog.Revision) {}, Refresh: func() {}, CatchUp: func(catalog.Revision) {}, ReadStale: func() {},
+		SetRole: func(catalog.Role) {}, SetPhase: func(float64) {}, SetPeerRevision: func(catalog.Revision) {}, Refresh: func() {},
+		CatchUp: func(catalog.Revision) {}, ReadStale: func() {},
 		LastResponse: fleet.clock.Now, Failing: func() bool { return false }, PeerFailing: func() bool { return false },
 	})
 	if fleet.verify != nil {
--- a/internal/fleet/reader_role.go
+++ b/internal/fleet/reader_role.go
@@ -11,11 +11,16 @@
 func (controller *Controller) updateReaderRole(now clock.Moment, serves bool) {
 	leaders := controller.members.Leaders()
 	newest := leaders.NewestRevision
+	controller.updateUnanswered(now, leaders)
 	role := controller.nextRole(now, serves, leaders)
 	if role != controller.role {
 		controller.role = role
 		controller.catalogReader.SetRole(role)
 	}
+	if role == catalog.RoleLeader {
+		position, count := controller.members.ServingPosition()
+		controller.catalogReader.SetPhase(float64(position+1) / float64(count))
+	}
 	readsStore := role != catalog.RoleFollower
 	switch {
 	case readsStore:
@@ -41,6 +46,8 @@
 		return catalog.RoleLeader
 	case silent:
 		return catalog.RoleFallback
+	case controller.doubtsLeaders(now):
+		return catalog.RoleFallback
 	case controller.leaderlessSince > 0 && now.Since(controller.leaderlessSince) >= controller.leaderlessTimeout() && now.Since(controller.started) >= restartReadDelayNext:
 		return catalog.RoleFallback
 	default:
@@ -48,6 +55,24 @@
 	}
 }
 
+// updateUnanswered records when the number of serving instances that get no answers of the store last increased.
+func (controller *Controller) updateUnanswered(now clock.Moment, leaders membership.Leaders) {
+	if leaders.Unanswered > controller.unanswered {
+		controller.unansweredSince = now
+	}
+	controller.unanswered = leaders.Unanswered
+}
+
+// doubtsLeaders reports whether this instance, which serves next, reads the store because a serving instance gets no answers of it. The
+// store may answer none of those that serve, and the others notice it only when their own watches end.
+func (controller *Controller) doubtsLeaders(now clock.Moment) bool {
+	if controller.unanswered == 0 || controller.view == nil || now.Since(controller.started) < restartReadDelayNext || !controller.members.TopRanked() {
+		return false
+	}
+	passed := now.Since(controller.unansweredSince)
+	return passed >= doubtDelay && passed < doubtPeriod
+}
+
 // missesUpdate reports whether a serving instance is known to have a newer view that no peer delivers.
 func (controller *Controller) missesUpdate() bool {
 	return controller.view != nil && controller.members.Leaders().NewestRevision > controller.view.Revision && controller.catalogReader.PeerFailing()
@@ -79,18 +104,17 @@
 	}
 	if known := controller.members.NewestConfiguredRevision(); known > controller.view.Revision {
 		controller.nextStoreFailurePeerRead = now.Add(storeFailurePeerReadInterval)
-		controller.catalogReader.SetPeerRevision(known)
+		controller.catalogReader.CatchUp(known)
 	}
 }
 
-// versionBehind reports whether a serving peer has a newer configuration.
+// versionBehind reports whether a peer that serves or reads the store has a newer configuration.
 func (controller *Controller) versionBehind() bool {
-	for _, peer := range controller.members.ServingPeers() {
-		if controller.view.Configuration == nil || peer.Version > controller.view.Configuration.Version {
-			return true
-		}
+	var version catalog.Version
+	if controller.view.Configuration != nil {
+		version = controller.view.Configuration.Version
 	}
-	return false
+	return controller.members.Leaders().NewestVersion > version
 }
 
 func (controller *Controller) updateCatalogState(now clock.Moment) {
--- a/internal/fleet/virtual_change_test.go
+++ b/internal/fleet/virtual_change_test.go
@@ -44,6 +44,9 @@
 	storeSlow    changeKind = "storeSlow"
 	storeLags    changeKind = "storeLags"
 	storeForgets changeKind = "storeForgets"
+	// storeRefusesOne refuses the calls of one machine, storeStale lets all but stale reads hang. Drawn schedules do not contain them.
+	storeRefusesOne changeKind = "storeRefusesOne"
+	storeStale      changeKind = "storeStale"
 )
 
 // Changes to the content of the store.
--- a/internal/fleet/virtual_fleet_test.go
+++ b/internal/fleet/virtual_fleet_test.go
@@ -54,6 +54,8 @@
 	// unsteadyLimits makes limited servers leave out their limit in each unnamedInterval-th answer, and bursts lets callers send for
 	// burstLength of each burstInterval only.
 	unsteadyLimits, bursts bool
+	// ownClocks makes the clock of each process start with it.
+	ownClocks bool
 	// standbyCallers sends all requests of callers to instances on standby.
 	standbyCallers bool
 	// load returns the processor capacity that all requests of callers need together, in thousandths of a core; nil for none. It is
@@ -73,7 +75,9 @@
 	// disturbed is when its process or its links were last disturbed, stoppedAt when its last process ended.
 	disturbed clock.Moment
 	stoppedAt clock.Moment
-	received  []packet
+	// connectionsLostAt is when its connections to the store last fell silent for good.
+	connectionsLostAt clock.Moment
+	received          []packet
 }
 
 type packet struct {
--- a/internal/fleet/virtual_network_test.go
+++ b/internal/fleet/virtual_network_test.go
@@ -62,6 +62,8 @@
 			link.maxDelay = lateMaxDelay
 		case storeCut:
 			link.storeUnreachable = true
+		case storeRefusesOne:
+			link.storeRefuses = true
 		case storeRefuses:
 			for number := range network.links {
 				network.links[number].storeRefuses = network.links[number].storeRefuses || storeRefusesMachine(change, number)
--- a/internal/fleet/virtual_process_test.go
+++ b/internal/fleet/virtual_process_test.go
@@ -91,7 +91,8 @@
 		Clock: own, Events: new(expvar.Map).Init(), Log: zerolog.Nop(), Jitter: rand.New(rand.NewPCG(random.Uint64(), 2)).Float64,
 	})
 	process.controller.SetCatalogReader(CatalogReader{
-		SetRole: reader.SetRole, SetPeerRevision: reader.SetPeerRevision, Refresh: reader.Refresh, CatchUp: reader.CatchUp, ReadStale: reader.ReadStale,
+		SetRole: reader.SetRole, SetPhase: reader.SetPhase, SetPeerRevision: reader.SetPeerRevision, Refresh: reader.Refresh, CatchUp: reader.CatchUp,
+		ReadStale:    reader.ReadStale,
 		LastResponse: reader.LastResponse, Failing: reader.Failing, PeerFailing: reader.PeerFailing,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -114,6 +115,9 @@
 
 // time returns the time of the process's own clock.
 func (process *process) time(now clock.Moment) clock.Moment {
+	if process.fleet.options.ownClocks {
+		now = now.Add(-clock.Milliseconds(process.started) + virtualStep)
+	}
 	return now.Add(-clock.Milliseconds(process.suspended.Load()) * virtualStep)
 }
 
--- a/internal/fleet/virtual_store_test.go
+++ b/internal/fleet/virtual_store_test.go
@@ -32,7 +32,9 @@
 	configuration          *catalog.Configuration
 	forgotten              catalog.Revision
 	servers                int
-	expired                []expiredServer
+	// calls is the number of calls that machines have made.
+	calls   int
+	expired []expiredServer
 	// left is when servers became leaving, or were removed for good, while the store was stable.
 	left map[settings.TargetName]clock.Moment
 	// evacuated is when data centres were evacuated.
@@ -147,11 +149,17 @@
 			return store.read(ctx, process, callTimeout, store.visible)
 		},
 		ReadStale: func(ctx context.Context, callTimeout clock.Milliseconds) (catalog.Snapshot, error) {
+			if store.onlyStale() {
+				return store.snapshot(ctx, process, store.lagged)
+			}
 			return store.read(ctx, process, callTimeout, store.lagged)
 		},
 		Watch: func(ctx context.Context, after catalog.Revision, wait clock.Milliseconds) (catalog.Changes, error) {
 			return store.watch(ctx, process, after, wait)
 		},
+		Check: func(ctx context.Context, after catalog.Revision) (catalog.Changes, error) {
+			return store.watch(ctx, process, after, 0)
+		},
 	}
 }
 
@@ -161,9 +169,21 @@
 ) (catalog.Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
-	if err := store.admit(ctx, process); err != nil {
+	store.countCall()
+	if err := store.admit(ctx, process, store.fleet.clock.Now()); err != nil {
 		return catalog.Snapshot{}, err
 	}
+	return store.snapshot(ctx, process, choose)
+}
+
+// onlyStale reports whether the store answers nothing but stale reads.
+func (store *virtualStore) onlyStale() bool {
+	store.fleet.mutex.Lock()
+	defer store.fleet.mutex.Unlock()
+	return store.fleet.isActive(storeStale)
+}
+
+func (store *virtualStore) snapshot(ctx context.Context, process *process, choose func() *storeState) (catalog.Snapshot, error) {
 	store.fleet.mutex.Lock()
 	state := choose()
 	store.fleet.mutex.Unlock()
@@ -174,14 +194,21 @@
 	return snapshot, process.awaitCall(ctx, halfCallTime)
 }
 
-// admit accepts a call, refuses it, or lets it hang.
-func (store *virtualStore) admit(ctx context.Context, process *process) error {
+func (store *virtualStore) countCall() {
+	store.fleet.mutex.Lock()
+	defer store.fleet.mutex.Unlock()
+	store.calls++
+}
+
+// admit accepts a call that began at the given time, refuses it, or lets it hang.
+func (store *virtualStore) admit(ctx context.Context, process *process, began clock.Moment) error {
 	if err := process.awaitCall(ctx, halfCallTime); err != nil {
 		return err
 	}
 	store.fleet.mutex.Lock()
 	link := store.fleet.network.links[process.machine.number]
-	hangs, slow := link.storeUnreachable || store.fleet.isActive(storeDown), store.fleet.isActive(storeSlow)
+	hangs, slow := link.storeUnreachable || store.fleet.isActive(storeDown) || store.fleet.isActive(storeStale), store.fleet.isActive(storeSlow)
+	hangs = hangs || began <= process.machine.connectionsLostAt
 	store.fleet.mutex.Unlock()
 	switch {
 	case hangs:
@@ -214,9 +241,11 @@
 }
 
 func (store *virtualStore) watch(ctx context.Context, process *process, after catalog.Revision, wait clock.Milliseconds) (catalog.Changes, error) {
-	end := store.fleet.clock.Now().Add(wait)
+	store.countCall()
+	began := store.fleet.clock.Now()
+	end := began.Add(wait)
 	for {
-		if err := store.admit(ctx, process); err != nil {
+		if err := store.admit(ctx, process, began); err != nil {
 			return catalog.Changes{}, err
 		}
 		store.fleet.mutex.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -198,7 +198,8 @@
 		Clock: gateway.clock, Events: events, Log: gateway.options.Log, Jitter: rand.Float64,
 	})
 	gateway.controller.SetCatalogReader(fleet.CatalogReader{
-		SetRole: gateway.reader.SetRole, SetPeerRevision: gateway.reader.SetPeerRevision, Refresh: gateway.reader.Refresh, CatchUp: gateway.reader.CatchUp,
+		SetRole: gateway.reader.SetRole, SetPhase: gateway.reader.SetPhase, SetPeerRevision: gateway.reader.SetPeerRevision, Refresh: gateway.reader.Refresh,
+		CatchUp:   gateway.reader.CatchUp,
 		ReadStale: gateway.reader.ReadStale, LastResponse: gateway.reader.LastResponse, Failing: gateway.reader.Failing, PeerFailing: gateway.reader.PeerFailing,
 	})
 }
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -28,6 +28,9 @@
 	}
 	changed := !known || member.State != heartbeat.State || member.Incarnation != heartbeat.Incarnation
 	members.roster.changeAddress(member, address)
+	if member.CatalogFresh != heartbeat.CatalogFresh {
+		members.roster.reading = nil
+	}
 	member.update(now, heartbeat)
 	member.lastSeen = now
 	member.replyDue = member.replyDue || members.needsReply(heartbeat)
--- a/internal/membership/roster.go
+++ b/internal/membership/roster.go
@@ -16,10 +16,10 @@
 	byAddress map[netip.AddrPort]*Member
 	// all is sorted by name.
 	all []*Member
-	// alive, serving, ranking and summaryLists are nil when they must be rebuilt.
-	alive, serving []*Member
-	ranking        *ranking
-	summaryLists   *summaryLists
+	// alive, serving, reading, ranking and summaryLists are nil when they must be rebuilt.
+	alive, serving, reading []*Member
+	ranking                 *ranking
+	summaryLists            *summaryLists
 }
 
 func newRoster() roster {
@@ -91,7 +91,7 @@
 
 // invalidate must be called after a member's state or identity has changed.
 func (roster *roster) invalidate() {
-	roster.alive, roster.serving, roster.ranking, roster.summaryLists = nil, nil, nil, nil
+	roster.alive, roster.serving, roster.reading, roster.ranking, roster.summaryLists = nil, nil, nil, nil, nil
 }
 
 // listAlive returns the members that are alive, by name. Callers must not change the list.
@@ -110,6 +110,14 @@
 	return roster.serving
 }
 
+// listReading returns the members that read the store and get answers, and those that serve, by name. Callers must not change the list.
+func (roster *roster) listReading() []*Member {
+	if roster.reading == nil {
+		roster.reading = filter(roster.listAlive(), func(member *Member) bool { return member.State == Serving || member.CatalogFresh })
+	}
+	return roster.reading
+}
+
 // filter never returns nil, which means that a list must be rebuilt.
 func filter(members []*Member, wanted func(*Member) bool) []*Member {
 	kept := make([]*Member, 0, len(members))
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -1,10 +1,13 @@
 package membership
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 
 	"github.com/jaywheel/jaywheel/internal/catalog"
 	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
 )
 
 // Alive returns the other instances that are not lost, by name. Callers must not change the list.
@@ -67,28 +70,46 @@
 	return members.roster.all
 }
 
-// Leaders summarizes what the other serving instances report of their catalogs.
+// Leaders summarizes what the other instances that serve, or read the store in their place, report of their catalogs.
 type Leaders struct {
-	// NewestRevision is the newest revision that one of them has.
+	// NewestRevision is the newest revision that one of them has, NewestVersion the newest version.
 	NewestRevision catalog.Revision
-	// LastSeen is when the last heartbeat of any of them came, LastFresh when the last one of an instance came whose catalog is
+	NewestVersion  catalog.Version
+	// Unanswered is the number of serving instances that get no answers of the store.
+	Unanswered int
+	// LastSeen is when the last heartbeat of a serving instance came, LastFresh when the last one of those came whose catalog is
 	// fresh; 0 when there is none.
 	LastSeen, LastFresh clock.Moment
 }
 
-// Leaders returns what the other serving instances report of their catalogs.
+// Leaders returns what the other instances that serve, or read the store in their place, report of their catalogs.
 func (members *Members) Leaders() Leaders {
 	var leaders Leaders
-	for _, peer := range members.ServingPeers() {
+	for _, peer := range members.roster.listReading() {
 		leaders.NewestRevision = max(leaders.NewestRevision, peer.Revision)
-		leaders.LastSeen = max(leaders.LastSeen, peer.lastSeen)
-		if peer.CatalogFresh {
+		leaders.NewestVersion = max(leaders.NewestVersion, peer.Version)
+		switch {
+		case peer.State != Serving:
+			continue
+		case peer.CatalogFresh:
 			leaders.LastFresh = max(leaders.LastFresh, peer.lastSeen)
+		default:
+			leaders.Unanswered++
 		}
+		leaders.LastSeen = max(leaders.LastSeen, peer.lastSeen)
 	}
 	return leaders
 }
 
+// ServingPosition returns the position of this instance among all that serve, by name, and their number. It is counted as serving.
+func (members *Members) ServingPosition() (int, int) {
+	serving := members.ServingPeers()
+	position, _ := slices.BinarySearchFunc(serving, members.options.Self.Name, func(member *Member, name settings.InstanceName) int {
+		return cmp.Compare(member.Identity.Name, name)
+	})
+	return position, len(serving) + 1
+}
+
 // RecordMessage records that a serving instance has sent a message other than a heartbeat.
 func (members *Members) RecordMessage(incarnation Incarnation) {
 	for _, peer := range members.ServingPeers() {
