Refuse nothing for good by a configuration that may be outdated

After the end of all processes right after a change, callers got 404 for a route that had been confirmed, and 401 for a key.

Cause: a restarted instance serves callers by a stale read, which may lack the newest configuration. It took its keys for current in its first 1.5 s, since the time of the last fresh view was 0 and so is the origin of the clock of a process; and routes had no such check at all.

Evidence: TestRestartedInstancesRefuseNothingByAnOldConfiguration, with the clock of each process starting with it, fails before in 4 of 8 forms: 10 ms after its start the first instance refuses what version 2 allows by version 1, whether the store answers or only its stale reads do. TestUnknownRouteMayBeInANewerConfiguration fails before in 2 of 3 forms: 404.

Change: an instance that has had no answer of the store, nor a heartbeat of one that has, since it started takes its keys and routes for unverified, and so does one whose last was 1.5 s ago or that knows of a newer version. It answers 503 with Retry-After, outcome notRun, to a request without a route then, as it does for an unknown key. Where the configuration is current, 404 stays.

TestRelayedRequestWithoutARouteIsNotRefusedForGood passes before as well: a relayed request never got the 404 of the other instance.

--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -14,6 +14,7 @@
 	"github.com/jaywheel/jaywheel/internal/relay"
 	"github.com/jaywheel/jaywheel/internal/routing"
 	"github.com/jaywheel/jaywheel/internal/service"
+	"github.com/jaywheel/jaywheel/internal/team"
 	"github.com/jaywheel/jaywheel/internal/trace"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/outcome"
@@ -132,13 +133,8 @@
 		return newRejection(http.StatusBadRequest, outcome.ReasonBadRequest, errDotSegment)
 	}
 	route, err := call.findRoute()
-	switch {
-	case errors.Is(err, routing.ErrNoService):
-		return newRejection(http.StatusNotFound, outcome.ReasonNoService, err)
-	case errors.Is(err, routing.ErrUnresolvedRoute):
-		return &errorResponse{status: http.StatusServiceUnavailable, reason: outcome.ReasonNoSettings, retryAfter: clock.Second, cause: err}
-	case err != nil:
-		return newRejection(http.StatusMethodNotAllowed, outcome.ReasonNoService, err)
+	if err != nil {
+		return call.rejectRoute(err)
 	}
 	call.route = route
 	if errorResponse := call.authenticate(); errorResponse != nil {
@@ -165,6 +161,20 @@
 	return call.chargeQuota()
 }
 
+// rejectRoute returns the error response for a request without a route. While a newer configuration may exist, it may have the route.
+func (call *call) rejectRoute(err error) *errorResponse {
+	switch {
+	case errors.Is(err, routing.ErrNoService) && call.keyFreshness() != team.KeysCurrent:
+		return &errorResponse{status: http.StatusServiceUnavailable, reason: outcome.ReasonNoSettings, retryAfter: unconfirmedRetryAfter, cause: errUnconfirmedRoute}
+	case errors.Is(err, routing.ErrNoService):
+		return newRejection(http.StatusNotFound, outcome.ReasonNoService, err)
+	case errors.Is(err, routing.ErrUnresolvedRoute):
+		return &errorResponse{status: http.StatusServiceUnavailable, reason: outcome.ReasonNoSettings, retryAfter: clock.Second, cause: err}
+	default:
+		return newRejection(http.StatusMethodNotAllowed, outcome.ReasonNoService, err)
+	}
+}
+
 // awaitTurn lets a request that must not run twice wait until all earlier ones of its connection have been answered. If one of their
 // responses closed the connection, the request would count as not read, and the caller would send it again.
 func (call *call) awaitTurn() *errorResponse {
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -29,7 +29,7 @@
 	AwaitTable func(context.Context) *routing.Table
 	// Quota enforces the teams' rate limits; it may be nil.
 	Quota *quota.Limiter
-	// KeyFreshness returns how current the API keys of the active table are; nil means that they are current.
+	// KeyFreshness returns how current the API keys and the routes of the active table are; nil means that they are current.
 	KeyFreshness func() team.KeySetStatus
 	// Servers are the connections to backend servers.
 	Servers *backendserver.Servers
--- a/internal/caller/identity.go
+++ b/internal/caller/identity.go
@@ -23,18 +23,19 @@
 // maxKeyLength is the length in bytes of the longest key accepted.
 const maxKeyLength = 4096
 
-// unconfirmedKeyRetryAfter is the retry delay if an instance whose configuration may be outdated cannot confirm the API key.
-const unconfirmedKeyRetryAfter = 250 * clock.Millisecond
+// unconfirmedRetryAfter is the retry delay if an instance whose configuration may be outdated finds no route, or cannot confirm the API key.
+const unconfirmedRetryAfter = 250 * clock.Millisecond
 
 // Reasons to reject a request for its API key or its team. The messages do not quote what the caller sent.
 var (
-	errNoKey          = errors.New("request has no API key")
-	errMultipleKeys   = errors.New("request has more than one API key")
-	errMalformedKey   = errors.New("API key is not of the form \"Bearer KEY\"")
-	errUnknownKey     = errors.New("no team has the API key")
-	errUnconfirmedKey = errors.New("no team has the API key in a configuration that may be outdated")
-	errStaleKeys      = errors.New("store has not answered for so long that the API key may have been revoked")
-	errTeamLimit      = errors.New("team's rate limit is reached")
+	errNoKey            = errors.New("request has no API key")
+	errMultipleKeys     = errors.New("request has more than one API key")
+	errMalformedKey     = errors.New("API key is not of the form \"Bearer KEY\"")
+	errUnknownKey       = errors.New("no team has the API key")
+	errUnconfirmedKey   = errors.New("no team has the API key in a configuration that may be outdated")
+	errUnconfirmedRoute = errors.New("no route matches in a configuration that may be outdated")
+	errStaleKeys        = errors.New("store has not answered for so long that the API key may have been revoked")
+	errTeamLimit        = errors.New("team's rate limit is reached")
 )
 
 // identity is the team that a request's API key belongs to.
@@ -81,11 +82,11 @@
 	freshness := call.keyFreshness()
 	switch {
 	case err == nil && freshness == team.KeysStale:
-		return &errorResponse{status: http.StatusServiceUnavailable, reason: outcome.ReasonNoSettings, retryAfter: unconfirmedKeyRetryAfter, cause: errStaleKeys}
+		return &errorResponse{status: http.StatusServiceUnavailable, reason: outcome.ReasonNoSettings, retryAfter: unconfirmedRetryAfter, cause: errStaleKeys}
 	case err == nil:
 		return nil
 	case errors.Is(err, errUnknownKey) && freshness != team.KeysCurrent:
-		return &errorResponse{status: http.StatusServiceUnavailable, reason: outcome.ReasonNoSettings, retryAfter: unconfirmedKeyRetryAfter, cause: errUnconfirmedKey}
+		return &errorResponse{status: http.StatusServiceUnavailable, reason: outcome.ReasonNoSettings, retryAfter: unconfirmedRetryAfter, cause: errUnconfirmedKey}
 	default:
 		call.writer.Header().Set("WWW-Authenticate", keyScheme)
 		return newRejection(http.StatusUnauthorized, outcome.ReasonUnauthorized, err)
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -13,6 +13,7 @@
 	"github.com/jaywheel/jaywheel/internal/routing"
 	"github.com/jaywheel/jaywheel/internal/sensing"
 	"github.com/jaywheel/jaywheel/internal/service"
+	"github.com/jaywheel/jaywheel/internal/team"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
@@ -217,6 +218,7 @@
 	controller.reach = newReachState(options)
 	controller.coldLog.logged = map[settings.TargetName]service.Source{}
 	controller.downLog.logged = map[settings.ServiceName]service.DownTargets{}
+	controller.teams.keyStatus.Store(int32(team.KeysUnverified))
 	tableSet := make(chan struct{})
 	controller.tableSet.Store(&tableSet)
 	return controller
--- a/internal/fleet/teams.go
+++ b/internal/fleet/teams.go
@@ -38,7 +38,7 @@
 	// minStartFraction is the minimum fleet fraction of an instance that started less than visibilitySettleTime ago: after a
 	// restart of all instances none has received messages of the others yet, and callers arrive at once.
 	minStartFraction = 0.45
-	// freshViewTimeout is the maximum time since the last fresh view, here or at a peer, for which a key that the view does
+	// freshViewTimeout is the maximum time since the last fresh view, here or at a peer, for which a key or a route that the view does
 	// not contain counts as being in no configuration.
 	freshViewTimeout = 1500 * clock.Millisecond
 )
@@ -54,8 +54,8 @@
 	nextReport, reportedAt clock.Moment
 	// nextFleetFraction is when the fleet fraction is next computed.
 	nextFleetFraction clock.Moment
-	// freshAt is when this instance, or a peer whose heartbeats it receives, last had a fresh view; keyStatus is the resulting
-	// status of the API keys.
+	// freshAt is when this instance, or a peer whose heartbeats it receives, last had a fresh view, 0 when neither had since this
+	// process started: the clock of a process starts with it. keyStatus is the resulting status of the API keys and routes.
 	freshAt   clock.Moment
 	keyStatus atomic.Int32
 }
@@ -177,7 +177,7 @@
 	return min(float64(recent)/float64(serving), controller.members.VisibleFraction())
 }
 
-// KeyStatus returns how reliable the API keys of the table in force are.
+// KeyStatus returns how reliable the API keys and the routes of the table in force are.
 func (controller *Controller) KeyStatus() team.KeySetStatus {
 	return team.KeySetStatus(controller.teams.keyStatus.Load())
 }
@@ -195,7 +195,7 @@
 	switch bounds := controller.options.Bounds; {
 	case bounds.FailClosed && silent > bounds.RevokeWithin:
 		status = team.KeysStale
-	case silent > freshViewTimeout || controller.view == nil || controller.versionBehind():
+	case controller.teams.freshAt == 0 || silent > freshViewTimeout || controller.view == nil || controller.versionBehind():
 		status = team.KeysUnverified
 	}
 	controller.teams.keyStatus.Store(int32(status))
