--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -13,6 +13,7 @@
 	"github.com/jaywheel/jaywheel/internal/routing"
 	"github.com/jaywheel/jaywheel/internal/sensing"
 	"github.com/jaywheel/jaywheel/internal/service"
+	"github.com/jaywheel/jaywheel/internal/team"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
@@ -45,6 +46,11 @@
 	// receive the view that the next one reads, and hundreds of calls to a store that is down help no caller.
 	leaderlessTimeoutNext   = 600 * clock.Millisecond
 	leaderlessTimeoutOthers = 12 * clock.Second
+	// doubtDelay is how long a serving instance may report that it gets no answers of the store before one that is next to serve reads
+	// the store as well. An instance that has just begun to serve has no answer yet. After doubtPeriod, the watches of all other
+	// serving instances have ended, and only if none of them gets answers does it continue.
+	doubtDelay  = 100 * clock.Millisecond
+	doubtPeriod = 2600 * clock.Millisecond
 	// silentLeadersTimeout is how long all serving instances with a fresh view may be silent before a standby instance reads
 	// the store itself. Each of them sends it a message once a second. They count as lost only after 3.2 s of silence, but a
 	// server that leaves must receive no requests after 2 s.
@@ -130,6 +136,9 @@
 	history         *catalog.History
 	role            catalog.Role
 	leaderlessSince clock.Moment
+	// unanswered is the number of serving instances that get no answers of the store, which last increased at unansweredSince.
+	unanswered      int
+	unansweredSince clock.Moment
 	started         clock.Moment
 	// servingSince is when this instance last began to serve.
 	servingSince             clock.Moment
@@ -209,6 +218,7 @@
 	controller.reach = newReachState(options)
 	controller.coldLog.logged = map[settings.TargetName]service.Source{}
 	controller.downLog.logged = map[settings.ServiceName]service.DownTargets{}
+	controller.teams.keyStatus.Store(int32(team.KeysUnverified))
 	tableSet := make(chan struct{})
 	controller.tableSet.Store(&tableSet)
 	return controller
