Restart components independently of each other

One supervisor counts the failures of all its components together, and pauses all restarts for 1 to 1.5 s after five of them. A component that fails at every start delayed each restart of the three beside it: a controller that panicked once beside probes that always did was away for 1.4 s. Each component has a supervisor of its own now.

TestPermanentFailureStaysAlone failed before in all five cases: delays of 1.44 to 1.46 s in the first three; the last two ended the component or the tree.

--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -1,11 +1,15 @@
 // Package supervisor builds the supervision tree of an instance's components. A component that returns or panics is
-// restarted, and its failure is counted and logged; the other components are not affected.
+// restarted, and its failure is counted and logged; the other components are not affected. A Guard does the same for the goroutines
+// that components start, except that nothing restarts these.
 //
 // # Usage
 //
 //	root := supervisor.New("entry", supervisor.Options{Log: log, Events: events})
 //	root.Add(supervisor.Component{Name: "control", Serve: controller.Serve})
 //	err := root.Serve(ctx)
+//
+//	guard := supervisor.NewGuard(supervisor.Options{Log: log, Events: events})
+//	go func() { results <- guard.Run("reader", read) }()
 package supervisor
 
 import (
@@ -13,6 +17,7 @@
 	"expvar"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"github.com/thejerf/suture/v4"
 )
@@ -20,8 +25,8 @@
 // EventRestart counts restarts of components that returned or panicked.
 const EventRestart = "supervisor.restarts"
 
-// Components are restarted immediately until there have been failureThreshold failures within failureDecaySeconds. Then
-// restarts pause for failureBackoff, so that a component that fails at every start does not use all CPU time.
+// A component is restarted immediately until it has failed failureThreshold times within failureDecaySeconds. Then its restarts pause for
+// failureBackoff, so that a component that fails at every start does not use all CPU time.
 const (
 	failureThreshold    = 5
 	failureDecaySeconds = 10
@@ -45,19 +50,23 @@
 
 // Tree supervises components and restarts them when they fail.
 type Tree struct {
-	root *suture.Supervisor
+	root  *suture.Supervisor
+	spec  suture.Spec
+	guard *Guard
 }
 
 // New returns a tree without components.
 func New(name string, options Options) *Tree {
+	guard := NewGuard(options)
 	spec := suture.Spec{
 		FailureThreshold: failureThreshold,
 		FailureDecay:     failureDecaySeconds,
 		FailureBackoff:   failureBackoff,
 		Timeout:          stopTimeout,
-		EventHook:        options.hook,
+		// A panic in the hook would end the supervisor itself.
+		EventHook: func(event suture.Event) { guard.run("supervisor", func() { options.hook(event) }) },
 	}
-	return &Tree{root: suture.New(name, spec)}
+	return &Tree{root: suture.New(name, spec), spec: spec, guard: guard}
 }
 
 func (options Options) hook(event suture.Event) {
@@ -72,9 +81,12 @@
 	}
 }
 
-// Add adds a component.
+// Add adds a component. It gets a supervisor of its own: one supervisor counts the failures of all its components together, and one that
+// fails at every start would delay the restarts of the others.
 func (tree *Tree) Add(component Component) {
-	tree.root.Add(service{component: component})
+	leaf := suture.New(component.Name, tree.spec)
+	leaf.Add(service{component: component, guard: tree.guard})
+	tree.root.Add(leaf)
 }
 
 // AddTree adds a subtree.
@@ -90,11 +102,22 @@
 // service adapts a component to suture.Service.
 type service struct {
 	component Component
+	guard     *Guard
 }
 
+// errEnded is the failure of a component that returned an error with a meaning of its own for suture, such as not to be restarted.
+var errEnded = errors.New("a component ended")
+
 // Serve implements suture.Service.
 func (service service) Serve(ctx context.Context) error {
-	return service.component.Serve(ctx)
+	var err error
+	if panicError := service.guard.Run(service.component.Name, func() { err = service.component.Serve(ctx) }); panicError != nil {
+		return panicError
+	}
+	if ctx.Err() == nil && (errors.Is(err, suture.ErrDoNotRestart) || errors.Is(err, suture.ErrTerminateSupervisorTree)) {
+		return errEnded
+	}
+	return err
 }
 
 // String returns the component's name, which suture uses in events.
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"expvar"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+	"github.com/thejerf/suture/v4"
 )
 
 // Guards against a fault in a control component that interrupts traffic: a component that panics and one that returns an
@@ -51,3 +54,52 @@
 	require.Equal(t, "2", events.Get(EventRestart).String())
 	require.Empty(t, starts)
 }
+
+// Guards against a component that fails at every start and delays the restarts of those next to it, or ends the tree.
+func TestPermanentFailureStaysAlone(t *testing.T) {
+	cases := []struct {
+		name string
+		fail func() error
+	}{
+		{"panics", func() error { panic("on purpose") }},
+		{"ends", func() error { return errors.New("on purpose") }},
+		{"ends with the error of another context", func() error { return context.Canceled }},
+		{"asks not to be restarted", func() error { return suture.ErrDoNotRestart }},
+		{"asks for the end of the tree", func() error { return errors.Wrap(suture.ErrTerminateSupervisorTree, "on purpose") }},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const period = 20 * time.Second
+				options := Options{Log: zerolog.Nop(), Events: (&expvar.Map{}).Init()}
+				root, control := New("root", options), New("control", options)
+				failures := 0
+				control.Add(Component{Name: "broken", Serve: func(context.Context) error {
+					failures++
+					return testCase.fail()
+				}})
+				var restartDelays []time.Duration
+				var failedAt time.Time
+				control.Add(Component{Name: "sibling", Serve: func(ctx context.Context) error {
+					if !failedAt.IsZero() {
+						restartDelays = append(restartDelays, time.Since(failedAt))
+					}
+					select {
+					case <-time.After(period / 4):
+						failedAt = time.Now()
+						return errors.New("on purpose")
+					case <-ctx.Done():
+						return ctx.Err()
+					}
+				}})
+				root.AddTree(control)
+				ctx, stop := context.WithTimeout(t.Context(), period+time.Second)
+				defer stop()
+				require.ErrorIs(t, root.Serve(ctx), context.DeadlineExceeded)
+				require.Equal(t, make([]time.Duration, 4), restartDelays)
+				require.Greater(t, failures, int(period/failureBackoff))
+				require.Less(t, failures, 10*int(period/failureBackoff), "a component that fails at every start must not use all CPU time")
+			})
+		})
+	}
+}
