Isolate panics in the control goroutine's work

An event of the controller that panicked ended Serve: the event was lost, and its view counted as applied although its routes were not in force. The next view was then applied as a difference from one that never was. A view that panics each time (an entry with slots 2^63-1) kept all later changes from being followed.

Events, the parts of a tick, and each server, service and route of a view are isolated now: a panic in one is counted and logged, the others come into force, and everything is computed again from the view at most once a second until no part panics. A route that cannot be set up keeps its entry if it has not changed, and is refused with 503 otherwise. A query that panics returns an error to its caller, and receiveDown no longer keeps a lock.

--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -65,6 +65,8 @@
 	// storeFailurePeerReadInterval is the minimum interval between two reads of a peer's view while the store refuses the calls
 	// of this instance.
 	storeFailurePeerReadInterval = 200 * clock.Millisecond
+	// recomputeInterval is the minimum interval between two computations of everything because a part has panicked.
+	recomputeInterval = clock.Second
 	// peerReadInterval is the minimum interval between two reads of a peer's view for changes of backend servers only. A standby
 	// instance sends next to no requests, and changes come in bursts.
 	peerReadInterval = clock.Second
@@ -166,6 +168,12 @@
 	downLog            downLog
 	coldLog            coldLog
 	reach              reachState
+	// routes are those of the table in force, and entries what they were made into.
+	routes  []catalog.Route
+	entries []*routing.Entry
+	// incomplete means that work of the control goroutine has panicked, and nextRecompute is when everything is next computed because of it.
+	incomplete    bool
+	nextRecompute clock.Moment
 	// relayPeersSet is whether instances for relayed requests have been set, nextRelayPeers when they are next set.
 	relayPeersSet  bool
 	nextRelayPeers clock.Moment
@@ -228,17 +236,25 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case arrived := <-controller.inbox:
-			arrived(controller)
+			controller.isolate("control event", func() { arrived(controller) })
 			if controller.advanceTick() {
 				timer.Reset(servingTickInterval.Duration())
 			}
 		case <-timer.C:
-			controller.tick()
+			controller.isolate("control tick", controller.tick)
 			timer.Reset(controller.nextTick.Since(controller.options.Clock.Now()).Duration())
 		}
 	}
 }
 
+// isolate does a part of the control goroutine's work. If it panics, the rest is still done, and everything is soon computed again from the
+// view, since the part may have been done in half.
+func (controller *Controller) isolate(component string, work func()) {
+	if controller.options.Guard.Run(component, work) != nil {
+		controller.incomplete = true
+	}
+}
+
 // event is work that the control goroutine executes.
 type event func(*Controller)
 
--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -14,6 +14,7 @@
 	"github.com/jaywheel/jaywheel/internal/quota"
 	"github.com/jaywheel/jaywheel/internal/relay"
 	"github.com/jaywheel/jaywheel/internal/sensing"
+	"github.com/jaywheel/jaywheel/internal/supervisor"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
@@ -33,6 +34,8 @@
 	Servers   *backendserver.Servers
 	Registry  *metrics.Registry
 	Log       zerolog.Logger
+	// Guard recovers panics in parts of the control goroutine's work; nil lets them pass.
+	Guard *supervisor.Guard
 	// ProcessorTime returns the processor time that this process has used; nil if it is not known.
 	ProcessorTime func() clock.Milliseconds
 	// SentBytes returns the number of bytes sent to callers; nil if it is not known. LinkRate is the number of bytes per millisecond
--- a/internal/fleet/share.go
+++ b/internal/fleet/share.go
@@ -23,7 +23,7 @@
 
 // shareReadings sends the readings of this instance's probes to the other serving instances.
 func (controller *Controller) shareReadings(now clock.Moment) {
-	if now < controller.nextReadingShare {
+	if !controller.sharesLoad() || now < controller.nextReadingShare {
 		return
 	}
 	controller.nextReadingShare = now.Add(controller.readingShareInterval())
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -57,16 +57,26 @@
 	Targets []service.TargetState `json:"targets"`
 }
 
+// errQueryFailed means that a query has panicked on the control goroutine.
+var errQueryFailed = errors.New("the query failed on the control goroutine")
+
 // query runs a function on the control goroutine and returns its result. The error is that of the context if the control
-// goroutine does not respond in time.
+// goroutine does not respond in time, or errQueryFailed.
 func query[T any](ctx context.Context, controller *Controller, read func(*Controller) T) (T, error) {
 	result := make(chan T, 1)
 	var none T
-	if err := controller.post(ctx, func(controller *Controller) { result <- read(controller) }); err != nil {
+	answer := func(controller *Controller) {
+		defer close(result)
+		result <- read(controller)
+	}
+	if err := controller.post(ctx, answer); err != nil {
 		return none, errors.Wrap(err, "queue a query for the control goroutine")
 	}
 	select {
-	case value := <-result:
+	case value, answered := <-result:
+		if !answered {
+			return none, errQueryFailed
+		}
 		return value, nil
 	case <-ctx.Done():
 		return none, errors.Wrap(ctx.Err(), "wait for the response of the control goroutine")
--- a/internal/fleet/tick.go
+++ b/internal/fleet/tick.go
@@ -21,6 +21,34 @@
 	return true
 }
 
+// tickStep is a part of the timed work that is done although others panic.
+type tickStep struct {
+	component string
+	run       func(*Controller, clock.Moment)
+}
+
+// tickSteps are the parts of the timed work, in their order.
+var tickSteps = []tickStep{
+	{"suspension", func(controller *Controller, _ clock.Moment) { controller.checkSuspended() }},
+	{"membership", (*Controller).updateMembership},
+	{"instance state", (*Controller).updateState},
+	{"load", (*Controller).updateLoad},
+	{"reach", (*Controller).updateReach},
+	{"heartbeats", func(controller *Controller, _ clock.Moment) { controller.sendHeartbeats() }},
+	{"addresses", (*Controller).updateAddresses},
+	{"schedulers", (*Controller).updateSchedulers},
+	{"readings", (*Controller).shareReadings},
+	{"log of targets that are down", (*Controller).logDown},
+	{"log of cold targets", (*Controller).logCold},
+	{"declarations", (*Controller).reportDeclarations},
+	{"loans", (*Controller).exchangeLoans},
+	{"quarantine", (*Controller).reportQuarantine},
+	{"key status", (*Controller).updateKeyStatus},
+	{"fleet fraction", (*Controller).updateFleetFraction},
+	{"quota", (*Controller).reportQuota},
+	{"idle connections", (*Controller).closeIdle},
+}
+
 // tick runs the timed work.
 func (controller *Controller) tick() {
 	now := controller.options.Clock.Now()
@@ -31,57 +59,69 @@
 			controller.lateTickAt, controller.lateTickBy = now, late
 		}
 	}
-	controller.checkSuspended()
-	if changed := controller.members.UpdateStates(); changed || controller.membershipDirty {
+	// This holds if the computation of the interval panics.
+	controller.nextTick = now.Add(standbyTickInterval)
+	for index := range tickSteps {
+		step := &tickSteps[index]
+		controller.isolate(step.component, func() { step.run(controller, now) })
+	}
+	interval := standbyTickInterval
+	if state := controller.members.State(); state == membership.Serving || state == membership.Joining {
+		interval = servingTickInterval
+	}
+	controller.nextTick = now.Add(interval)
+}
+
+// updateMembership follows the changes of membership since the last tick, and computes everything again if a part has panicked.
+func (controller *Controller) updateMembership(now clock.Moment) {
+	changed := controller.members.UpdateStates()
+	if changed || controller.membershipDirty {
 		controller.membershipDirty = false
 		controller.publishIfServingChanged()
 	}
-	controller.updateState(now)
-	controller.updateLoad(now)
-	controller.updateReach(now)
-	controller.sendHeartbeats()
+	if controller.incomplete && now >= controller.nextRecompute {
+		controller.nextRecompute = now.Add(recomputeInterval)
+		controller.publish()
+	}
+}
+
+// updateAddresses updates the addresses given to callers while there is no leader: each heartbeat may change which instances are present.
+func (controller *Controller) updateAddresses(clock.Moment) {
 	if controller.members.Leaderless() {
-		// Without a leader, each heartbeat may change which instances are present.
 		controller.publishAddresses()
 	}
-	serving := controller.updateSchedulers()
-	if serving {
-		controller.shareReadings(now)
-	}
-	controller.logDown(now)
-	controller.logCold(now)
-	controller.reportDeclarations(now)
-	controller.exchangeLoans(now)
-	controller.reportQuarantine(now)
-	controller.updateKeyStatus(now)
-	controller.updateFleetFraction(now)
-	controller.reportQuota(now)
-	if now >= controller.nextIdleClose {
-		controller.nextIdleClose = now.Add(clock.Second)
-		controller.options.Servers.CloseIdle()
-		controller.lending.forgetOldSequences(now)
-	}
-	interval := standbyTickInterval
-	if state := controller.members.State(); state == membership.Serving || state == membership.Joining {
-		interval = servingTickInterval
+}
+
+// closeIdle closes idle connections to backend servers.
+func (controller *Controller) closeIdle(now clock.Moment) {
+	if now < controller.nextIdleClose {
+		return
 	}
-	controller.nextTick = now.Add(interval)
+	controller.nextIdleClose = now.Add(clock.Second)
+	controller.options.Servers.CloseIdle()
+	controller.lending.forgetOldSequences(now)
+}
+
+// sharesLoad reports whether this instance serves callers in the view of the others.
+func (controller *Controller) sharesLoad() bool {
+	state := controller.members.State()
+	return state == membership.Serving || state == membership.Leaving
 }
 
-// updateSchedulers tells the schedulers what part of the limits of servers this instance may use, and reports whether it serves.
-func (controller *Controller) updateSchedulers() bool {
+// updateSchedulers tells the schedulers what part of the limits of servers this instance may use.
+func (controller *Controller) updateSchedulers(clock.Moment) {
 	share := standbyRateShare
-	serving := controller.members.State() == membership.Serving || controller.members.State() == membership.Leaving
-	if serving {
+	if controller.sharesLoad() {
 		share = min(maxRateShareFactor*controller.members.VisibleFraction(), 1)
 	}
 	counting := controller.counting()
 	for _, state := range controller.services {
-		state.scheduler.SetRateShare(share)
-		state.scheduler.SetBorrowing(!counting)
-		state.scheduler.Sweep()
+		controller.isolate("scheduler", func() {
+			state.scheduler.SetRateShare(share)
+			state.scheduler.SetBorrowing(!counting)
+			state.scheduler.Sweep()
+		})
 	}
-	return serving
 }
 
 // counting reports whether this instance counts the requests to limited servers. One that leaves does so only if it knows no other that
--- a/internal/fleet/verification.go
+++ b/internal/fleet/verification.go
@@ -21,13 +21,7 @@
 // server, so this instance probes it as well.
 func (controller *Controller) receiveDown(now clock.Moment, ref targetRef) {
 	state := controller.services[ref.service]
-	controller.latestMutex.Lock()
-	verified := now.Since(controller.reach.verifiedAt[ref.name]) <= verificationValidity && controller.reach.verifiedAt[ref.name] > 0
-	due := now >= controller.reach.nextVerification[ref.name] && !controller.reach.tracker.Unreachable(ref.service)
-	if due {
-		controller.reach.nextVerification[ref.name] = now.Add(verificationInterval)
-	}
-	controller.latestMutex.Unlock()
+	verified, due := controller.verification(now, ref)
 	if !verified {
 		controller.setDown(state.scheduler, ref.name, true, service.FromPeer)
 	}
@@ -37,6 +31,19 @@
 	}
 }
 
+// verification reports whether the server has responded lately to a probe of this instance, and whether it is to be probed now.
+func (controller *Controller) verification(now clock.Moment, ref targetRef) (bool, bool) {
+	due := !controller.reach.tracker.Unreachable(ref.service)
+	controller.latestMutex.Lock()
+	defer controller.latestMutex.Unlock()
+	verified := now.Since(controller.reach.verifiedAt[ref.name]) <= verificationValidity && controller.reach.verifiedAt[ref.name] > 0
+	due = due && now >= controller.reach.nextVerification[ref.name]
+	if due {
+		controller.reach.nextVerification[ref.name] = now.Add(verificationInterval)
+	}
+	return verified, due
+}
+
 // recordVerification records a probe of a server that its owner reports as down.
 func (controller *Controller) recordVerification(scheduler *service.Scheduler, result sensing.Result) {
 	if result.Err != nil {
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math/rand/v2"
+	"reflect"
 	"slices"
 
 	"github.com/jaywheel/jaywheel/internal/backendserver"
@@ -69,7 +70,7 @@
 		return
 	}
 	// The time is 0 after a suspension of the machine, when the table has been discarded.
-	inForce := controller.viewAppliedAt > 0 && controller.table.Load() != nil
+	inForce := controller.viewAppliedAt > 0 && controller.table.Load() != nil && !controller.incomplete
 	controller.view = view
 	controller.viewAppliedAt = controller.options.Clock.Now()
 	controller.history.Record(view)
@@ -105,7 +106,7 @@
 // publishServing brings up to date what depends on which instances serve, and on which of them reach which services. It does not visit
 // the servers that stay with their owners: at a loss of a data centre it runs many times a second, at every instance of the fleet.
 func (controller *Controller) publishServing() {
-	if controller.table.Load() == nil {
+	if controller.table.Load() == nil || controller.incomplete {
 		controller.publish()
 		return
 	}
@@ -118,22 +119,24 @@
 	controller.setMinProbePause()
 }
 
-// publish computes owners, target configurations, probe jobs and routes, and puts a new table in force.
+// publish computes owners, target configurations, probe jobs and routes, and puts a new table in force. A server, a service or a route
+// whose configuration panics does not keep the others from being configured.
 func (controller *Controller) publish() {
 	defer func() {
 		// A standby instance is ready as well: it serves the requests of callers with old address answers.
 		controller.ready.Store(controller.members.State() != membership.Leaving && controller.table.Load() != nil)
 	}()
+	controller.incomplete = false
 	controller.serving = controller.members.Serving()
-	controller.publishAddresses()
+	controller.isolate("addresses", controller.publishAddresses)
 	if controller.view == nil || controller.view.Configuration == nil || controller.viewAppliedAt == 0 {
 		return
 	}
-	controller.setTeams()
+	controller.isolate("teams", controller.setTeams)
 	controller.setServices()
-	controller.owned = controller.ownedServers()
+	controller.isolate("owners", func() { controller.owned = controller.ownedServers() })
 	controller.setTargets()
-	controller.setTable(controller.newTable())
+	controller.isolate("table", func() { controller.setTable(controller.newTable()) })
 }
 
 // setServices creates or updates the state of every service that the routes or the configured limits name. It returns the services
@@ -141,13 +144,16 @@
 func (controller *Controller) setServices() map[settings.ServiceName]bool {
 	configuration := controller.view.Configuration
 	changed := map[settings.ServiceName]bool{}
+	set := func(name settings.ServiceName) {
+		controller.isolate("service", func() { changed[name] = controller.setService(name, configuration.Services[name]) || changed[name] })
+	}
 	for index := range configuration.Routes {
 		for _, part := range configuration.Routes[index].Split {
-			changed[part.Service] = controller.setService(part.Service, configuration.Services[part.Service]) || changed[part.Service]
+			set(part.Service)
 		}
 	}
-	for name, limits := range configuration.Services {
-		changed[name] = controller.setService(name, limits) || changed[name]
+	for name := range configuration.Services {
+		set(name)
 	}
 	maps.DeleteFunc(changed, func(_ settings.ServiceName, changed bool) bool { return !changed })
 	return changed
@@ -166,7 +172,6 @@
 			budget: service.NewSharedRetryBudget(0, 0),
 		}
 		state.connectionLimit = func() int { return int(state.maxConnections.Load()) }
-		controller.services[name] = state
 	}
 	state.limits = limits
 	state.budget.SetRetryRatio(controller.options.Bounds.RetryShare * retryBudgetMargin)
@@ -179,6 +184,7 @@
 		Connections:          connections,
 		ReportPath:           limits.ProbePath,
 	}
+	controller.services[name] = state
 	return changed
 }
 
@@ -198,19 +204,22 @@
 			continue
 		}
 		seen[server.Name] = true
-		targetConfigs[server.Service] = append(targetConfigs[server.Service], controller.targetConfig(server, state))
-		controller.setServer(server, state)
+		controller.isolate("server", func() {
+			config := controller.targetConfig(server, state)
+			controller.setServer(server, state)
+			targetConfigs[server.Service] = append(targetConfigs[server.Service], config)
+		})
 	}
 	for name, server := range controller.knownServers {
 		if !seen[name] {
-			controller.forgetServer(&server)
+			controller.isolate("server that is gone", func() { controller.forgetServer(&server) })
 		}
 	}
 	for name, state := range controller.services {
-		state.scheduler.SetTargets(targetConfigs[name])
+		controller.isolate("targets", func() { state.scheduler.SetTargets(targetConfigs[name]) })
 	}
-	controller.setReachTargets(targetConfigs)
-	controller.setJobs()
+	controller.isolate("reach", func() { controller.setReachTargets(targetConfigs) })
+	controller.isolate("probe jobs", controller.setJobs)
 }
 
 func (controller *Controller) targetConfig(server *catalog.Server, state *serviceState) service.TargetConfig {
@@ -277,8 +286,15 @@
 	}
 	entries := make([]*routing.Entry, 0, len(configuration.Routes))
 	for index := range configuration.Routes {
-		entries = append(entries, controller.entry(&configuration.Routes[index], services))
+		route := &configuration.Routes[index]
+		var entry *routing.Entry
+		controller.isolate("route", func() { entry = controller.entry(route, services) })
+		if entry == nil {
+			entry = controller.previousEntry(route)
+		}
+		entries = append(entries, entry)
 	}
+	controller.routes, controller.entries = configuration.Routes, entries
 	return routing.NewTable(routing.Options{
 		Site:    &settings.Site{Revision: settings.Revision(configuration.Version)},
 		Teams:   controller.teamDirectory(),
@@ -286,6 +302,16 @@
 	})
 }
 
+// previousEntry returns the entry in force of a route that cannot be set up. If the route has changed, the entry has no service: requests
+// are refused, whatever the previous configuration allowed.
+func (controller *Controller) previousEntry(route *catalog.Route) *routing.Entry {
+	unchanged := func(before catalog.Route) bool { return reflect.DeepEqual(before, *route) }
+	if index := slices.IndexFunc(controller.routes, unchanged); index >= 0 {
+		return controller.entries[index]
+	}
+	return &routing.Entry{Host: route.Host, Prefix: route.Prefix}
+}
+
 func (controller *Controller) entry(route *catalog.Route, services map[settings.ServiceName]*routing.Service) *routing.Entry {
 	key := metrics.ClassKey{Class: route.Name}
 	if len(route.Split) > 0 {
@@ -300,6 +326,9 @@
 		Metrics: controller.options.Registry.Class(key),
 	}}
 	for _, part := range route.Split {
+		if services[part.Service] == nil {
+			continue
+		}
 		entry.Services = append(entry.Services, routing.WeightedService{Service: services[part.Service], Weight: part.Weight})
 	}
 	return entry
