Answer requests whose handling panics

A panic in the handling of a request closed the caller's connection without an answer. It is answered now if nothing has been written: 503 with a promise if no server can have begun the request, 502 without one otherwise; the header of a server's response is not sent with it. A panic in the record of a request leaves its response as it is. Within a response the connection is aborted, as before.

An attempt that panics, hedged or not, counts as one without a response that may have run, so that a payment is never sent again because of it, and releases its permit once. A hedge gives back the permits and connections of all its attempts however it ends; a panic in one of its goroutines or in the check of a server that did not answer ended the process. Such a check ends in any case, with the state it found, and its losses are recorded first.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -31,6 +31,8 @@
 	connected bool
 	// cancel cancels the attempt's own context; it is nil if the attempt has none.
 	cancel context.CancelFunc
+	// released means that send has released the permit.
+	released bool
 	// endCheck is the check of a server that did not answer, nil if there is none.
 	endCheck *endCheck
 	trace    trace.Attempt
@@ -59,25 +61,34 @@
 }
 
 // send sends the request once to the permit's backend server and evaluates the result. It does not modify the call, so
-// that two sends may run concurrently. It releases the permit unless there is a response to forward.
+// that two sends may run concurrently. It releases the permit unless there is a response to forward. An attempt that panics has no response
+// and may have run.
 func (call *call) send(ctx context.Context, permit service.Permit, request *http.Request) attempt {
+	attempt := attempt{permit: permit}
+	if err := call.handler.options.Guard.Run("attempt", func() { call.sendOnce(ctx, request, &attempt) }); err != nil {
+		call.endAttempt(&attempt, err)
+	}
+	return attempt
+}
+
+func (call *call) sendOnce(ctx context.Context, request *http.Request, attempt *attempt) {
+	permit := attempt.permit
 	target := permit.Target
 	freshOnly := !call.route.Class.Settings.Idempotent
 	before := call.now()
-	exchange, err := call.handler.options.Servers.Send(call.sendContext(ctx), target.Name, request, freshOnly)
-	attempt := attempt{permit: permit, exchange: exchange, err: err, connected: !isConnectError(err)}
+	attempt.exchange, attempt.err = call.handler.options.Servers.Send(call.sendContext(ctx), target.Name, request, freshOnly)
+	attempt.connected = !isConnectError(attempt.err)
 	attempt.trace = trace.Attempt{
 		Target: target.Name, DataCentre: target.DataCentre, Considered: permit.Considered, InFlight: permit.InFlight, QueueWait: permit.QueueTime,
 		Slowdown: permit.LoadReading.Slowdown, LoadReadingAge: max(permit.LoadReadingAge(before), 0),
 	}
-	if err == nil {
-		call.handleResponse(&attempt)
+	if attempt.err == nil {
+		call.handleResponse(attempt)
 	}
 	if attempt.err != nil {
-		call.handleError(ctx, before, &attempt)
+		call.handleError(ctx, before, attempt)
 	}
 	attempt.trace.Duration = call.now().Since(before)
-	return attempt
 }
 
 // sendContext returns the context under which the request is sent to a backend server or to another instance.
@@ -123,7 +134,7 @@
 	if !attempt.notRun {
 		call.checkLostAttempt(ctx, sentAt, attempt)
 	}
-	attempt.permit.Release(call.failureResult(ctx, attempt))
+	attempt.release(call.failureResult(ctx, attempt))
 }
 
 // failureResult returns Failed if a failed attempt counts against the backend server, otherwise Cancelled. An attempt that
@@ -176,8 +187,18 @@
 	if dialect.NotRun(response, call.route.Service.Settings) {
 		attempt.trace.Result = trace.ResultNotRun
 		attempt.notRun = true
-		attempt.permit.Release(service.Failed)
+		attempt.release(service.Failed)
+	}
+}
+
+// release releases the permit of an attempt that has no response to forward, once.
+func (attempt *attempt) release(result service.Result) {
+	if attempt.released {
+		return
 	}
+	// A permit whose release panics may have been released.
+	attempt.released = true
+	attempt.permit.Release(result)
 }
 
 // discard closes the response, forwarded or not, and cancels the attempt's own context. The attempt may be nil.
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -57,6 +57,9 @@
 	counted bool
 	// retryDenied means that the retry budget did not allow another attempt.
 	retryDenied bool
+	// sending means that an attempt is in progress whose result is not among attempts, and responding that a part of the response may have
+	// been written.
+	sending, responding bool
 	// mustClose means that the caller's connection is closed after this request.
 	mustClose bool
 }
@@ -80,6 +83,7 @@
 func (call *call) serve() {
 	// Without this, a panic, which the HTTP server recovers from, would leak the permit.
 	defer call.release(service.Cancelled)
+	call.begin()
 	if errorResponse := call.accept(); errorResponse != nil {
 		defer call.setUnreadBodyDeadline()
 		call.respondWithError(*errorResponse)
@@ -246,6 +250,7 @@
 	text := string(errorResponse.outcome) + ": " + string(errorResponse.reason) + "\n"
 	header.Set("Content-Length", strconv.Itoa(len(text)))
 	call.setWriteDeadline()
+	call.responding = true
 	call.writer.WriteHeader(errorResponse.status)
 	if call.request.Method != http.MethodHead {
 		// An error is ignored: the caller has disconnected or does not read.
--- a/internal/caller/forward.go
+++ b/internal/caller/forward.go
@@ -157,11 +157,14 @@
 		attempt = call.hedge(ctx)
 	} else {
 		hints := &hints{call: call}
-		attempt = call.send(hints.withHints(ctx), call.permit, call.outgoing(call.permit.Target))
+		request := call.outgoing(call.permit.Target)
+		call.sending = true
+		attempt = call.send(hints.withHints(ctx), call.permit, request)
 		hints.stop()
 	}
 	call.attemptTime += call.now().Since(before)
 	call.recordAttempt(&attempt)
+	call.sending = false
 	call.permit = attempt.permit
 	if !attempt.answered() {
 		call.permit = service.Permit{}
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -12,6 +12,7 @@
 	"github.com/jaywheel/jaywheel/internal/quota"
 	"github.com/jaywheel/jaywheel/internal/routing"
 	"github.com/jaywheel/jaywheel/internal/service"
+	"github.com/jaywheel/jaywheel/internal/supervisor"
 	"github.com/jaywheel/jaywheel/internal/team"
 	"github.com/jaywheel/jaywheel/internal/trace"
 	"github.com/jaywheel/jaywheel/pkg/clock"
@@ -57,6 +58,8 @@
 	Quarantine *quarantine.Quarantine
 	// OnServerEnd is called with a backend server that ended while it had the given number of requests. It must not block. It may be nil.
 	OnServerEnd func(name settings.TargetName, requests int)
+	// Guard recovers panics of requests and of goroutines that work for them; nil lets them pass.
+	Guard *supervisor.Guard
 }
 
 // Handler handles callers' requests.
@@ -103,48 +106,40 @@
 func (handler *Handler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	handler.inFlight.Add(1)
 	defer handler.inFlight.Add(-1)
-	defer handler.countPanic()
+	call := newCall(handler, writer, request)
+	defer func() {
+		if value := recover(); value != nil {
+			call.endPanicked(value)
+		}
+	}()
 	if guarded, isGuarded := request.Context().Value(connectionKey{}).(*guardedConnection); isGuarded {
 		guarded.beginRequest(request)
 		defer guarded.endRequest()
 	}
 	if handler.options.Dialect.IsReservedPath(request.URL.Path) {
+		call.responding = true
 		handler.serveAddresses(writer, request)
 		return
 	}
-	call := handler.newCall(writer, request)
 	call.serve()
 }
 
-// countPanic counts an unexpected panic and replaces it with http.ErrAbortHandler, which aborts the caller's connection, so that
-// the request does not look answered.
-func (handler *Handler) countPanic() {
-	cause := recover()
-	if cause == nil {
-		return
-	}
-	if cause != http.ErrAbortHandler { //nolint:errorlint // net/http panics with exactly this value.
-		handler.options.Registry.Events.Add(EventPanic, 1)
-	}
-	panic(http.ErrAbortHandler)
+// newCall returns the call of a request, without what may panic. begin adds the rest.
+func newCall(handler *Handler, writer http.ResponseWriter, request *http.Request) *call {
+	return &call{handler: handler, writer: writer, request: request, controller: http.NewResponseController(writer)}
 }
 
-func (handler *Handler) newCall(writer http.ResponseWriter, request *http.Request) *call {
-	call := &call{
-		handler:    handler,
-		writer:     writer,
-		request:    request,
-		controller: http.NewResponseController(writer),
-		started:    handler.options.Clock.Now(),
-		id:         handler.requestID(request),
-		table:      handler.options.Table(),
-		position:   positionOf(request),
-	}
+// begin determines what is known of the request before it is handled.
+func (call *call) begin() {
+	options := &call.handler.options
+	call.started = options.Clock.Now()
+	call.id = call.handler.requestID(call.request)
+	call.position = positionOf(call.request)
 	call.behind = call.position.behind()
-	if call.table == nil && handler.options.AwaitTable != nil {
-		call.table = handler.options.AwaitTable(request.Context())
+	call.table = options.Table()
+	if call.table == nil && options.AwaitTable != nil {
+		call.table = options.AwaitTable(call.request.Context())
 	}
-	return call
 }
 
 // maxRequestIDLength is the length in bytes of the longest request ID accepted from a caller, since the ring of traces keeps the
--- a/internal/caller/hedge.go
+++ b/internal/caller/hedge.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jaywheel/jaywheel/internal/service"
+	"github.com/jaywheel/jaywheel/internal/supervisor"
 	"github.com/jaywheel/jaywheel/internal/trace"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 )
@@ -29,16 +30,44 @@
 		call.body.stream == nil && len(call.attempts)+1 < call.maxAttempts() && len(call.endChecks) == 0 && !call.suspected()
 }
 
+// race holds the attempts of a hedged request that are in progress.
+type race struct {
+	results chan attempt
+	pending int
+}
+
+// next waits for the result of an attempt.
+func (race *race) next() attempt {
+	return race.took(<-race.results)
+}
+
+// took records that the result has been received.
+func (race *race) took(result attempt) attempt {
+	race.pending--
+	return result
+}
+
+// discardPending discards the results of the attempts in progress when they arrive.
+func (race *race) discardPending(guard *supervisor.Guard) {
+	if race.pending > 0 {
+		guard.Go("loser of a hedge", func() {
+			for race.pending > 0 {
+				loser := race.next()
+				_ = guard.Run("loser of a hedge", func() { discardLoser(&loser) })
+			}
+		})
+	}
+}
+
 // hedge sends the request. If the first request's target is slow, it sends a hedged request to another target at the latest
 // time at which that one can still meet the soft deadline. It also sends one if the first request is
 // overdue. The first usable response wins and the other request is cancelled.
 func (call *call) hedge(ctx context.Context) attempt {
-	results := make(chan attempt, 2)
+	race := &race{results: make(chan attempt, 2)}
+	defer race.discardPending(call.handler.options.Guard)
 	first := call.permit
-	call.permit = service.Permit{}
-	cancelFirst := call.sendAsync(ctx, first, results)
-	second, winner := call.awaitFirst(ctx, first, cancelFirst, results)
-	if winner != nil {
+	cancelFirst := call.sendAsync(ctx, race)
+	if winner := call.awaitFirst(ctx, first, cancelFirst, race); winner != nil {
 		return *winner
 	}
 	record := len(call.attempts)
@@ -48,18 +77,17 @@
 	})
 	call.route.Class.Metrics.CountRetry()
 	call.chargeRetry()
-	cancelSecond := call.sendAsync(ctx, second, results)
-	earlier := <-results
+	cancelSecond := call.sendAsync(ctx, race)
+	earlier := race.next()
 	if earlier.answered() && !call.isRetryableResponse(&earlier) {
 		if earlier.permit.Target == first.Target {
 			cancelSecond()
 		} else {
 			cancelFirst()
 		}
-		go awaitLoser(results)
 		return earlier
 	}
-	chosen, other := chooseResult(earlier, <-results)
+	chosen, other := chooseResult(earlier, race.next())
 	// Both results are known, so that the record need not state that the first request may have run.
 	call.attempts[record] = other.trace
 	call.addEndCheck(&other)
@@ -80,24 +108,22 @@
 	}
 }
 
-// sendAsync sends the request in a goroutine, under a context of its own that lasts until the attempt is discarded.
-func (call *call) sendAsync(ctx context.Context, permit service.Permit, results chan<- attempt) context.CancelFunc {
+// sendAsync sends the request to the backend server of the held permit in a goroutine, which takes over the permit, under a context of its
+// own that lasts until the attempt is discarded.
+func (call *call) sendAsync(ctx context.Context, race *race) context.CancelFunc {
+	request := call.outgoing(call.permit.Target)
+	permit := call.permit
+	call.permit, call.sending = service.Permit{}, true
 	ctx, cancel := context.WithCancel(ctx)
-	request := call.outgoing(permit.Target)
+	race.pending++
 	go func() {
 		attempt := call.send(ctx, permit, request)
 		attempt.cancel = cancel
-		results <- attempt
+		race.results <- attempt
 	}()
 	return cancel
 }
 
-// awaitLoser waits for the attempt that is not used, and discards it.
-func awaitLoser(results <-chan attempt) {
-	loser := <-results
-	discardLoser(&loser)
-}
-
 // discardLoser releases the permit of an attempt that is not used, and closes its response.
 func discardLoser(loser *attempt) {
 	if loser.answered() {
@@ -106,10 +132,10 @@
 	loser.discard()
 }
 
-// awaitFirst waits for the first request. It returns a permit for the hedged request if the first one is slow or overdue, or
-// else the result of the first one. It cancels the first one if the service turns out to be unreachable: the request is then
+// awaitFirst waits for the first request. The call holds a permit for the hedged request, and there is no result, if the first one is slow
+// or overdue. Otherwise it returns the result of the first one. It cancels the first one if the service turns out to be unreachable: the request is then
 // relayed.
-func (call *call) awaitFirst(ctx context.Context, first service.Permit, cancelFirst context.CancelFunc, results <-chan attempt) (service.Permit, *attempt) {
+func (call *call) awaitFirst(ctx context.Context, first service.Permit, cancelFirst context.CancelFunc, race *race) *attempt {
 	expected := call.route.Service.Scheduler.ExpectedDuration(call.route.Class.Name)
 	latestStart := call.softDeadline.Add(-service.CallerNetworkDelay - hedgeMarginFactor*expected)
 	overdueAt := call.now().Add(hedgeOverdueFactor * expected)
@@ -117,23 +143,24 @@
 	defer timer.Stop()
 	for {
 		select {
-		case result := <-results:
-			return service.Permit{}, &result
+		case result := <-race.results:
+			result = race.took(result)
+			return &result
 		case <-timer.C:
 		}
 		now := call.now()
 		if call.mayBreakOff() {
 			cancelFirst()
-			result := <-results
+			result := race.next()
 			// The retry has been charged.
 			result.budgetExempt = true
-			return service.Permit{}, &result
+			return &result
 		}
 		if ctx.Err() == nil && call.mayHedgeNow() && (now >= overdueAt || first.Slow()) {
 			permitRequest := call.permitRequest()
 			permitRequest.PreviousTarget = first.Target
-			if second, acquired := call.acquireHedgePermit(permitRequest); acquired {
-				return second, nil
+			if call.acquireHedgePermit(permitRequest) {
+				return nil
 			}
 		}
 		timer.Reset(hedgePollInterval.Duration())
@@ -153,14 +180,15 @@
 }
 
 // acquireHedgePermit acquires a permit for the hedged request without waiting, and charges it to the retry budget.
-func (call *call) acquireHedgePermit(permitRequest service.PermitRequest) (service.Permit, bool) {
+func (call *call) acquireHedgePermit(permitRequest service.PermitRequest) bool {
 	second, acquired := call.route.Service.Scheduler.TryAcquire(permitRequest)
 	if !acquired {
-		return service.Permit{}, false
+		return false
 	}
+	call.permit = second
 	if !call.route.Service.Budget.TryWithdraw(service.Retry{Priority: call.route.Class.Settings.Priority, Hedged: true}) {
-		second.Release(service.Cancelled)
-		return service.Permit{}, false
+		call.release(service.Cancelled)
+		return false
 	}
-	return second, true
+	return true
 }
--- a/internal/caller/record.go
+++ b/internal/caller/record.go
@@ -8,8 +8,12 @@
 	"github.com/jaywheel/jaywheel/pkg/outcome"
 )
 
-// record stores the request's trace and updates the metrics.
+// record stores the request's trace and updates the metrics. A panic in it does not change the response, which has been written.
 func (call *call) record(status int, result outcome.Outcome, reason outcome.Reason, cause error) {
+	_ = call.handler.options.Guard.Run("record of a request", func() { call.recordResult(status, result, reason, cause) })
+}
+
+func (call *call) recordResult(status int, result outcome.Outcome, reason outcome.Reason, cause error) {
 	elapsed := call.now().Since(call.started)
 	requestTrace := trace.Request{
 		ID: call.id, Started: time.Now().Add(-elapsed.Duration()), Method: call.request.Method,
--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -151,6 +151,7 @@
 func (call *call) sendRelayed(ctx context.Context, peer relay.Peer, attempts int) attempt {
 	events := &call.handler.options.Registry.Events
 	events.Add(EventRelaySent, 1)
+	call.sending = true
 	hints := &hints{call: call}
 	defer hints.stop()
 	before := call.now()
@@ -171,6 +172,7 @@
 	call.attemptTime += attempt.trace.Duration
 	call.body.streamUsed = call.body.streamUsed || attempt.connected
 	call.attempts = append(call.attempts, attempt.trace)
+	call.sending = false
 	countRelayed(events, &attempt)
 	return attempt
 }
@@ -250,7 +252,12 @@
 func (handler *Handler) serveRelayed(writer http.ResponseWriter, request *http.Request) {
 	handler.inFlight.Add(1)
 	defer handler.inFlight.Add(-1)
-	defer handler.countPanic()
+	call := newCall(handler, writer, request)
+	defer func() {
+		if value := recover(); value != nil {
+			call.endPanicked(value)
+		}
+	}()
 	if guarded, isGuarded := request.Context().Value(connectionKey{}).(*guardedConnection); isGuarded {
 		guarded.beginRequest(request)
 		defer guarded.endRequest()
@@ -261,6 +268,7 @@
 		events.Add(EventRelayInvalid, 1)
 		writer.Header().Set(handler.options.Dialect.RequestIDHeader, request.Header.Get(handler.options.Dialect.RequestIDHeader))
 		relay.SetOutcome(writer.Header(), outcome.NotRun, outcome.ReasonBadRequest)
+		call.responding = true
 		http.Error(writer, err.Error(), http.StatusBadRequest)
 		return
 	}
@@ -269,7 +277,6 @@
 	original.Path = strings.TrimPrefix(original.Path, relay.Path)
 	original.RawPath = strings.TrimPrefix(original.RawPath, relay.Path)
 	request.URL = &original
-	call := handler.newCall(writer, request)
 	call.relayed, call.counted = &relayed, relayed.Counted
 	call.serve()
 }
--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -134,6 +134,7 @@
 		header["Date"] = nil
 	}
 	call.setWriteDeadline()
+	call.responding = true
 	call.writer.WriteHeader(response.StatusCode)
 	addedLatency := call.now().Since(call.started) - call.queueTime - call.attemptTime
 	call.route.Class.Metrics.Overhead.Record(addedLatency)
--- a/internal/caller/serverend.go
+++ b/internal/caller/serverend.go
@@ -92,8 +92,16 @@
 	endChecks.checks[server] = check
 }
 
+// runEndCheck checks a server. It ends the check even if a part of it panics: requests wait for the end.
 func (handler *Handler) runEndCheck(server quarantine.Server, check *endCheck) {
 	defer close(check.done)
+	state := backendserver.ListenUnknown
+	_ = handler.options.Guard.Run("end check", func() { state = handler.checkListening(server) })
+	_ = handler.options.Guard.Run("end check", func() { handler.finishEndCheck(server, state, check) })
+}
+
+// checkListening reports whether the server listens, and still does so a moment later.
+func (handler *Handler) checkListening(server quarantine.Server) backendserver.ListenState {
 	state := handler.options.Servers.CheckListening(handler.baseContext, server.Name)
 	if state == backendserver.Listening {
 		timer := time.NewTimer(secondEndCheckDelay.Duration())
@@ -101,17 +109,21 @@
 		<-timer.C
 		state = handler.options.Servers.CheckListening(handler.baseContext, server.Name)
 	}
+	return state
+}
+
+func (handler *Handler) finishEndCheck(server quarantine.Server, state backendserver.ListenState, check *endCheck) {
 	handler.endChecks.mutex.Lock()
 	defer handler.endChecks.mutex.Unlock()
 	check.finishedAt = handler.options.Clock.Now()
 	check.state = state
+	handler.recordLost(server, state, check.lost...)
 	if state == backendserver.NotListening {
 		handler.options.Registry.Events.Add(EventServerEnded, 1)
 		if handler.options.OnServerEnd != nil {
 			handler.options.OnServerEnd(server.Name, len(check.lost))
 		}
 	}
-	handler.recordLost(server, state, check.lost...)
 }
 
 // listens reports whether a finished check has shown that the server listens.
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -59,6 +59,8 @@
 	ReasonOverloaded       Reason = "overloaded"
 	ReasonConnections      Reason = "tooManyConnections"
 	ReasonQuarantined      Reason = "quarantined"
+	// ReasonInternal means that the instance failed to handle the request because of a fault of its own.
+	ReasonInternal Reason = "internal"
 )
 
 // Headers between callers, instances and backend servers.
