Stop the datagram transport when its context ends before its start

The goroutine that stops the event loop gave up if the loop had not started yet, and nothing stopped it afterwards: Serve never returned. Seen once in TestTransportsExchangeHeartbeats under load with the race detector, which hung until it was ended (its dump shows the loop polling and no goroutine left to stop it). It waits now until the loop has started or has returned. Also, a datagram whose handling panics on the goroutine of the loop is dropped and counted; it ended the process.

--- a/internal/instance/heartbeat_transport.go
+++ b/internal/instance/heartbeat_transport.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"net/netip"
 
+	"github.com/jaywheel/jaywheel/internal/supervisor"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
 
@@ -26,6 +27,8 @@
 	Deliver func(Heartbeat)
 	// Events holds the event counters.
 	Events *expvar.Map
+	// Guard recovers panics of Deliver, which drop the datagram; nil lets them pass.
+	Guard *supervisor.Guard
 }
 
 // HeartbeatTransport sends and receives sealed heartbeats.
@@ -43,7 +46,9 @@
 		return nil, err
 	}
 	heartbeatTransport := &HeartbeatTransport{options: options, sealer: sealer}
-	heartbeatTransport.Transport = NewTransport(TransportOptions{Address: options.Address, Deliver: heartbeatTransport.receive, Events: options.Events})
+	heartbeatTransport.Transport = NewTransport(TransportOptions{
+		Address: options.Address, Deliver: heartbeatTransport.receive, Events: options.Events, Guard: options.Guard,
+	})
 	return heartbeatTransport, nil
 }
 
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -139,3 +139,11 @@
 	require.Equal(t, "1", events.Get(EventMalformed).String())
 	require.Equal(t, "3", events.Get(EventReceived).String())
 }
+
+// Guards against a transport that goes on for ever because its context has ended before the port was open.
+func TestTransportEndsBeforeItHasStarted(t *testing.T) {
+	transport := NewTransport(TransportOptions{Address: "127.0.0.1:0", Deliver: func([]byte) {}, Events: (&expvar.Map{}).Init()})
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	require.ErrorIs(t, transport.Serve(ctx), context.Canceled)
+}
--- a/internal/instance/transport.go
+++ b/internal/instance/transport.go
@@ -12,6 +12,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/panjf2000/gnet/v2"
 	"github.com/panjf2000/gnet/v2/pkg/logging"
+
+	"github.com/jaywheel/jaywheel/internal/supervisor"
 )
 
 // TransportOptions configures a Transport.
@@ -22,6 +24,8 @@
 	Deliver func([]byte)
 	// Events holds the event counters.
 	Events *expvar.Map
+	// Guard recovers panics of Deliver, which drop the datagram; nil lets them pass.
+	Guard *supervisor.Guard
 }
 
 // Transport sends and receives datagrams of any content on one port.
@@ -47,18 +51,20 @@
 	loopContext, cancelLoop := context.WithCancel(ctx)
 	stopContext, cancelStop := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancelStop()
-	done := make(chan struct{})
+	done, returned := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(done)
 		<-loopContext.Done()
+		// The context may end before the loop has started.
 		select {
 		case running := <-engine.started:
 			// The loop may already have ended by itself, and Serve does not depend on how it stopped.
 			_ = running.Stop(stopContext)
-		default:
+		case <-returned:
 		}
 	}()
 	err := gnet.Run(engine, "udp://"+transport.options.Address, gnet.WithLogger(silentLogger{}), gnet.WithLogLevel(logging.ErrorLevel))
+	close(returned)
 	cancelLoop()
 	// Stop checks only twice a second whether the loop has ended. Cancel it instead of waiting for the next check.
 	cancelStop()
@@ -141,7 +147,7 @@
 	if err != nil && !errors.Is(err, io.EOF) {
 		return gnet.None
 	}
-	engine.options.Deliver(datagram)
+	_ = engine.options.Guard.Run("datagram", func() { engine.options.Deliver(datagram) })
 	return gnet.None
 }
 
