Recover panics on connections to backend servers

net/http reads and writes these connections on goroutines of its own, where a panic in the code around a socket, in the check before a write or in the dialer ended the process. It becomes an error of the request now; bytes count as written before the write, so that such a request is never taken for one that did not arrive. A panic in OnConnect, or while a request is sent or a response closed, no longer keeps the connection counted.

--- a/internal/backendserver/pool.go
+++ b/internal/backendserver/pool.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jaywheel/jaywheel/internal/supervisor"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
@@ -65,11 +66,17 @@
 	if idle != nil || err != nil {
 		return idle, err
 	}
+	reserved := true
+	defer func() {
+		if reserved {
+			pool.cancelReservation()
+		}
+	}()
 	dialed, err := pool.dial(ctx, options)
 	if err != nil {
-		pool.cancelReservation()
 		return nil, err
 	}
+	reserved = false
 	return dialed, nil
 }
 
@@ -244,6 +251,7 @@
 	userTimeout clock.Milliseconds
 	// dial replaces the dialer of package net if it is not nil.
 	dial   DialFunc
+	guard  *supervisor.Guard
 	socket *socket
 }
 
@@ -252,7 +260,11 @@
 	if !found {
 		return nil, errors.AssertionFailedf("no dial request in the context")
 	}
-	dialed, err := dial(ctx, connector.clock, address, request)
+	var dialed *socket
+	var err error
+	if panicError := request.guard.Run("dial", func() { dialed, err = dial(ctx, connector.clock, address, request) }); panicError != nil {
+		return nil, panicError
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -260,8 +272,7 @@
 	return dialed, nil
 }
 
-func (connector *connector) connect(ctx context.Context, options Options, dial DialFunc) (*connection, error) {
-	request := &dialRequest{userTimeout: options.Connections.AckTimeout, dial: dial}
+func (connector *connector) connect(ctx context.Context, options Options, request *dialRequest) (*connection, error) {
 	client, err := connector.transport.NewClientConn(context.WithValue(ctx, socketKey{}, request), "http", options.Address)
 	if err != nil {
 		return nil, err
--- a/internal/backendserver/servers.go
+++ b/internal/backendserver/servers.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jaywheel/jaywheel/internal/supervisor"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
@@ -25,6 +26,9 @@
 	OnConnect func(settings.TargetName, error)
 	// Dial opens a TCP connection; nil selects that of package net. It must be set before the first use.
 	Dial DialFunc
+	// Guard recovers panics on the goroutines of net/http that read and write connections; nil lets them pass. It must be set before the
+	// first use.
+	Guard *supervisor.Guard
 
 	clock     *clock.Clock
 	connector *connector
@@ -47,7 +51,7 @@
 func (servers *Servers) connect(ctx context.Context, target settings.TargetName, options Options) (*connection, error) {
 	limited, cancel := context.WithTimeout(ctx, options.Connections.ConnectTimeout.Duration())
 	defer cancel()
-	dialed, err := servers.connector.connect(limited, options, servers.Dial)
+	dialed, err := servers.connector.connect(limited, options, &dialRequest{userTimeout: options.Connections.AckTimeout, dial: servers.Dial, guard: servers.Guard})
 	if servers.OnConnect != nil && (err == nil || ctx.Err() == nil) {
 		servers.OnConnect(target, err)
 	}
@@ -204,8 +208,17 @@
 	}
 	head := &head{longHeads: pool.longHeads}
 	connection.socket.head.Store(head)
+	returned := false
+	defer func() {
+		if !returned {
+			// A panic must not keep the connection counted.
+			head.release()
+			pool.release(connection, false)
+		}
+	}()
 	response, err := connection.client.RoundTrip(request.WithContext(ctx)) //nolint:bodyclose // Exchange.Close does.
 	head.end()
+	returned = true
 	if err != nil {
 		defer head.release()
 		// Close the socket before reading the count, so that no byte of the request is sent after the read.
@@ -245,9 +258,11 @@
 		return
 	}
 	exchange.closed = true
+	reusable := false
+	defer func() { exchange.pool.release(exchange.connection, reusable) }()
 	exchange.Response.Body.Close()
 	if head := exchange.connection.socket.head.Swap(nil); head != nil {
 		head.release()
 	}
-	exchange.pool.release(exchange.connection, exchange.fullyRead)
+	reusable = exchange.fullyRead
 }
--- a/internal/backendserver/socket.go
+++ b/internal/backendserver/socket.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/jaywheel/jaywheel/internal/supervisor"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 )
 
@@ -16,6 +17,8 @@
 type socket struct {
 	net.Conn
 	clock *clock.Clock
+	// guard recovers panics of reads and writes: net/http calls them on its own goroutines.
+	guard *supervisor.Guard
 
 	written  atomic.Int64
 	lastRead atomic.Int64
@@ -26,7 +29,14 @@
 }
 
 // Read implements net.Conn.
-func (socket *socket) Read(buffer []byte) (int, error) {
+func (socket *socket) Read(buffer []byte) (count int, err error) {
+	if panicError := socket.guard.Run("read from a backend server", func() { count, err = socket.read(buffer) }); panicError != nil {
+		return 0, panicError
+	}
+	return count, err
+}
+
+func (socket *socket) read(buffer []byte) (int, error) {
 	if head := socket.head.Load(); head != nil {
 		if err := head.check(); err != nil {
 			return 0, err
@@ -44,9 +54,17 @@
 	return count, err
 }
 
-// Write implements net.Conn. Bytes are counted before they are passed to the kernel, since a write that fails part way may
+// Write implements net.Conn.
+func (socket *socket) Write(buffer []byte) (count int, err error) {
+	if panicError := socket.guard.Run("write to a backend server", func() { count, err = socket.write(buffer) }); panicError != nil {
+		return 0, panicError
+	}
+	return count, err
+}
+
+// write writes to the connection after its check. Bytes are counted before they are passed to the kernel, since a write that fails part way may
 // have sent some of them.
-func (socket *socket) Write(buffer []byte) (int, error) {
+func (socket *socket) write(buffer []byte) (int, error) {
 	if check := socket.writeCheck.Swap(nil); check != nil {
 		if err := (*check)(); err != nil {
 			return 0, err
@@ -88,7 +106,7 @@
 	if err != nil {
 		return nil, err
 	}
-	dialed := &socket{Conn: connection, clock: clock}
+	dialed := &socket{Conn: connection, clock: clock, guard: request.guard}
 	dialed.lastRead.Store(int64(clock.Now()))
 	return dialed, nil
 }
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 
 	"github.com/jaywheel/jaywheel/internal/backendserver"
+	"github.com/jaywheel/jaywheel/internal/supervisor"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
@@ -48,6 +49,8 @@
 type Options struct {
 	Clock *clock.Clock
 	Rand  *rand.Rand
+	// Guard recovers panics on goroutines of net/http; nil lets them pass.
+	Guard *supervisor.Guard
 }
 
 // Client sends relayed requests to other instances. It is safe for concurrent use.
@@ -66,7 +69,7 @@
 // NewClient returns a Client that knows no other instance.
 func NewClient(options Options) *Client {
 	client := &Client{clock: options.Clock, random: options.Rand, servers: backendserver.NewServers(options.Clock), avoidUntil: map[settings.TargetName]clock.Moment{}}
-	client.servers.OnConnect = client.recordConnect
+	client.servers.OnConnect, client.servers.Guard = client.recordConnect, options.Guard
 	return client
 }
 
