Go on probing after a panic

A panic of a probe, or in what it calls, ended the process: an entry with slots 2^63-1 did so at each instance that read it, by RecordProbe on the prober's goroutine. A panic while a probe is sent or read counts as a failed probe now; the target is probed again after a pause in any case.

TestProbesGoOnAfterAPanic ended the test binary before in all four cases.

--- a/internal/sensing/sensing.go
+++ b/internal/sensing/sensing.go
@@ -23,6 +23,7 @@
 
 	"github.com/jaywheel/jaywheel/internal/backendserver"
 	"github.com/jaywheel/jaywheel/internal/service"
+	"github.com/jaywheel/jaywheel/internal/supervisor"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
@@ -114,8 +115,10 @@
 	// a limit, a small instance that begins to probe hundreds of targets completes no probe in time, gives up all connections, and begins
 	// again.
 	MaxConcurrent int
-	Clock         *clock.Clock
-	Events        *expvar.Map
+	// Guard recovers panics of probes and of the functions above; nil lets them pass.
+	Guard  *supervisor.Guard
+	Clock  *clock.Clock
+	Events *expvar.Map
 }
 
 // Prober probes targets, each in its own goroutine.
@@ -225,31 +228,37 @@
 			return
 		case <-timer.C:
 		}
-		if job.Due != nil && !job.Due() {
-			timer.Reset(notDuePause.Duration())
-			continue
-		}
-		health, err := prober.probe(ctx, job)
-		if ctx.Err() != nil {
-			return
-		}
-		pause := job.Pause()
-		if err != nil {
-			prober.options.Events.Add(EventFailed, 1)
-			failures++
-		} else {
-			prober.options.Events.Add(EventProbed, 1)
-			failures = 0
-		}
-		down := failures >= downThreshold
-		if down {
-			pause = max(pause, downPause)
-		}
-		prober.options.Deliver(Result{Service: job.Service, Target: job.Target, Started: job.Started, Health: health, Down: down, Err: err})
+		pause := downPause
+		_ = prober.options.Guard.Run("probes of a target", func() { pause = prober.probeIfDue(ctx, job, &failures) })
 		timer.Reset(pause.Duration())
 	}
 }
 
+// probeIfDue probes a target if that is due, and returns the pause until the next call.
+func (prober *Prober) probeIfDue(ctx context.Context, job Job, failures *int) clock.Milliseconds {
+	if job.Due != nil && !job.Due() {
+		return notDuePause
+	}
+	health, err := prober.probe(ctx, job)
+	if ctx.Err() != nil {
+		return 0
+	}
+	if err != nil {
+		prober.options.Events.Add(EventFailed, 1)
+		*failures++
+	} else {
+		prober.options.Events.Add(EventProbed, 1)
+		*failures = 0
+	}
+	down := *failures >= downThreshold
+	pause := job.Pause()
+	if down {
+		pause = max(pause, downPause)
+	}
+	prober.options.Deliver(Result{Service: job.Service, Target: job.Target, Started: job.Started, Health: health, Down: down, Err: err})
+	return pause
+}
+
 // Verify probes the target of a job once, without blocking.
 func (prober *Prober) Verify(job Job) {
 	prober.mutex.Lock()
@@ -258,7 +267,7 @@
 		return
 	}
 	ctx := prober.context
-	prober.group.Go(func() {
+	prober.group.Go(prober.options.Guard.Func("verification", func() {
 		health, err := prober.probe(ctx, job)
 		event := EventProbed
 		if err != nil {
@@ -268,10 +277,18 @@
 		if ctx.Err() == nil {
 			prober.options.Deliver(Result{Service: job.Service, Target: job.Target, Started: job.Started, Health: health, Verification: true, Err: err})
 		}
-	})
+	}))
+}
+
+// probe probes a target once. A panic counts as a failed probe.
+func (prober *Prober) probe(ctx context.Context, job Job) (health Health, err error) {
+	if panicError := prober.options.Guard.Run("probe", func() { health, err = prober.probeOnce(ctx, job) }); panicError != nil {
+		return Health{}, panicError
+	}
+	return health, err
 }
 
-func (prober *Prober) probe(ctx context.Context, job Job) (Health, error) {
+func (prober *Prober) probeOnce(ctx context.Context, job Job) (Health, error) {
 	if err := prober.acquireSlot(ctx); err != nil {
 		return Health{}, err
 	}
