Show how an instance gets its configuration

No log or status told an instance that is refused by the store from one that follows a silent peer, or that serves by a stale read: the incident had none of the age of the store's last answer, the reason to read the store, or whether the configuration was confirmed.

The status has them under catalog, with how long the version has been in force and how many serving instances get no answers. Lines are logged when an instance begins or ends to read the store, with the reason, and when its configuration is confirmed or no longer is; not for the moment between the announcement of a newer version and its arrival, which every change has.

--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -132,12 +132,16 @@
 	latestMutex    sync.Mutex
 	latestReadings map[settings.TargetName]ownReading
 
-	members         *membership.Members
-	view            *catalog.View
-	viewAppliedAt   clock.Moment
-	history         *catalog.History
-	role            catalog.Role
+	members       *membership.Members
+	view          *catalog.View
+	viewAppliedAt clock.Moment
+	history       *catalog.History
+	role          catalog.Role
+	// readReason is why this instance reads the store.
+	readReason      readReason
 	leaderlessSince clock.Moment
+	// versionSince is when the version in force came into force.
+	versionSince clock.Moment
 	// unanswered is the number of serving instances that get no answers of the store, which last increased at unansweredSince.
 	unanswered      int
 	unansweredSince clock.Moment
--- a/internal/fleet/reader_role.go
+++ b/internal/fleet/reader_role.go
@@ -12,7 +12,11 @@
 	leaders := controller.members.Leaders()
 	newest := leaders.NewestRevision
 	controller.updateUnanswered(now, leaders)
-	role := controller.nextRole(now, serves, leaders)
+	role, reason := controller.nextRole(now, serves, leaders)
+	if role != controller.role || reason != controller.readReason {
+		controller.logRole(reason, leaders)
+	}
+	controller.readReason = reason
 	if role != controller.role {
 		controller.role = role
 		controller.catalogReader.SetRole(role)
@@ -32,26 +36,55 @@
 	}
 }
 
-// nextRole chooses the role of the catalog reader.
-func (controller *Controller) nextRole(now clock.Moment, serves bool, leaders membership.Leaders) catalog.Role {
+// readReason is why an instance reads the store, empty when it follows a peer.
+type readReason string
+
+// The reasons to read the store.
+const (
+	readServes     readReason = "serves"
+	readStarts     readReason = "noPeerHasAView"
+	readSilent     readReason = "servingSilent"
+	readMissed     readReason = "updateMissed"
+	readDoubts     readReason = "servingUnanswered"
+	readLeaderless readReason = "noneAnswered"
+)
+
+// logRole logs that this instance begins or ends to read the store, and why.
+func (controller *Controller) logRole(reason readReason, leaders membership.Leaders) {
+	event := controller.options.Log.Info().Int("unanswered", leaders.Unanswered)
+	if controller.view != nil {
+		event = event.Uint64("revision", uint64(controller.view.Revision))
+	}
+	if reason == "" {
+		event.Str("before", string(controller.readReason)).Msg("follows other instances")
+		return
+	}
+	event.Str("reason", string(reason)).Msg("reads the store")
+}
+
+// nextRole chooses the role of the catalog reader, and says why it reads the store.
+func (controller *Controller) nextRole(now clock.Moment, serves bool, leaders membership.Leaders) (catalog.Role, readReason) {
 	switch {
 	case serves || leaders.LastFresh > 0:
 		controller.leaderlessSince = 0
 	case controller.leaderlessSince == 0:
 		controller.leaderlessSince = now
 	}
-	silent := leaders.LastSeen > 0 && now.Since(max(leaders.LastSeen, controller.started)) >= silentLeadersTimeout || controller.missesUpdate()
 	switch {
-	case serves || controller.view == nil && controller.readsAtStart(now):
-		return catalog.RoleLeader
-	case silent:
-		return catalog.RoleFallback
+	case serves:
+		return catalog.RoleLeader, readServes
+	case controller.view == nil && controller.readsAtStart(now):
+		return catalog.RoleLeader, readStarts
+	case leaders.LastSeen > 0 && now.Since(max(leaders.LastSeen, controller.started)) >= silentLeadersTimeout:
+		return catalog.RoleFallback, readSilent
+	case controller.missesUpdate():
+		return catalog.RoleFallback, readMissed
 	case controller.doubtsLeaders(now):
-		return catalog.RoleFallback
+		return catalog.RoleFallback, readDoubts
 	case controller.leaderlessSince > 0 && now.Since(controller.leaderlessSince) >= controller.leaderlessTimeout() && now.Since(controller.started) >= restartReadDelayNext:
-		return catalog.RoleFallback
+		return catalog.RoleFallback, readLeaderless
 	default:
-		return catalog.RoleFollower
+		return catalog.RoleFollower, ""
 	}
 }
 
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -13,6 +13,8 @@
 	"github.com/jaywheel/jaywheel/internal/quarantine"
 	"github.com/jaywheel/jaywheel/internal/quota"
 	"github.com/jaywheel/jaywheel/internal/service"
+	"github.com/jaywheel/jaywheel/internal/team"
+	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
 
@@ -27,6 +29,8 @@
 	Reads    bool             `json:"reads"`
 	Revision catalog.Revision `json:"revision"`
 	Version  catalog.Version  `json:"version"`
+	// Catalog is how the instance gets the revision and the version.
+	Catalog CatalogStatus `json:"catalog"`
 	// Unreachable are the services that the instance cannot reach; their requests are relayed.
 	Unreachable []settings.ServiceName `json:"unreachable,omitempty"`
 	// Connections is how many connections of callers are open.
@@ -39,6 +43,23 @@
 	Quarantined []quarantine.Entry `json:"quarantined,omitempty"`
 }
 
+// CatalogStatus is how an instance gets the catalog.
+type CatalogStatus struct {
+	// ReadsBecause is why the instance reads the store itself, empty when it follows others.
+	ReadsBecause string `json:"readsBecause,omitempty"`
+	// StoreAnswered is the time since the store last answered this instance, 0 when it never has. StoreFailing is whether the last call
+	// was refused or its answer is overdue.
+	StoreAnswered clock.Milliseconds `json:"storeAnswered,omitempty"`
+	StoreFailing  bool               `json:"storeFailing,omitempty"`
+	// VersionFor is how long the version in force has been so, 0 while there is none.
+	VersionFor clock.Milliseconds `json:"versionFor,omitempty"`
+	// Confirmed is whether no newer version is known and an instance that gets answers of the store, or this one, has been heard of
+	// recently. Otherwise an unknown route or key is answered 503.
+	Confirmed bool `json:"confirmed"`
+	// Unanswered is the number of other serving instances that get no answers of the store.
+	Unanswered int `json:"unanswered,omitempty"`
+}
+
 // PeerStatus is the state of another instance.
 type PeerStatus struct {
 	Name       settings.InstanceName   `json:"name"`
@@ -104,6 +125,7 @@
 			status.Version = controller.view.Configuration.Version
 		}
 	}
+	status.Catalog = controller.catalogStatus()
 	for _, member := range controller.members.All() {
 		status.Peers = append(status.Peers, PeerStatus{
 			Name: member.Identity.Name, DataCentre: member.Identity.DataCentre, Address: member.Address.String(), State: member.State.String(),
@@ -123,6 +145,21 @@
 	return status
 }
 
+func (controller *Controller) catalogStatus() CatalogStatus {
+	now := controller.options.Clock.Now()
+	status := CatalogStatus{
+		ReadsBecause: string(controller.readReason), StoreFailing: controller.catalogReader.Failing(),
+		Confirmed: controller.KeyStatus() == team.KeysCurrent, Unanswered: controller.unanswered,
+	}
+	if at := controller.catalogReader.LastResponse(); at > 0 {
+		status.StoreAnswered = now.Since(at)
+	}
+	if controller.table.Load() != nil {
+		status.VersionFor = now.Since(controller.versionSince)
+	}
+	return status
+}
+
 // maxStatusTeams is the maximum number of teams in a status.
 const maxStatusTeams = 100
 
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -46,6 +46,9 @@
 
 // setTable puts a table in force and wakes the requests that wait for it.
 func (controller *Controller) setTable(table *routing.Table) {
+	if before := controller.table.Load(); before == nil || before.Site.Revision != table.Site.Revision {
+		controller.versionSince = controller.options.Clock.Now()
+	}
 	controller.table.Store(table)
 	next := make(chan struct{})
 	close(*controller.tableSet.Swap(&next))
--- a/internal/fleet/teams.go
+++ b/internal/fleet/teams.go
@@ -58,6 +58,8 @@
 	// process started: the clock of a process starts with it. keyStatus is the resulting status of the API keys and routes.
 	freshAt   clock.Moment
 	keyStatus atomic.Int32
+	// heard is whether freshAt was recent when keyStatus was last set.
+	heard bool
 }
 
 // setTeams applies the rate limits of the teams in the configuration.
@@ -192,11 +194,29 @@
 	}
 	status := team.KeysCurrent
 	silent := now.Since(controller.teams.freshAt)
+	heard := controller.teams.freshAt > 0 && silent <= freshViewTimeout
+	if heard != controller.teams.heard {
+		controller.teams.heard = heard
+		controller.logHeard()
+	}
 	switch bounds := controller.options.Bounds; {
 	case bounds.FailClosed && silent > bounds.RevokeWithin:
 		status = team.KeysStale
-	case controller.teams.freshAt == 0 || silent > freshViewTimeout || controller.view == nil || controller.versionBehind():
+	case !heard || controller.view == nil || controller.versionBehind():
 		status = team.KeysUnverified
 	}
 	controller.teams.keyStatus.Store(int32(status))
 }
+
+// logHeard logs that the configuration in force is confirmed by an instance that the store answers, or no longer is.
+func (controller *Controller) logHeard() {
+	event := controller.options.Log.Info()
+	if controller.view != nil && controller.view.Configuration != nil {
+		event = event.Uint64("version", uint64(controller.view.Configuration.Version))
+	}
+	if controller.teams.heard {
+		event.Msg("configuration is confirmed by an instance that the store answers")
+		return
+	}
+	event.Msg("no instance with answers of the store is heard of; unknown routes and keys are answered 503")
+}
