Limit the number of services of a configuration

The services that routes name first are kept, then those with limits in the order of their names, so that all instances keep the same ones.

--- a/internal/catalog/configuration.go
+++ b/internal/catalog/configuration.go
@@ -1,7 +1,9 @@
 package catalog
 
 import (
+	"maps"
 	"math"
+	"slices"
 
 	"github.com/jaywheel/jaywheel/internal/team"
 	"github.com/jaywheel/jaywheel/pkg/clock"
@@ -26,6 +28,8 @@
 	MaxColdRate = 1e6
 	// MaxProbePathLength is the maximum length of the path of probes, which are sent all the time.
 	MaxProbePathLength = 2048
+	// MaxServices is the maximum number of services: each takes 10 KB, and time at each tick of the control goroutine.
+	MaxServices = 1000
 	// MaxTeamRate and MaxTeamBurst limit the rate and the burst of a team. No fleet serves more than that.
 	MaxTeamRate  = 1e7
 	MaxTeamBurst = 1e8
@@ -61,8 +65,8 @@
 	return shares
 }
 
-// Normalize replaces values that are out of range.
-func (configuration *Configuration) Normalize() {
+// Normalize replaces values that are out of range, and returns the number of services that are left out because there are too many.
+func (configuration *Configuration) Normalize() int {
 	for index := range configuration.Routes {
 		configuration.Routes[index].normalize()
 	}
@@ -73,6 +77,33 @@
 	for index := range configuration.Teams {
 		normalizeTeam(&configuration.Teams[index])
 	}
+	return configuration.limitServices()
+}
+
+// limitServices keeps the first services that routes name, and those with limits in the order of their names, up to MaxServices in all. It
+// returns the number of others.
+func (configuration *Configuration) limitServices() int {
+	kept, omitted := map[settings.ServiceName]bool{}, map[settings.ServiceName]bool{}
+	keep := func(name settings.ServiceName) bool {
+		if !kept[name] && len(kept) == MaxServices {
+			omitted[name] = true
+			return false
+		}
+		kept[name] = true
+		return true
+	}
+	for index := range configuration.Routes {
+		route := &configuration.Routes[index]
+		if slices.ContainsFunc(route.Split, func(share Share) bool { return !keep(share.Service) }) {
+			route.Split = slices.DeleteFunc(slices.Clone(route.Split), func(share Share) bool { return !kept[share.Service] })
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(configuration.Services)) {
+		if !keep(name) {
+			delete(configuration.Services, name)
+		}
+	}
+	return len(omitted)
 }
 
 func (route *Route) normalize() {
