Drop the metrics of routes that were removed long ago

Each route that has had requests takes 97 KB of histograms, which were kept until the process ended.

The metrics of the 64 classes that went out of use last are kept.

--- a/internal/fleet/range_test.go
+++ b/internal/fleet/range_test.go
@@ -1,13 +1,18 @@
 package fleet
 
 import (
+	"fmt"
 	"math"
+	"runtime"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/jaywheel/jaywheel/internal/catalog"
+	"github.com/jaywheel/jaywheel/internal/metrics"
 	"github.com/jaywheel/jaywheel/pkg/clock"
+	"github.com/jaywheel/jaywheel/pkg/settings"
 )
 
 // Guards against a server out of range, passed on by an instance of another release, that reaches a scheduler or keeps the next change from
@@ -59,3 +64,36 @@
 	_, err := fixture.controller.table.Load().Route("example", "GET", "/added/1")
 	require.NoError(t, err)
 }
+
+// Guards against metrics that are kept of each route that any configuration has ever named: configurations add and remove routes all day.
+func TestMetricsOfRemovedRoutesAreDropped(t *testing.T) {
+	const versions, maxMemory = 300, 12 << 20
+	fixture := newServingFixture(t, 6, 30)
+	usual := fixture.controller.view.Configuration
+	view := *fixture.controller.view
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for version := range versions {
+		configuration := *usual
+		configuration.Version += catalog.Version(1 + version)
+		configuration.Routes = append(slices.Clone(usual.Routes), catalog.Route{
+			Name: settings.ClassName(fmt.Sprintf("added-%d", version)), Host: "example", Prefix: "/added/", Split: []catalog.Share{{Service: "lookups", Weight: 1}},
+		})
+		view.Revision++
+		view.Configuration = &configuration
+		applied := view
+		fixture.controller.applyView(&applied)
+		route, err := fixture.controller.table.Load().Route("example", "GET", "/added/1")
+		require.NoError(t, err)
+		for _, histogram := range []*metrics.Histogram{
+			route.Class.Metrics.Duration, route.Class.Metrics.Overhead, route.Class.Metrics.QueueWait, route.Class.Metrics.AttemptDuration,
+		} {
+			histogram.Record(clock.Second)
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	require.Less(t, after.HeapAlloc, before.HeapAlloc+maxMemory)
+	runtime.KeepAlive(fixture)
+}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -290,9 +290,13 @@
 		list = append(list, services[name])
 	}
 	entries := make([]*routing.Entry, 0, len(configuration.Routes))
+	classes := make(map[metrics.ClassKey]bool, len(configuration.Routes))
 	for index := range configuration.Routes {
-		entries = append(entries, controller.entry(&configuration.Routes[index], services))
+		route := &configuration.Routes[index]
+		entries = append(entries, controller.entry(route, services))
+		classes[classKey(route)] = true
 	}
+	controller.options.Registry.SetInUse(classes)
 	return routing.NewTable(routing.Options{
 		Site:    &settings.Site{Revision: settings.Revision(configuration.Version)},
 		Teams:   controller.teamDirectory(),
@@ -300,18 +304,23 @@
 	})
 }
 
-func (controller *Controller) entry(route *catalog.Route, services map[settings.ServiceName]*routing.Service) *routing.Entry {
+// classKey returns the key of the metrics of a route.
+func classKey(route *catalog.Route) metrics.ClassKey {
 	key := metrics.ClassKey{Class: route.Name}
 	if len(route.Split) > 0 {
 		key.Service = route.Split[0].Service
 	}
+	return key
+}
+
+func (controller *Controller) entry(route *catalog.Route, services map[settings.ServiceName]*routing.Service) *routing.Entry {
 	entry := &routing.Entry{Host: route.Host, Prefix: route.Prefix, Public: route.Public, Class: &routing.Class{
 		Name: route.Name,
 		Settings: settings.Class{
 			Idempotent: route.Idempotent, Priority: route.Priority, Timeout: route.Timeout, SoftTimeout: route.SoftDeadline, Attempts: route.Attempts,
 			MaxBodySize: maxBodyBytes,
 		},
-		Metrics: controller.options.Registry.Class(key),
+		Metrics: controller.options.Registry.Class(classKey(route)),
 	}}
 	for _, part := range route.Split {
 		entry.Services = append(entry.Services, routing.WeightedService{Service: services[part.Service], Weight: part.Weight})
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -14,6 +14,7 @@
 
 import (
 	"expvar"
+	"slices"
 	"sync"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -132,8 +133,14 @@
 
 	mutex   sync.Mutex
 	classes map[ClassKey]*Class
+	// retired are the classes that are no longer in use, in the order in which they went out of use.
+	retired []ClassKey
 }
 
+// maxRetired is the number of classes that are kept after they went out of use. One that has had requests takes 97 KB, and a configuration
+// that adds and removes routes names others each time.
+const maxRetired = 64
+
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
 	registry := &Registry{classes: map[ClassKey]*Class{}}
@@ -141,7 +148,8 @@
 	return registry
 }
 
-// Class returns the metrics of a class, and creates them on the first call. They are kept until the process ends.
+// Class returns the metrics of a class, and creates them on the first call. They are kept until the process ends, or until SetInUse has left
+// them out.
 func (registry *Registry) Class(key ClassKey) *Class {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
@@ -154,6 +162,29 @@
 	return made
 }
 
+// SetInUse states which classes are in use. Of the others, only those are kept that have been in use last. Requests in progress may still
+// count for one that is not kept.
+func (registry *Registry) SetInUse(inUse map[ClassKey]bool) {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	registry.retired = slices.DeleteFunc(registry.retired, func(key ClassKey) bool { return inUse[key] })
+	known := make(map[ClassKey]bool, len(registry.retired))
+	for _, key := range registry.retired {
+		known[key] = true
+	}
+	for key := range registry.classes {
+		if !inUse[key] && !known[key] {
+			registry.retired = append(registry.retired, key)
+		}
+	}
+	if surplus := len(registry.retired) - maxRetired; surplus > 0 {
+		for _, key := range registry.retired[:surplus] {
+			delete(registry.classes, key)
+		}
+		registry.retired = slices.Clone(registry.retired[surplus:])
+	}
+}
+
 // EventCount returns the value of an event counter, 0 if the event has never been counted.
 func EventCount(events *expvar.Map, name string) int64 {
 	count, counted := events.Get(name).(*expvar.Int)
