--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -299,6 +299,7 @@
 		list = append(list, services[name])
 	}
 	entries := make([]*routing.Entry, 0, len(configuration.Routes))
+	classes := make(map[metrics.ClassKey]bool, len(configuration.Routes))
 	for index := range configuration.Routes {
 		route := &configuration.Routes[index]
 		var entry *routing.Entry
@@ -307,8 +308,10 @@
 			entry = controller.previousEntry(route)
 		}
 		entries = append(entries, entry)
+		classes[classKey(route)] = true
 	}
 	controller.routes, controller.entries = configuration.Routes, entries
+	controller.options.Registry.SetInUse(classes)
 	return routing.NewTable(routing.Options{
 		Site:    &settings.Site{Revision: settings.Revision(configuration.Version)},
 		Teams:   controller.teamDirectory(),
@@ -326,18 +329,23 @@
 	return &routing.Entry{Host: route.Host, Prefix: route.Prefix}
 }
 
-func (controller *Controller) entry(route *catalog.Route, services map[settings.ServiceName]*routing.Service) *routing.Entry {
+// classKey returns the key of the metrics of a route.
+func classKey(route *catalog.Route) metrics.ClassKey {
 	key := metrics.ClassKey{Class: route.Name}
 	if len(route.Split) > 0 {
 		key.Service = route.Split[0].Service
 	}
+	return key
+}
+
+func (controller *Controller) entry(route *catalog.Route, services map[settings.ServiceName]*routing.Service) *routing.Entry {
 	entry := &routing.Entry{Host: route.Host, Prefix: route.Prefix, Public: route.Public, Class: &routing.Class{
 		Name: route.Name,
 		Settings: settings.Class{
 			Idempotent: route.Idempotent, Priority: route.Priority, Timeout: route.Timeout, SoftTimeout: route.SoftDeadline, Attempts: route.Attempts,
 			MaxBodySize: maxBodyBytes,
 		},
-		Metrics: controller.options.Registry.Class(key),
+		Metrics: controller.options.Registry.Class(classKey(route)),
 	}}
 	for _, part := range route.Split {
 		if services[part.Service] == nil {
