Follow the store and peers after a panic

Watches and requests for the view of a peer run on goroutines of their own: a panic there ended the process. It counts as a failed call now. A panic while changes are applied, or anywhere in the reader, has everything read again after a pause; before, the reader was restarted at once and continued from a state that was applied in part.

--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -43,7 +43,13 @@
 func (reader *Reader) readPeer(ctx context.Context, full bool) {
 	requestContext, cancel := reader.cancellableContext(ctx, readTimeout)
 	defer cancel()
-	if view, err := reader.fetchFromPeers(requestContext, reader.newPeerRequest(full)); err == nil {
+	var view View
+	var err error
+	request := reader.newPeerRequest(full)
+	if panicError := reader.options.Guard.Run("peer view", func() { view, err = reader.fetchFromPeers(requestContext, request) }); panicError != nil {
+		err = panicError
+	}
+	if err == nil {
 		reader.adoptPeerView(ctx, view, full)
 	}
 }
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/jaywheel/jaywheel/internal/supervisor"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
@@ -80,6 +81,8 @@
 	Clock   *clock.Clock
 	Events  *expvar.Map
 	Log     zerolog.Logger
+	// Guard recovers panics of calls to the source and to peers, and of applying what they return; nil lets them pass.
+	Guard *supervisor.Guard
 	// Jitter returns a random number from 0 to 1.
 	Jitter func() float64
 }
@@ -155,29 +158,54 @@
 // Serve keeps the view current until the context ends.
 func (reader *Reader) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
-		reader.readStale(ctx)
-		readsSource, refresh := reader.nextTask()
-		if refresh {
-			reader.complete = false
-			reader.refreshing = true
-		}
-		if !readsSource {
-			reader.followOnce(ctx)
-			continue
-		}
-		if refresh && !reader.peersFailedInWatch && (reader.failures > 0 || reader.behind()) {
-			// The entry of a server that peers saw removed while only this instance got no responses has not lapsed. The source may also
-			// never have responded to the call that was cancelled for the refresh, nor respond to the next one: peers are read first.
-			reader.readPeer(ctx, false)
-		}
-		reader.peersFailedInWatch = false
-		if err := reader.step(ctx); err != nil && ctx.Err() == nil {
-			reader.handleFailure(ctx, err)
+		if reader.options.Guard.Run("catalog", func() { reader.serveOnce(ctx) }) != nil {
+			reader.discardPartial()
+			sleep(ctx, maxBackoff)
 		}
 	}
 	return ctx.Err()
 }
 
+// serveOnce reads the source or a peer once.
+func (reader *Reader) serveOnce(ctx context.Context) {
+	reader.readStale(ctx)
+	readsSource, refresh := reader.nextTask()
+	if refresh {
+		reader.complete = false
+		reader.refreshing = true
+	}
+	if !readsSource {
+		reader.followOnce(ctx)
+		return
+	}
+	if refresh && !reader.peersFailedInWatch && (reader.failures > 0 || reader.behind()) {
+		// The entry of a server that peers saw removed while only this instance got no responses has not lapsed. The source may also
+		// never have responded to the call that was cancelled for the refresh, nor respond to the next one: peers are read first.
+		reader.readPeer(ctx, false)
+	}
+	reader.peersFailedInWatch = false
+	if err := reader.guardedStep(ctx); err != nil && ctx.Err() == nil {
+		reader.handleFailure(ctx, err)
+	}
+}
+
+// guardedStep makes one call to the source. A panic counts as a failed call.
+func (reader *Reader) guardedStep(ctx context.Context) error {
+	var err error
+	if panicError := reader.options.Guard.Run("catalog source", func() { err = reader.step(ctx) }); panicError != nil {
+		reader.discardPartial()
+		return panicError
+	}
+	return err
+}
+
+// discardPartial has everything read again after a panic, since changes may have been applied in part.
+func (reader *Reader) discardPartial() {
+	clear(reader.edits)
+	reader.complete = false
+	reader.setWatching(false)
+}
+
 // nextTask returns whether this instance reads the source, and whether everything is to be read again.
 func (reader *Reader) nextTask() (bool, bool) {
 	reader.mutex.Lock()
--- a/internal/catalog/watch.go
+++ b/internal/catalog/watch.go
@@ -32,8 +32,11 @@
 	changes := make(chan watchResult, 1)
 	after := reader.revision
 	go func() {
-		received, err := reader.options.Source.Watch(ctx, after, wait)
-		changes <- watchResult{changes: received, err: err}
+		var result watchResult
+		if err := reader.options.Guard.Run("watch", func() { result.changes, result.err = reader.options.Source.Watch(ctx, after, wait) }); err != nil {
+			result = watchResult{err: err}
+		}
+		changes <- result
 	}()
 	var peers chan peerResult
 	for {
@@ -48,8 +51,11 @@
 			go func(request peerRequest, results chan<- peerResult) {
 				ctx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
 				defer cancel()
-				view, err := reader.fetchFromPeers(ctx, request)
-				results <- peerResult{view: view, err: err}
+				var result peerResult
+				if err := reader.options.Guard.Run("peer view", func() { result.view, result.err = reader.fetchFromPeers(ctx, request) }); err != nil {
+					result = peerResult{err: err}
+				}
+				results <- result
 			}(reader.newPeerRequest(false), peers)
 		case result := <-peers:
 			peers = nil
