End requests to peers that panic

A request for the view of a peer runs on a goroutine of its own, where a panic ended the process. The caller gets it as an error.

TestPeerRequestEndsAfterAPanic ended the test binary before.

--- a/internal/fleet/isolation_test.go
+++ b/internal/fleet/isolation_test.go
@@ -190,3 +190,22 @@
 	fixture.controller.RecordProbe(sensing.Result{Service: "lookups", Target: targetName(0), Health: sensing.Health{LoadReading: service.LoadReading{At: 1, Slots: 2}}})
 	require.Contains(t, fixture.controller.latestReadings, targetName(0))
 }
+
+// Guards against a request to a peer that panics and ends the process, or for whose answer the caller waits for ever.
+func TestPeerRequestEndsAfterAPanic(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fixture := newFixture(0, 1, 2)
+		fixture.guard()
+		fixture.receiveHeartbeat(1, membership.Serving, 20)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = fixture.controller.Serve(ctx) }()
+		_, err := fixture.controller.FetchFromPeer(ctx, 10, func(context.Context, netip.AddrPort, catalog.Revision) (catalog.Update, error) {
+			panic("on purpose")
+		})
+		var panicError *supervisor.PanicError
+		require.ErrorAs(t, err, &panicError)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/fleet/updates.go
+++ b/internal/fleet/updates.go
@@ -75,8 +75,11 @@
 	defer cancel()
 	answers := make(chan peerUpdate, 2)
 	request := func(address netip.AddrPort) {
-		update, err := read(ctx, address, after)
-		answers <- peerUpdate{address: address, update: update, err: err}
+		answer := peerUpdate{address: address}
+		if err := controller.options.Guard.Run("peer request", func() { answer.update, answer.err = read(ctx, address, after) }); err != nil {
+			answer.err = err
+		}
+		answers <- answer
 	}
 	go request(first)
 	pending := 1
