Recover panics on callers' connections

net/http reads connections in the background, and writes and closes them while it recovers from a panic of a handler; a panic in the code around a connection then ended the process, among it that which splits pipelined requests. It is an error of the connection now, which is closed and no longer counted, and whose pipelined requests are abandoned. Informational responses, request bodies and timers are guarded as well. A panic while a held response is sent keeps the mutex locked for the deferred unlock, which would be a fatal error otherwise; finish and awaitChange unlock it in any case.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jaywheel/jaywheel/internal/supervisor"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/outcome"
 )
@@ -58,7 +59,7 @@
 		return nil
 	}
 	limited := http.MaxBytesReader(call.writer, request.Body, maxBytes)
-	stream := &callerBody{reader: limited, controller: call.controller, maxStall: call.handler.options.MaxStall}
+	stream := &callerBody{reader: limited, controller: call.controller, maxStall: call.handler.options.MaxStall, guard: call.handler.options.Guard}
 	// A caller that waits for "100 Continue" is asked for its body only after a permit has been acquired.
 	if request.ContentLength < 0 || request.Header.Get("Expect") != "" || !body.reserveBuffer(call) {
 		body.stream = stream
@@ -67,7 +68,7 @@
 	// A body that arrives slowly is rejected at the request's deadline, not only if a single read takes too long.
 	stream.readDeadline = time.Now().Add(call.deadline.Since(call.now()).Duration())
 	body.buffered = make([]byte, request.ContentLength)
-	defer context.AfterFunc(request.Context(), stream.expire)()
+	defer context.AfterFunc(request.Context(), stream.guard.Func("request body", stream.expire))()
 	if _, err := io.ReadFull(stream, body.buffered); err != nil {
 		if endedByDrain(request.Context()) {
 			return newDrainRejection()
@@ -136,7 +137,7 @@
 	if body.stream == nil {
 		return func() {}
 	}
-	stopWatching := context.AfterFunc(ctx, body.stream.expire)
+	stopWatching := context.AfterFunc(ctx, body.stream.guard.Func("request body", body.stream.expire))
 	return func() { stopWatching() }
 }
 
@@ -176,6 +177,7 @@
 	reader     io.Reader
 	controller *http.ResponseController
 	maxStall   clock.Milliseconds
+	guard      *supervisor.Guard
 	// readDeadline is the deadline of all reads together; the zero time means none.
 	readDeadline time.Time
 	// cappedByReadDeadline means that the latest read was limited by readDeadline, because it came before the end of maxStall.
@@ -191,8 +193,16 @@
 	err      error
 }
 
-// Read implements io.Reader.
-func (callerBody *callerBody) Read(buffer []byte) (int, error) {
+// Read implements io.Reader. net/http calls it on a goroutine of its own when it writes the body to a backend server.
+func (callerBody *callerBody) Read(buffer []byte) (count int, err error) {
+	if panicError := callerBody.guard.Run("request body", func() { count, err = callerBody.read(buffer) }); panicError != nil {
+		callerBody.setError(panicError)
+		return 0, panicError
+	}
+	return count, err
+}
+
+func (callerBody *callerBody) read(buffer []byte) (int, error) {
 	deadline := time.Now().Add(callerBody.maxStall.Duration())
 	callerBody.cappedByReadDeadline = !callerBody.readDeadline.IsZero() && callerBody.readDeadline.Before(deadline)
 	if callerBody.cappedByReadDeadline {
--- a/internal/caller/connection.go
+++ b/internal/caller/connection.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
 	"github.com/jaywheel/jaywheel/internal/linger"
@@ -88,8 +89,26 @@
 	guardedConnection.unhandledBytes.Store(false)
 }
 
+// run calls a function that the HTTP server has called on a goroutine of its own, where a panic would end the process. After a panic the
+// requests behind the current one are abandoned, since they may wait for something that no longer happens.
+func (guardedConnection *guardedConnection) run(function func()) error {
+	guard := guardedConnection.connections.Guard
+	err := guard.Run("caller's connection", function)
+	if err != nil {
+		_ = guard.Run("end of a caller's connection", guardedConnection.abandonRequests)
+	}
+	return err
+}
+
 // Read implements net.Conn.
-func (guardedConnection *guardedConnection) Read(buffer []byte) (int, error) {
+func (guardedConnection *guardedConnection) Read(buffer []byte) (count int, err error) {
+	if panicError := guardedConnection.run(func() { count, err = guardedConnection.read(buffer) }); panicError != nil {
+		return 0, panicError
+	}
+	return count, err
+}
+
+func (guardedConnection *guardedConnection) read(buffer []byte) (int, error) {
 	if guardedConnection.pipeline != nil || guardedConnection.pipelining.enabled() && guardedConnection.guard.complete() {
 		return guardedConnection.readBehind(buffer)
 	}
@@ -117,10 +136,14 @@
 	return count, err
 }
 
-// Write implements net.Conn.
-func (guardedConnection *guardedConnection) Write(buffer []byte) (int, error) {
-	count, err := guardedConnection.TCPConn.Write(buffer)
-	guardedConnection.onSent(int64(count))
+// Write implements net.Conn. net/http also writes while it recovers from a panic.
+func (guardedConnection *guardedConnection) Write(buffer []byte) (count int, err error) {
+	if panicError := guardedConnection.connections.Guard.Run("caller's connection", func() {
+		count, err = guardedConnection.TCPConn.Write(buffer)
+		guardedConnection.onSent(int64(count))
+	}); panicError != nil {
+		return count, panicError
+	}
 	return count, err
 }
 
@@ -132,7 +155,14 @@
 }
 
 // SetReadDeadline implements net.Conn.
-func (guardedConnection *guardedConnection) SetReadDeadline(deadline time.Time) error {
+func (guardedConnection *guardedConnection) SetReadDeadline(deadline time.Time) (err error) {
+	if guardedConnection.run(func() { err = guardedConnection.setReadDeadline(deadline) }) != nil {
+		return guardedConnection.TCPConn.SetReadDeadline(deadline)
+	}
+	return err
+}
+
+func (guardedConnection *guardedConnection) setReadDeadline(deadline time.Time) error {
 	guardedConnection.mutex.Lock()
 	defer guardedConnection.mutex.Unlock()
 	if guardedConnection.closing && guardedConnection.awaitsRequest() {
@@ -224,10 +254,10 @@
 func handleConnState(connection net.Conn, state http.ConnState) {
 	switch connection := connection.(type) {
 	case *guardedConnection:
-		connection.setState(state)
+		_ = connection.run(func() { connection.setState(state) })
 	case *pipelinedRequest:
 		if state == http.StateIdle {
-			connection.finish(pipeline.Answered)
+			_ = connection.connection.run(func() { connection.finish(pipeline.Answered) })
 		}
 	}
 }
@@ -242,7 +272,14 @@
 }
 
 // Close implements net.Conn. It returns before the caller has received everything; the connection counts as open until then.
-func (guardedConnection *guardedConnection) Close() error {
+func (guardedConnection *guardedConnection) Close() (err error) {
+	if panicError := guardedConnection.run(func() { err = guardedConnection.close() }); panicError != nil {
+		return errors.CombineErrors(panicError, guardedConnection.end())
+	}
+	return err
+}
+
+func (guardedConnection *guardedConnection) close() error {
 	if guardedConnection.unhandledBytes.Swap(false) {
 		guardedConnection.onUnfinished()
 	}
@@ -252,9 +289,14 @@
 	}
 	if lingers {
 		guardedConnection.track()
-		go guardedConnection.lingerAndClose()
+		guardedConnection.connections.Guard.Go("end of a caller's connection", guardedConnection.lingerAndClose)
 		return nil
 	}
+	return guardedConnection.end()
+}
+
+// end closes the connection and ends its count. It may be called more than once.
+func (guardedConnection *guardedConnection) end() error {
 	defer guardedConnection.untrack()
 	defer guardedConnection.release()
 	return guardedConnection.TCPConn.Close()
@@ -285,8 +327,7 @@
 
 // lingerAndClose closes the connection when the caller has received everything.
 func (guardedConnection *guardedConnection) lingerAndClose() {
-	defer guardedConnection.untrack()
-	defer guardedConnection.release()
+	// An error does not matter: nothing is left to send.
+	defer func() { _ = guardedConnection.end() }()
 	linger.Wait(guardedConnection.TCPConn, linger.Options{MaxStall: guardedConnection.pipelining.maxStall})
-	_ = guardedConnection.TCPConn.Close()
 }
--- a/internal/caller/connections.go
+++ b/internal/caller/connections.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jaywheel/jaywheel/internal/supervisor"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
@@ -31,6 +32,10 @@
 
 // Connections counts the connections of an instance's callers against their limit. It is safe for concurrent use.
 type Connections struct {
+	// Guard recovers panics on goroutines of the HTTP server that read, write and close the connections; nil lets them pass. It must be set
+	// before the first use.
+	Guard *supervisor.Guard
+
 	limit, reserve        int64
 	open, active, refused atomic.Int64
 	events                *expvar.Map
--- a/internal/caller/drain.go
+++ b/internal/caller/drain.go
@@ -32,7 +32,7 @@
 	if !handler.drain.CompareAndSwap(nil, &drain{acceptUntil: now.Add(acceptFor), respondBy: now.Add(respondWithin)}) {
 		return
 	}
-	time.AfterFunc(respondWithin.Duration(), func() { handler.cancelAll(errDraining) })
+	time.AfterFunc(respondWithin.Duration(), handler.options.Guard.Func("drain", func() { handler.cancelAll(errDraining) }))
 }
 
 // draining reports whether Drain has been called.
--- a/internal/caller/hints.go
+++ b/internal/caller/hints.go
@@ -30,7 +30,15 @@
 	hints.stopped = true
 }
 
-func (hints *hints) relay(status int, received textproto.MIMEHeader) error {
+// relay forwards an informational response. net/http calls it on a goroutine of its own.
+func (hints *hints) relay(status int, received textproto.MIMEHeader) (err error) {
+	if panicError := hints.call.handler.options.Guard.Run("informational response", func() { err = hints.forward(status, received) }); panicError != nil {
+		return panicError
+	}
+	return err
+}
+
+func (hints *hints) forward(status int, received textproto.MIMEHeader) error {
 	hints.mutex.Lock()
 	defer hints.mutex.Unlock()
 	// net/http sends 100 itself when the body is first read, and protocol upgrades are not supported.
--- a/internal/caller/pipelinedrequest.go
+++ b/internal/caller/pipelinedrequest.go
@@ -34,7 +34,14 @@
 }
 
 // Read implements net.Conn. After the request it waits until the caller leaves or the response is complete.
-func (request *pipelinedRequest) Read(buffer []byte) (int, error) {
+func (request *pipelinedRequest) Read(buffer []byte) (count int, err error) {
+	if panicError := request.connection.run(func() { count, err = request.read(buffer) }); panicError != nil {
+		return 0, panicError
+	}
+	return count, err
+}
+
+func (request *pipelinedRequest) read(buffer []byte) (int, error) {
 	request.connection.mutex.Lock()
 	defer request.connection.mutex.Unlock()
 	if len(request.unread) > 0 && !request.abandoned {
@@ -51,8 +58,16 @@
 	return 0, io.EOF
 }
 
-// Write implements net.Conn. It waits while the connection holds as much as it may, or the caller does not read.
-func (request *pipelinedRequest) Write(data []byte) (int, error) {
+// Write implements net.Conn. It waits while the connection holds as much as it may, or the caller does not read. net/http also writes while
+// it recovers from a panic.
+func (request *pipelinedRequest) Write(data []byte) (count int, err error) {
+	if panicError := request.connection.run(func() { count, err = request.write(data) }); panicError != nil {
+		return 0, panicError
+	}
+	return count, err
+}
+
+func (request *pipelinedRequest) write(data []byte) (int, error) {
 	if !request.hold(data) {
 		return 0, net.ErrClosed
 	}
@@ -116,10 +131,17 @@
 
 // finish ends the response and lets the next one be sent.
 func (request *pipelinedRequest) finish(result pipeline.Result) {
+	if request.end(result) {
+		request.connection.sendResponses()
+	}
+}
+
+// end ends the response, and reports whether it had not been ended before.
+func (request *pipelinedRequest) end(result pipeline.Result) bool {
 	request.connection.mutex.Lock()
+	defer request.connection.mutex.Unlock()
 	if request.finished {
-		request.connection.mutex.Unlock()
-		return
+		return false
 	}
 	request.finished = true
 	if request.aborted {
@@ -129,14 +151,12 @@
 		request.pipeline.sequence.Finish(request.number, result)
 	}
 	request.pipeline.notify()
-	request.connection.mutex.Unlock()
-	request.connection.sendResponses()
+	return true
 }
 
 // Close implements net.Conn. The HTTP server closes it before it has become idle if the connection must not be used further.
 func (request *pipelinedRequest) Close() error {
-	request.finish(pipeline.AnsweredLast)
-	return nil
+	return request.connection.run(func() { request.finish(pipeline.AnsweredLast) })
 }
 
 // CloseWrite ends the response, after which the connection must not be used further.
--- a/internal/caller/readbehind.go
+++ b/internal/caller/readbehind.go
@@ -124,9 +124,7 @@
 func (guardedConnection *guardedConnection) awaitChange() error {
 	timer := time.NewTimer(disconnectPollInterval.Duration())
 	defer timer.Stop()
-	guardedConnection.mutex.Lock()
-	wake, aborted := guardedConnection.pipeline.wake, guardedConnection.readAborted
-	guardedConnection.mutex.Unlock()
+	wake, aborted := guardedConnection.wakeChannel()
 	if aborted {
 		return os.ErrDeadlineExceeded
 	}
@@ -141,6 +139,13 @@
 	return nil
 }
 
+// wakeChannel returns the channel that is signalled when the connection may be read on, and whether net/http has aborted the read.
+func (guardedConnection *guardedConnection) wakeChannel() (<-chan struct{}, bool) {
+	guardedConnection.mutex.Lock()
+	defer guardedConnection.mutex.Unlock()
+	return guardedConnection.pipeline.wake, guardedConnection.readAborted
+}
+
 // receive receives bytes behind the requests in progress. The buffer is used as long as no request is known to come, so that a
 // connection with one request at a time needs no other.
 func (guardedConnection *guardedConnection) receive(buffer []byte, next step) error {
--- a/internal/caller/sendinorder.go
+++ b/internal/caller/sendinorder.go
@@ -73,11 +73,7 @@
 	request.endHold()
 	data := request.takeHeld()
 	request.sending = len(data)
-	guardedConnection.mutex.Unlock()
-	_ = guardedConnection.TCPConn.SetWriteDeadline(time.Now().Add(guardedConnection.pipelining.maxStall.Duration()))
-	_, err := guardedConnection.Write(data)
-	_ = guardedConnection.TCPConn.SetWriteDeadline(time.Time{})
-	guardedConnection.mutex.Lock()
+	err := guardedConnection.writeUnlocked(data)
 	request.sending = 0
 	if err != nil && !request.abandoned {
 		guardedConnection.abandonLocked()
@@ -87,6 +83,17 @@
 	return !request.abandoned
 }
 
+// writeUnlocked writes to the caller. The mutex must be held, and is released meanwhile. It is held again after a panic: the unlock of an
+// unlocked mutex would end the process.
+func (guardedConnection *guardedConnection) writeUnlocked(data []byte) error {
+	guardedConnection.mutex.Unlock()
+	defer guardedConnection.mutex.Lock()
+	_ = guardedConnection.TCPConn.SetWriteDeadline(time.Now().Add(guardedConnection.pipelining.maxStall.Duration()))
+	_, err := guardedConnection.Write(data)
+	_ = guardedConnection.TCPConn.SetWriteDeadline(time.Time{})
+	return err
+}
+
 // endProgress applies what was put off while requests were in progress: the end of a connection that must not be used further, or else the
 // idle timeout. The mutex must be held.
 func (guardedConnection *guardedConnection) endProgress() {
