Unlock after a panic while a permit is acquired or waited for

Dispatcher.Acquire and PendingPermit.Cancel unlocked their mutex by hand after code that may panic. A panic there left it locked, and no request of the service got a permit any more.

--- a/internal/service/dispatcher.go
+++ b/internal/service/dispatcher.go
@@ -261,24 +261,28 @@
 
 // Acquire waits for a permit. The error is ErrNoTarget, ErrQueueFull, ErrQueueWait, ErrDeadline or the error of the context.
 func (dispatcher *Dispatcher) Acquire(ctx context.Context, request PermitRequest) (Permit, error) {
+	permit, waiter, err := dispatcher.acquireOrEnqueue(request)
+	if waiter == nil {
+		return permit, err
+	}
+	return dispatcher.wait(ctx, waiter)
+}
+
+// acquireOrEnqueue acquires a permit if one is free, and otherwise adds the request to the queue.
+func (dispatcher *Dispatcher) acquireOrEnqueue(request PermitRequest) (Permit, *waiter, error) {
 	now := dispatcher.clock.Now()
 	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
 	if dispatcher.liveTargets == 0 {
-		dispatcher.mutex.Unlock()
-		return Permit{}, ErrNoTarget
+		return Permit{}, nil, ErrNoTarget
 	}
 	if dispatcher.waiting.length == 0 || request.Priority < dispatcher.waiting.next().request.Priority {
 		if permit, found := dispatcher.tryAcquire(now, request); found {
-			dispatcher.mutex.Unlock()
-			return permit, nil
+			return permit, nil, nil
 		}
 	}
 	waiter, err := dispatcher.enqueue(now, request)
-	dispatcher.mutex.Unlock()
-	if err != nil {
-		return Permit{}, err
-	}
-	return dispatcher.wait(ctx, waiter)
+	return Permit{}, waiter, err
 }
 
 // tryAcquire acquires a permit if one is free.
@@ -371,16 +375,20 @@
 	case <-ctx.Done():
 		cause = ctx.Err()
 	}
-	dispatcher.mutex.Lock()
-	stillWaiting := dispatcher.waiting.remove(waiter)
-	dispatcher.mutex.Unlock()
-	if stillWaiting {
+	if dispatcher.cancelWait(waiter) {
 		return Permit{}, cause
 	}
 	// A permit or a refusal was sent at the same moment. A permit must reach the caller, as it would stay in use for ever otherwise.
 	return dispatcher.grantedPermit(waiter, <-waiter.done)
 }
 
+// cancelWait removes a request from the queue, and reports whether it was still there.
+func (dispatcher *Dispatcher) cancelWait(waiter *waiter) bool {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	return dispatcher.waiting.remove(waiter)
+}
+
 func (dispatcher *Dispatcher) grantedPermit(waiter *waiter, granted grant) (Permit, error) {
 	if granted.err != nil {
 		return Permit{}, granted.err
--- a/internal/service/pendingpermit.go
+++ b/internal/service/pendingpermit.go
@@ -59,15 +59,24 @@
 // Cancel ends the wait. It returns the permit if one was granted in the meantime, and the caller must release it, as the permit
 // would stay in use for ever otherwise. If none was granted, it returns a *RefusedError.
 func (pendingPermit *PendingPermit) Cancel() (Permit, error) {
+	refusal := pendingPermit.remove()
+	if refusal == nil {
+		return pendingPermit.scheduler.grantedPermit(&pendingPermit.waiter, <-pendingPermit.waiter.done)
+	}
+	return Permit{}, refusal
+}
+
+// remove removes the request from the queue and returns its refusal, or nil if the wait has ended already.
+func (pendingPermit *PendingPermit) remove() *RefusedError {
 	scheduler := pendingPermit.scheduler
 	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
 	stillWaiting := scheduler.waiting.remove(&pendingPermit.waiter)
 	retryAfter := scheduler.retryAfter(scheduler.clock.Now())
-	scheduler.mutex.Unlock()
 	if !stillWaiting {
-		return scheduler.grantedPermit(&pendingPermit.waiter, <-pendingPermit.waiter.done)
+		return nil
 	}
-	return Permit{}, &RefusedError{Cause: ErrQueueWait, RetryAfter: retryAfter}
+	return &RefusedError{Cause: ErrQueueWait, RetryAfter: retryAfter}
 }
 
 // wait blocks until the permit is granted or the request is refused. The error is a *RefusedError or the context's.
