Guard all goroutines of an instance

One guard is passed to all parts of an instance: connection checks, the drain of servers, lingering connections, reads of reports, the reload of settings. The servers of addresses, readiness, operators and other instances answer 503 when a handler panics before it has written anything; before, net/http closed the connection and wrote a stack to standard error for each. A panic of the log's writer is dropped: it would follow each one that is recovered.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -112,9 +112,9 @@
 			}
 		}
 		before = statFile(gatewayCommand.Settings)
-		file, err := settings.LoadGateway(gatewayCommand.Settings)
-		if err == nil {
-			err = instance.Reload(ctx, file)
+		var err error
+		if panicError := instance.Guard().Run("settings", func() { err = gatewayCommand.reload(ctx, instance) }); panicError != nil {
+			err = panicError
 		}
 		if err != nil {
 			log.Error().Str("problem", err.Error()).Str("why", why).Msg("settings rejected, keeping the previous settings")
@@ -124,6 +124,14 @@
 	}
 }
 
+func (gatewayCommand *gatewayCommand) reload(ctx context.Context, instance *gateway.Gateway) error {
+	file, err := settings.LoadGateway(gatewayCommand.Settings)
+	if err != nil {
+		return err
+	}
+	return instance.Reload(ctx, file)
+}
+
 // fileState identifies a version of a file by its modification time and size.
 type fileState struct {
 	modified time.Time
--- a/internal/control/reportreader.go
+++ b/internal/control/reportreader.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/jaywheel/jaywheel/internal/backendserver"
+	"github.com/jaywheel/jaywheel/internal/supervisor"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
 
@@ -14,6 +15,9 @@
 
 // ReportReader reads load reports in goroutines of its own, so that the control goroutine never waits for a backend server.
 type ReportReader struct {
+	// Guard recovers panics of reading and delivering reports; nil lets them pass. It must be set before Serve.
+	Guard *supervisor.Guard
+
 	requests chan ReportRequest
 	read     func(context.Context, settings.TargetName, string) (backendserver.Report, error)
 	deliver  func(ReportRequest, backendserver.Report, error)
@@ -53,8 +57,10 @@
 		case <-ctx.Done():
 			return
 		case request := <-reportReader.requests:
-			report, err := reportReader.read(ctx, request.Target, request.Path)
-			reportReader.deliver(request, report, err)
+			_ = reportReader.Guard.Run("report", func() {
+				report, err := reportReader.read(ctx, request.Target, request.Path)
+				reportReader.deliver(request, report, err)
+			})
 		}
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -57,6 +57,7 @@
 	heartbeatTransport *instance.HeartbeatTransport
 	handler            *caller.Handler
 	tree               *supervisor.Tree
+	guard              *supervisor.Guard
 	control            *supervisor.Tree
 	traffic            *supervisor.Tree
 	callers            *httppart.Server
@@ -70,7 +71,9 @@
 		options.Seed = rand.Uint64()
 	}
 	entry := &Entry{options: options, clock: clock.New(), registry: metrics.NewRegistry()}
+	entry.guard = supervisor.NewGuard(supervisor.Options{Log: options.Log, Events: &entry.registry.Events})
 	entry.servers = backendserver.NewServers(entry.clock)
+	entry.servers.Guard = entry.guard
 	if err := entry.makeControl(); err != nil {
 		return nil, err
 	}
@@ -90,6 +93,7 @@
 		Keys:    process.Keys,
 		Deliver: func(heartbeat instance.Heartbeat) { controller.HeartbeatReceived(heartbeat) },
 		Events:  &entry.registry.Events,
+		Guard:   entry.guard,
 	})
 	if err != nil {
 		return err
@@ -97,6 +101,7 @@
 	reportReader := control.NewReportReader(entry.servers.ReadReport, func(request control.ReportRequest, report backendserver.Report, err error) {
 		controller.ReportRead(request, report, err)
 	})
+	reportReader.Guard = entry.guard
 	controller = control.NewController(control.Options{
 		Name: process.Instance, DataCentre: process.DataCentre,
 		Incarnation: instance.Incarnation(time.Now().UnixMilli()),
@@ -125,20 +130,25 @@
 	traces := trace.NewRing(traceCapacity)
 	entry.handler = caller.NewHandler(caller.Options{
 		Table: entry.controller.Table, Servers: entry.servers, Registry: entry.registry, Traces: traces, Clock: entry.clock,
-		Instance: process.Instance, MaxStall: process.Callers.MaxStall,
+		Instance: process.Instance, MaxStall: process.Callers.MaxStall, Guard: entry.guard,
 	})
 	operators := operator.NewHandler(operator.Options{Status: entry.operatorStatus, Registry: entry.registry, Traces: traces})
+	connections := caller.NewConnections(process.Callers, &entry.registry.Events)
+	connections.Guard = entry.guard
 	var err error
 	entry.callers, err = httppart.New(caller.NewServer(entry.handler, process.Callers, &entry.registry.Events), process.CallerAddress,
-		caller.NewListenFunc(process.Callers, caller.NewConnections(process.Callers, &entry.registry.Events), &entry.registry.Events))
+		caller.NewListenFunc(process.Callers, connections, &entry.registry.Events))
 	if err != nil {
 		return err
 	}
-	entry.operators, err = httppart.New(&http.Server{Handler: operators, ReadHeaderTimeout: process.Callers.HeaderTimeout.Duration()},
-		process.OperatorAddress, httppart.Listen)
+	operatorServer := &http.Server{
+		Handler: httppart.NewGuardedHandler(entry.guard, "operators", operators), ReadHeaderTimeout: process.Callers.HeaderTimeout.Duration(),
+	}
+	entry.operators, err = httppart.New(operatorServer, process.OperatorAddress, httppart.NewListenFunc(entry.guard))
 	if err != nil {
 		return errors.CombineErrors(err, entry.callers.Close())
 	}
+	entry.callers.Guard, entry.operators.Guard = entry.guard, entry.guard
 	branch := supervisor.New("traffic", supervisor.Options{Log: entry.options.Log, Events: &entry.registry.Events})
 	branch.Add(supervisor.Component{Name: "callers", Serve: entry.callers.Serve})
 	branch.Add(supervisor.Component{Name: "operators", Serve: entry.operators.Serve})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,6 +109,7 @@
 	connections  *caller.Connections
 	httpServers  []namedServer
 	tree         *supervisor.Tree
+	guard        *supervisor.Guard
 	// bounds and storeAddress come from the settings that were loaded last.
 	bounds       atomic.Pointer[settings.GatewayBounds]
 	storeAddress atomic.Pointer[string]
@@ -130,14 +131,16 @@
 	gateway := &Gateway{options: options, clock: clock.New(), registry: metrics.NewRegistry(), traces: trace.NewRing(traceCapacity)}
 	gateway.bounds.Store(&options.Settings.Bounds)
 	gateway.storeAddress.Store(&options.Settings.StoreAddress)
+	gateway.guard = supervisor.NewGuard(supervisor.Options{Log: options.Log, Events: &gateway.registry.Events})
 	gateway.servers = backendserver.NewServers(gateway.clock)
-	gateway.servers.OnConnect, gateway.servers.Dial = gateway.recordConnect, options.DialServer
+	gateway.servers.OnConnect, gateway.servers.Dial, gateway.servers.Guard = gateway.recordConnect, options.DialServer, gateway.guard
 	gateway.quota = quota.NewLimiter(quota.Options{
 		Clock: gateway.clock, Rand: rand.New(rand.NewPCG(options.Seed, 1)), RequestLoans: func() { gateway.controller.RequestLoans() },
 	})
 	gateway.quarantine = quarantine.New(quarantine.Options{Clock: gateway.clock, OnBlock: gateway.recordBlock, OnEnd: func() { gateway.controller.ReportQuarantine() }})
-	gateway.relay = relay.NewClient(relay.Options{Clock: gateway.clock, Rand: rand.New(rand.NewPCG(options.Seed, 2))})
+	gateway.relay = relay.NewClient(relay.Options{Clock: gateway.clock, Rand: rand.New(rand.NewPCG(options.Seed, 2)), Guard: gateway.guard})
 	gateway.connections = caller.NewConnections(callerLimits(options.Settings), &gateway.registry.Events)
+	gateway.connections.Guard = gateway.guard
 	gateway.makeControl()
 	if err := gateway.makeHTTPServers(); err != nil {
 		gateway.closeHTTPServers()
@@ -160,7 +163,7 @@
 
 // checkConnection connects to a backend server in the background.
 func (gateway *Gateway) checkConnection(name settings.TargetName) {
-	go gateway.servers.Check(context.Background(), name)
+	gateway.guard.Go("connection check", func() { gateway.servers.Check(context.Background(), name) })
 }
 
 func (gateway *Gateway) makeControl() {
@@ -169,10 +172,11 @@
 	gateway.prober = sensing.NewProber(sensing.Options{
 		Send: gateway.servers.Send, Read: gateway.options.Platform.ReadProbe, Clock: gateway.clock, Events: events,
 		MaxConcurrent: sensing.MaxConcurrent(gatewaySettings.Cores),
-		Deliver:       func(result sensing.Result) { gateway.controller.RecordProbe(result) },
+		Deliver:       func(result sensing.Result) { gateway.controller.RecordProbe(result) }, Guard: gateway.guard,
 	})
 	gateway.datagrams = instance.NewTransport(instance.TransportOptions{
 		Address: gatewaySettings.PeerAddress, Events: events, Deliver: func(datagram []byte) { gateway.controller.Receive(datagram) },
+		Guard: gateway.guard,
 	})
 	gateway.controller = fleet.NewController(fleet.Options{
 		Self: membership.Identity{
@@ -187,7 +191,7 @@
 		ProcessorTime: processorTime, SentBytes: func() int64 { return metrics.EventCount(&gateway.registry.Events, caller.EventSentBytes) },
 		LinkRate: gatewaySettings.LinkMegabits * bytesPerMillisecond, Connections: func() fleet.ConnectionUse { return fleet.ConnectionUse(gateway.connections.Use()) },
 		Send: gateway.datagrams.Send, SetJobs: gateway.prober.Set, Verify: gateway.prober.Verify,
-		CheckConnection: gateway.checkConnection, SetRelayPeers: gateway.relay.SetPeers, Regions: gatewaySettings.Regions,
+		CheckConnection: gateway.checkConnection, SetRelayPeers: gateway.relay.SetPeers, Regions: gatewaySettings.Regions, Guard: gateway.guard,
 	})
 	peers := &peerReader{http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxPeerHeadBytes}}}
 	gateway.reader = catalog.NewReader(catalog.Options{
@@ -195,7 +199,7 @@
 		FetchFromPeer: func(ctx context.Context, after catalog.Revision) (catalog.Update, error) {
 			return gateway.controller.FetchFromPeer(ctx, after, peers.read)
 		},
-		Clock: gateway.clock, Events: events, Log: gateway.options.Log, Jitter: rand.Float64,
+		Clock: gateway.clock, Events: events, Log: gateway.options.Log, Jitter: rand.Float64, Guard: gateway.guard,
 	})
 	gateway.controller.SetCatalogReader(fleet.CatalogReader{
 		SetRole: gateway.reader.SetRole, SetPeerRevision: gateway.reader.SetPeerRevision, Refresh: gateway.reader.Refresh, CatchUp: gateway.reader.CatchUp,
@@ -217,10 +221,13 @@
 		Relay:      &caller.Relay{Client: gateway.relay, Unreachable: gateway.controller.Unreachable, Doubtful: gateway.controller.Doubtful},
 		Quarantine: gateway.quarantine, OnServerEnd: gateway.recordServerEnd,
 		OnStatement: gateway.controller.RecordStatement, Lateness: gateway.controller.Lateness,
-		OnRequestDone: newRequestLog(gateway.options.Log, gateway.clock, &gateway.registry.Events).write,
+		OnRequestDone: newRequestLog(gateway.options.Log, gateway.clock, &gateway.registry.Events).write, Guard: gateway.guard,
 	})
 	events := &gateway.registry.Events
-	peerServer := caller.NewPeerServer(gateway.handler, http.HandlerFunc(gateway.serveCatalog), peerLimits, events)
+	peerConnections := caller.NewConnections(peerLimits, events)
+	peerConnections.Guard = gateway.guard
+	listen := httppart.NewListenFunc(gateway.guard)
+	peerServer := caller.NewPeerServer(gateway.handler, httppart.NewGuardedHandler(gateway.guard, "peers", http.HandlerFunc(gateway.serveCatalog)), peerLimits, events)
 	serverConfigs := []struct {
 		name    string
 		address string
@@ -228,16 +235,17 @@
 		listen  func(string) (httppart.Listener, error)
 	}{
 		{"callers", gatewaySettings.CallerAddress, caller.NewServer(gateway.handler, limits, events), caller.NewListenFunc(limits, gateway.connections, events)},
-		{"directory", gatewaySettings.DirectoryAddress, newShortRequestServer(gateway.options.Platform.Directory(gateway.controller.Addresses)), httppart.Listen},
-		{"readiness", gatewaySettings.ReadyAddress, newShortRequestServer(gateway.options.Platform.Readiness(gateway.controller.Ready)), httppart.Listen},
-		{"peers", gatewaySettings.PeerAddress, peerServer, caller.NewListenFunc(peerLimits, caller.NewConnections(peerLimits, events), events)},
-		{"operators", gatewaySettings.OperatorAddress, newShortRequestServer(gateway.operatorHandler()), httppart.Listen},
+		{"directory", gatewaySettings.DirectoryAddress, gateway.newShortRequestServer("directory", gateway.options.Platform.Directory(gateway.controller.Addresses)), listen},
+		{"readiness", gatewaySettings.ReadyAddress, gateway.newShortRequestServer("readiness", gateway.options.Platform.Readiness(gateway.controller.Ready)), listen},
+		{"peers", gatewaySettings.PeerAddress, peerServer, caller.NewListenFunc(peerLimits, peerConnections, events)},
+		{"operators", gatewaySettings.OperatorAddress, gateway.newShortRequestServer("operators", gateway.operatorHandler()), listen},
 	}
 	for _, config := range serverConfigs {
 		server, err := httppart.New(config.server, config.address, config.listen)
 		if err != nil {
 			return errors.Wrapf(err, "listen for %s", config.name)
 		}
+		server.Guard = gateway.guard
 		gateway.httpServers = append(gateway.httpServers, namedServer{name: config.name, Server: server})
 	}
 	gateway.callerServer, gateway.peerServer = gateway.httpServers[0].Server, gateway.httpServers[peerServerIndex].Server
@@ -258,11 +266,12 @@
 // maxShortHeaderBytes limits the header of a request that needs only a path.
 const maxShortHeaderBytes = 8 << 10
 
-// newShortRequestServer returns a server for requests with short headers that are read within headerTimeout.
-func newShortRequestServer(handler http.Handler) *http.Server {
+// newShortRequestServer returns a server for requests with short headers that are read within headerTimeout. The component is its name in
+// the log.
+func (gateway *Gateway) newShortRequestServer(component string, handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration(), MaxHeaderBytes: maxShortHeaderBytes,
-		ReadTimeout: headerTimeout.Duration(),
+		Handler: httppart.NewGuardedHandler(gateway.guard, component, handler), ReadHeaderTimeout: headerTimeout.Duration(), ReadTimeout: headerTimeout.Duration(),
+		IdleTimeout: idleTimeout.Duration(), MaxHeaderBytes: maxShortHeaderBytes,
 	}
 }
 
@@ -311,6 +320,11 @@
 	return err
 }
 
+// Guard returns the guard for goroutines that work for the instance.
+func (gateway *Gateway) Guard() *supervisor.Guard {
+	return gateway.guard
+}
+
 // Status returns the control state.
 func (gateway *Gateway) Status(ctx context.Context) (fleet.Status, error) {
 	return gateway.controller.Status(ctx)
--- a/internal/gateway/leave.go
+++ b/internal/gateway/leave.go
@@ -57,7 +57,13 @@
 // shutdown stops accepting requests of callers and those that other instances relay, and waits for those in flight.
 func (gateway *Gateway) shutdown(ctx context.Context) error {
 	peerResult := make(chan error, 1)
-	go func() { peerResult <- gateway.peerServer.Shutdown(ctx) }()
+	go func() {
+		var err error
+		if panicError := gateway.guard.Run("shutdown", func() { err = gateway.peerServer.Shutdown(ctx) }); panicError != nil {
+			err = panicError
+		}
+		peerResult <- err
+	}()
 	return errors.Join(gateway.callerServer.Shutdown(ctx), <-peerResult)
 }
 
--- a/internal/httppart/httppart.go
+++ b/internal/httppart/httppart.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	server, err := httppart.New(httpServer, "10.0.0.4:8080", httppart.Listen)
+//	server, err := httppart.New(httpServer, "10.0.0.4:8080", httppart.NewListenFunc(guard))
 //	tree.Add(supervisor.Component{Name: "callers", Serve: server.Serve})
 //	...
 //	server.Shutdown(ctx) // returns when no request is in flight
@@ -18,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/jaywheel/jaywheel/internal/linger"
+	"github.com/jaywheel/jaywheel/internal/supervisor"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 )
 
@@ -29,19 +30,26 @@
 	Drain func(context.Context) error
 }
 
-// Listen listens on a TCP address. The connections are not reset before their peers have received what was sent.
-func Listen(address string) (Listener, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return Listener{}, err
+// NewListenFunc returns a function that listens on a TCP address. The connections are not reset before their peers have received what was
+// sent. The guard recovers panics on goroutines of the connections; nil lets them pass.
+func NewListenFunc(guard *supervisor.Guard) func(address string) (Listener, error) {
+	return func(address string) (Listener, error) {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return Listener{}, err
+		}
+		return Listener{Listener: lingeringListener{Listener: listener, guard: guard}}, nil
 	}
-	return Listener{Listener: lingeringListener{listener}}, nil
 }
 
 // maxStall is how long the peer of a closed connection may receive nothing.
 const maxStall = 10 * clock.Second
 
-type lingeringListener struct{ net.Listener }
+type lingeringListener struct {
+	net.Listener
+
+	guard *supervisor.Guard
+}
 
 // Accept implements net.Listener.
 func (lingeringListener lingeringListener) Accept() (net.Conn, error) {
@@ -53,12 +61,13 @@
 	if !isTCP {
 		return accepted, nil
 	}
-	return &lingeringConnection{TCPConn: connection}, nil
+	return &lingeringConnection{TCPConn: connection, guard: lingeringListener.guard}, nil
 }
 
 type lingeringConnection struct {
 	*net.TCPConn
 
+	guard     *supervisor.Guard
 	closeOnce sync.Once
 }
 
@@ -70,16 +79,19 @@
 			err = lingeringConnection.TCPConn.Close()
 			return
 		}
-		go func() {
+		lingeringConnection.guard.Go("end of a connection", func() {
+			defer func() { _ = lingeringConnection.TCPConn.Close() }()
 			linger.Wait(lingeringConnection.TCPConn, linger.Options{MaxStall: maxStall})
-			_ = lingeringConnection.TCPConn.Close()
-		}()
+		})
 	})
 	return err
 }
 
 // Server is an HTTP server as a component of a supervisor tree. It is safe for concurrent use.
 type Server struct {
+	// Guard recovers panics of draining listeners; nil lets them pass. It must be set before the first use.
+	Guard *supervisor.Guard
+
 	httpServer *http.Server
 	listen     func(address string) (Listener, error)
 	address    string
@@ -109,7 +121,7 @@
 	if err != nil {
 		return err
 	}
-	stop := context.AfterFunc(ctx, func() { _ = server.httpServer.Close() })
+	stop := context.AfterFunc(ctx, server.Guard.Func("close of a server", func() { _ = server.httpServer.Close() }))
 	defer stop()
 	err = server.httpServer.Serve(listener)
 	if errors.Is(err, http.ErrServerClosed) || server.isDrained() {
@@ -161,21 +173,73 @@
 	server.drained = true
 	listeners := append([]Listener{server.listener}, server.previous...)
 	server.mutex.Unlock()
-	if err := drainAll(ctx, listeners); err != nil {
+	if err := server.drainAll(ctx, listeners); err != nil {
 		return err
 	}
-	return errors.Join(server.httpServer.Shutdown(ctx), drainAll(ctx, listeners))
+	return errors.Join(server.httpServer.Shutdown(ctx), server.drainAll(ctx, listeners))
 }
 
 // drainAll drains all listeners at the same time.
-func drainAll(ctx context.Context, listeners []Listener) error {
+func (server *Server) drainAll(ctx context.Context, listeners []Listener) error {
 	var draining sync.WaitGroup
 	drainErrors := make([]error, len(listeners))
 	for index, listener := range listeners {
 		if listener.Drain != nil {
-			draining.Go(func() { drainErrors[index] = listener.Drain(ctx) })
+			draining.Go(func() {
+				if err := server.Guard.Run("drain", func() { drainErrors[index] = listener.Drain(ctx) }); err != nil {
+					drainErrors[index] = err
+				}
+			})
 		}
 	}
 	draining.Wait()
 	return errors.Join(drainErrors...)
 }
+
+// NewGuardedHandler returns a handler that responds with status 503 if the given one panics before it has written anything. Otherwise
+// net/http closes the connection without a response.
+func NewGuardedHandler(guard *supervisor.Guard, component string, handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		recording := &recordingWriter{ResponseWriter: writer}
+		defer func() {
+			value := recover()
+			switch {
+			case value == nil:
+			case guard == nil, value == http.ErrAbortHandler: //nolint:errorlint // net/http panics with exactly this value.
+				panic(value)
+			default:
+				_ = guard.Record(component, value)
+				if recording.written {
+					panic(http.ErrAbortHandler)
+				}
+				clear(writer.Header())
+				writer.WriteHeader(http.StatusServiceUnavailable)
+			}
+		}()
+		handler.ServeHTTP(recording, request)
+	})
+}
+
+// recordingWriter records whether a response has been begun.
+type recordingWriter struct {
+	http.ResponseWriter
+
+	written bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (recordingWriter *recordingWriter) WriteHeader(status int) {
+	recordingWriter.written = true
+	recordingWriter.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (recordingWriter *recordingWriter) Write(data []byte) (int, error) {
+	recordingWriter.written = true
+	return recordingWriter.ResponseWriter.Write(data)
+}
+
+// Unwrap returns the writer for http.ResponseController.
+func (recordingWriter *recordingWriter) Unwrap() http.ResponseWriter {
+	return recordingWriter.ResponseWriter
+}
--- a/internal/httppart/httppart_test.go
+++ b/internal/httppart/httppart_test.go
@@ -3,14 +3,19 @@
 import (
 	"bufio"
 	"context"
+	"expvar"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+
+	"github.com/jaywheel/jaywheel/internal/supervisor"
 )
 
 // Timeout and interval for conditions that another goroutine fulfils.
@@ -63,7 +68,7 @@
 	server, err := New(&http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		writer.Header().Set("Connection", "close")
 		_, _ = writer.Write(make([]byte, length))
-	})}, "127.0.0.1:0", Listen)
+	})}, "127.0.0.1:0", NewListenFunc(nil))
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
@@ -85,3 +90,52 @@
 	cancel()
 	require.ErrorIs(t, <-ended, context.Canceled)
 }
+
+// Guards against a handler that panics and whose callers get no response, or one that looks complete.
+func TestPanicIsAnswered(t *testing.T) {
+	cases := []struct {
+		name   string
+		handle http.HandlerFunc
+		status int
+	}{
+		{"before the response", func(writer http.ResponseWriter, _ *http.Request) {
+			writer.Header().Set("Content-Length", "100")
+			panic("on purpose")
+		}, http.StatusServiceUnavailable},
+		{"within the response", func(writer http.ResponseWriter, _ *http.Request) {
+			_, _ = writer.Write([]byte("part"))
+			panic("on purpose")
+		}, 0},
+		{"none", func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusOK) }, http.StatusOK},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			guard := supervisor.NewGuard(supervisor.Options{Log: zerolog.Nop(), Events: new(expvar.Map).Init()})
+			server := httptest.NewServer(NewGuardedHandler(guard, "test", testCase.handle))
+			defer server.Close()
+			response, err := server.Client().Get(server.URL)
+			if testCase.status == 0 {
+				require.Error(t, err)
+				return
+			}
+			require.NoError(t, err)
+			response.Body.Close()
+			require.Equal(t, testCase.status, response.StatusCode)
+		})
+	}
+}
+
+// Guards against a listener whose end panics and ends the process while requests are in flight.
+func TestPanicWhileDraining(t *testing.T) {
+	events := new(expvar.Map).Init()
+	server, err := New(&http.Server{Handler: http.NotFoundHandler()}, "127.0.0.1:0", func(address string) (Listener, error) {
+		listener, err := net.Listen("tcp", address)
+		return Listener{Listener: listener, Drain: func(context.Context) error { panic("on purpose") }}, err
+	})
+	require.NoError(t, err)
+	defer server.Close()
+	server.Guard = supervisor.NewGuard(supervisor.Options{Log: zerolog.Nop(), Events: events})
+	var panicError *supervisor.PanicError
+	require.ErrorAs(t, server.Shutdown(t.Context()), &panicError)
+	require.Equal(t, "1", events.Get(supervisor.EventPanic).String())
+}
--- a/internal/supervisor/guard.go
+++ b/internal/supervisor/guard.go
@@ -89,12 +89,18 @@
 	}
 	guard.options.Events.Add(EventPanic, 1)
 	if suppressed, due := guard.logDue(component); due {
-		guard.options.Log.Error().Str("event", panicError.Error()).Str("component", component).Int("suppressed", suppressed).
-			Str("stack", string(debug.Stack())).Msg("a panic was recovered")
+		guard.log(panicError, suppressed, string(debug.Stack()))
 	}
 	return panicError
 }
 
+// log writes a line on a panic. A panic of the log's writer is dropped: it would replace the one that has been recovered.
+func (guard *Guard) log(panicError *PanicError, suppressed int, stack string) {
+	defer func() { _ = recover() }()
+	guard.options.Log.Error().Str("event", panicError.Error()).Str("component", panicError.Component).Int("suppressed", suppressed).
+		Str("stack", stack).Msg("a panic was recovered")
+}
+
 // logDue reports whether a panic of the component is logged now, and how many have not been logged before it.
 func (guard *Guard) logDue(component string) (int, bool) {
 	now := guard.clock.Now()
--- a/internal/supervisor/guard_test.go
+++ b/internal/supervisor/guard_test.go
@@ -101,3 +101,19 @@
 	require.NoError(t, guard.Run("part", func() {}))
 	require.PanicsWithValue(t, "on purpose", func() { guard.run("part", func() { panic("on purpose") }) })
 }
+
+// failingWriter is the writer of a log that panics.
+type failingWriter struct{}
+
+// Write implements io.Writer.
+func (failingWriter) Write([]byte) (int, error) {
+	panic("on purpose")
+}
+
+// Guards against a log whose writer panics, with which each recovered panic would be followed by another one.
+func TestPanicOfTheLogIsDropped(t *testing.T) {
+	events := (&expvar.Map{}).Init()
+	guard := NewGuard(Options{Log: zerolog.New(failingWriter{}), Events: events})
+	require.Error(t, guard.Run("part", func() { panic("on purpose") }))
+	require.Equal(t, "1", events.Get(EventPanic).String())
+}
