--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -216,9 +216,9 @@
 			}
 		}
 		before = statFile(path)
-		file, err := settings.LoadGateway(path)
-		if err == nil {
-			err = instance.Reload(ctx, file)
+		var err error
+		if panicError := instance.Guard().Run("settings", func() { err = reload(ctx, path, instance) }); panicError != nil {
+			err = panicError
 		}
 		if err != nil {
 			log.Error().Str("problem", err.Error()).Str("why", why).Msg("settings rejected, keeping the previous settings")
@@ -228,6 +228,14 @@
 	}
 }
 
+func reload(ctx context.Context, path string, instance *gateway.Gateway) error {
+	file, err := settings.LoadGateway(path)
+	if err != nil {
+		return err
+	}
+	return instance.Reload(ctx, file)
+}
+
 // fileState identifies a version of a file by its modification time and size.
 type fileState struct {
 	modified time.Time
--- a/internal/catalog/watch.go
+++ b/internal/catalog/watch.go
@@ -76,10 +76,14 @@
 	}
 }
 
-// timed makes a call to the source that waits for the given time.
+// timed makes a call to the source that waits for the given time. A call that panics counts as failed.
 func (reader *Reader) timed(wait clock.Milliseconds, call func() (Changes, error)) watchResult {
 	started := reader.options.Clock.Now()
-	changes, err := call()
+	var changes Changes
+	var err error
+	if panicError := reader.options.Guard.Run("watch", func() { changes, err = call() }); panicError != nil {
+		changes, err = Changes{}, panicError
+	}
 	return watchResult{changes: changes, err: err, late: reader.options.Clock.Now().Since(started) - wait}
 }
 
@@ -115,8 +119,11 @@
 func (reader *Reader) requestPeers(ctx context.Context, request peerRequest, results chan<- peerResult) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
 	defer cancel()
-	view, err := reader.fetchFromPeers(ctx, request)
-	results <- peerResult{view: view, err: err}
+	var result peerResult
+	if err := reader.options.Guard.Run("peer view", func() { result.view, result.err = reader.fetchFromPeers(ctx, request) }); err != nil {
+		result = peerResult{err: err}
+	}
+	results <- result
 }
 
 // requestRefresh makes the next task read everything again.
