Start in a working directory that has been removed

A process whose working directory is gone ended with a panic (status 2, "error in parsing gateway.schema.json: getwd"): the compiler of the schemas resolves a relative name against the working directory. A new checkout in place of the old one is enough for that when a process is started again. The names are absolute now.

Before, on: TestProcessStartsAnywhere failed, "the process ended: exit status 2".

--- a/pkg/settings/schema.go
+++ b/pkg/settings/schema.go
@@ -48,6 +48,9 @@
 	gatewayDefinition: compileOnce(gatewayDefinition, GatewaySchema),
 }
 
+// schemaRoot makes the names of the schemas absolute. The compiler looks up the working directory for others, which may have been removed.
+const schemaRoot = "jaywheel:///"
+
 func compileOnce(definition string, text []byte) func() *jsonschema.Schema {
 	return sync.OnceValue(func() *jsonschema.Schema {
 		parsed, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
@@ -56,10 +59,10 @@
 		}
 		schemas := jsonschema.NewCompiler()
 		name, _, _ := strings.Cut(definition, "#")
-		if err := schemas.AddResource(name, parsed); err != nil {
+		if err := schemas.AddResource(schemaRoot+name, parsed); err != nil {
 			panic(err)
 		}
-		return schemas.MustCompile(definition)
+		return schemas.MustCompile(schemaRoot + definition)
 	})
 }
 
