Respect the process's own limit of descriptors

The limits of connections follow from descriptorsMost alone. With a limit of the process below it (ulimit -n 100, 4,096 in the settings) 300 idle callers took every descriptor: readiness checks, operators and the next caller got no answer, and the platform takes such an instance for dead. The lower one of both counts now, with a warning at the start. A soft limit below the hard one is raised by the runtime, as before.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -118,6 +118,9 @@
 	for _, warning := range file.Warnings {
 		gatewayRun.log.Warn().Str("field", warning.Path).Str("problem", warning.Reason).Msg("field of the settings not understood")
 	}
+	if limitDescriptors(file) {
+		gatewayRun.log.Warn().Int("descriptors", file.MaxDescriptors).Msg("fewer file descriptors than configured, accepting fewer connections")
+	}
 	return nil
 }
 
