Serve backend servers that must not be probed as warm

A service without an entry in the configuration, or one whose entry has no valid health check path, has no probes that could tell whether its servers are warm. Their owner alone waited for a recent reading before it sent to them, at most at the cold rate, which such a service mostly does not have: it sent none, and its callers got 503 (queueWait, queueFull) until another instance owned the servers or an answer to a request of another instance was known. An instance by itself never served them. With a cold rate they waited for the 2.5 s after a change of owner. All other instances sent as to warm servers all the while, so that the wait protected nothing. Now what the list says of a server (warmup_left_s) is all that counts for it: while that says cold, it still gets requests of its owner alone, at the cold rate, none without a rate.

The emulator marked all targets as not to be probed, although their owners are told their load by emulated probes, and took part in the old rule.

--- a/internal/emulate/run.go
+++ b/internal/emulate/run.go
@@ -116,8 +116,8 @@
 			owned := target.owner == instance.number
 			targetConfigs = append(targetConfigs, service.TargetConfig{
 				Name: target.name, Slots: target.service.Slots, Local: owned, Owned: owned, Usable: !target.unavailable, ColdRate: coldRate,
-				// Emulated targets are never cold, so that no probe has to tell.
-				Unprobed: true,
+				// Emulated targets are never cold. Only their owners need a probe to tell.
+				Unprobed: !owned,
 			})
 		}
 		instance.scheduler.SetTargets(targetConfigs)
--- a/internal/service/candidate.go
+++ b/internal/service/candidate.go
@@ -208,7 +208,7 @@
 
 // cold reports whether requests are expected to take as long as on a cold target.
 func (candidate *candidate) cold(now clock.Moment) bool {
-	return now < candidate.coldUntil || candidate.config.Owned && candidate.stale(now)
+	return now < candidate.coldUntil || candidate.config.Owned && candidate.stale(now) && !candidate.config.Unprobed
 }
 
 // stale reports whether there is no reading, or the last one is so old that the target may have become cold since.
--- a/internal/service/warmth.go
+++ b/internal/service/warmth.go
@@ -128,10 +128,8 @@
 	return now < candidate.coldUntil || !candidate.warmthKnown(now)
 }
 
-// warmthKnown reports whether it is known from a recent probe whether the target is cold. An answer to a request does not tell.
+// warmthKnown reports whether it is known from a recent probe whether the target is cold. An answer to a request does not tell. Of a target
+// that must not be probed, nobody ever learns more than its configuration tells.
 func (candidate *candidate) warmthKnown(now clock.Moment) bool {
-	if candidate.config.Unprobed {
-		return !candidate.config.Owned || !candidate.stale(now)
-	}
-	return now < candidate.statedUntil
+	return candidate.config.Unprobed || now < candidate.statedUntil
 }
--- a/internal/service/warmth_test.go
+++ b/internal/service/warmth_test.go
@@ -194,3 +194,42 @@
 	var refused *RefusedError
 	require.ErrorAs(t, request(), &refused)
 }
+
+// Guards against targets that nobody may probe and that get no requests of their owner, since nothing tells that they are warm. Without a
+// reading they get one request at a time.
+func TestUnprobedTargetIsWarmUnlessItsConfigurationTellsOtherwise(t *testing.T) {
+	const coldFor = 10 * clock.Second
+	cases := []struct {
+		name            string
+		owned, tookOver bool
+		coldRate        float64
+		// coldFor is how long the target was cold when it was configured, and elapsed the time since.
+		coldFor, elapsed clock.Milliseconds
+		served           int
+	}{
+		{"owned", true, false, warmthColdRate, 0, clock.Second, 1},
+		{"owned, no cold rate", true, false, 0, 0, clock.Second, 1},
+		{"owned since just now", true, true, 0, 0, clock.Second, 1},
+		{"not owned", false, false, 0, 0, clock.Second, 1},
+		{"owned, cold", true, false, warmthColdRate, coldFor, clock.Second, 1},
+		{"owned, cold, no cold rate", true, false, 0, coldFor, clock.Second, 0},
+		{"owned since just now, cold", true, true, warmthColdRate, coldFor, clock.Second, 0},
+		{"not owned, cold", false, false, warmthColdRate, coldFor, clock.Second, 0},
+		{"owned, cold until now, no cold rate", true, false, 0, coldFor, coldFor, 1},
+		{"owned since just now, cold until now", true, true, warmthColdRate, coldFor, coldFor, 1},
+		{"not owned, cold until now", false, false, warmthColdRate, coldFor, coldFor, 1},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			fixture := newWarmthFixture(true)
+			config := TargetConfig{
+				Name: "two", Slots: 4, Owned: testCase.owned && !testCase.tookOver, Usable: true, Unprobed: true, ColdRate: testCase.coldRate, ColdFor: testCase.coldFor,
+			}
+			fixture.SetTargets([]TargetConfig{config})
+			fixture.manual.Advance(testCase.elapsed)
+			config.Owned = testCase.owned
+			fixture.SetTargets([]TargetConfig{config})
+			require.Equal(t, testCase.served, fill(t, fixture.Scheduler))
+		})
+	}
+}
