Give services without an entry the default number of connections

They got the least number, 4 a server and instance, whatever its slots: requests beyond that failed for want of a connection.

--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -60,6 +60,9 @@
 	Weight  int
 }
 
+// DefaultMaxConnections limits the connections to each backend server of a service that specifies no limit. A small server accepts this many.
+const DefaultMaxConnections = 64
+
 // ServiceLimits are the settings that operators publish for a service's backend servers.
 type ServiceLimits struct {
 	_ struct{} `cbor:",toarray"`
--- a/internal/fleet/servers_test.go
+++ b/internal/fleet/servers_test.go
@@ -193,3 +193,20 @@
 		require.Less(t, configurationBytes, uint64(maxBytes))
 	}
 }
+
+// Guards against a service without an entry in the configuration whose servers get fewer connections than they have slots.
+func TestServiceWithoutEntryGetsDefaultConnections(t *testing.T) {
+	fixture := newServingFixture(t, 1, 6)
+	for _, without := range []settings.ServiceName{"", "lookups"} {
+		view := newView(6, fixtureDataCentres)
+		view.Revision = fixture.controller.view.Revision + 1
+		for name := range view.Configuration.Services {
+			view.Configuration.Services[name] = catalog.ServiceLimits{ProbePath: "/health", MaxConnections: catalog.DefaultMaxConnections}
+		}
+		delete(view.Configuration.Services, without)
+		fixture.controller.applyView(view)
+		for name, state := range fixture.controller.services {
+			require.Equal(t, catalog.DefaultMaxConnections/minConnectionShares, state.connectionLimit(), "%s without an entry for %q", name, without)
+		}
+	}
+}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -143,7 +143,11 @@
 	changed := map[settings.ServiceName]bool{}
 	for index := range configuration.Routes {
 		for _, part := range configuration.Routes[index].Split {
-			changed[part.Service] = controller.setService(part.Service, configuration.Services[part.Service]) || changed[part.Service]
+			limits, found := configuration.Services[part.Service]
+			if !found {
+				limits.MaxConnections = catalog.DefaultMaxConnections
+			}
+			changed[part.Service] = controller.setService(part.Service, limits) || changed[part.Service]
 		}
 	}
 	for name, limits := range configuration.Services {
