Use backend servers again that are not probed any more

A server that probes found to be down when a new configuration dropped its service's health check path stayed down for good, by the word of this instance or of another: only a probe finds it up again.

--- a/internal/service/scheduler.go
+++ b/internal/service/scheduler.go
@@ -219,6 +219,7 @@
 	existing.configureWarmth(now, &existing.config, &config, found)
 	existing.refill(now)
 	existing.config, existing.removed = config, false
+	existing.down = existing.down && !config.Unprobed
 	scheduler.attachDeclaration(existing)
 	existing.slotClass = existing.concurrencyModel.slotClassOf(config.Slots)
 	if existing.Address != config.Address || existing.DataCentre != config.DataCentre {
@@ -246,12 +247,12 @@
 )
 
 // SetDown sets whether probes fail to reach the target, and whose probes these are. A target that is down gets no requests. It
-// reports whether that has changed.
+// reports whether that has changed. A target that must not be probed is never down: no probe would find it up again.
 func (scheduler *Scheduler) SetDown(name settings.TargetName, down bool, source Source) bool {
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
 	candidate, found := scheduler.candidates[name]
-	if !found || candidate.down == down {
+	if !found || candidate.down == down || down && candidate.config.Unprobed {
 		return false
 	}
 	candidate.down, candidate.downSource = down, source
--- a/internal/service/warmth_test.go
+++ b/internal/service/warmth_test.go
@@ -233,3 +233,18 @@
 		})
 	}
 }
+
+// Guards against a target that probes found to be down and that gets no request any more, because the service's health check path was
+// dropped and no probe can find it up again.
+func TestTargetThatIsNotProbedAnyMoreIsNotDown(t *testing.T) {
+	for _, source := range []Source{FromProbe, FromPeer} {
+		fixture := newWarmthFixture(true)
+		fixture.observe(FromProbe, 0, 0)
+		require.True(t, fixture.SetDown("one", true, source))
+		fixture.config.Unprobed = true
+		fixture.ChangeTargets([]TargetConfig{fixture.config}, nil)
+		require.False(t, fixture.SetDown("one", true, source), "a late report")
+		require.Zero(t, fixture.DownTargets().Own+fixture.DownTargets().Reported)
+		require.Positive(t, fill(t, fixture.Scheduler))
+	}
+}
