Keep informational responses from callers of HTTP/1.0

HTTP/1.0 has none (RFC 9110, section 15.2): a caller takes the first head for the final response, here 103 without a body, and the final one for bytes that nobody asked for. The new test got 103 in place of 200 before.

--- a/internal/caller/hints.go
+++ b/internal/caller/hints.go
@@ -33,8 +33,9 @@
 func (hints *hints) relay(status int, received textproto.MIMEHeader) error {
 	hints.mutex.Lock()
 	defer hints.mutex.Unlock()
-	// net/http sends 100 itself when the body is first read, and protocol upgrades are not supported.
-	if hints.stopped || status == http.StatusContinue || status == http.StatusSwitchingProtocols {
+	// net/http sends 100 itself when the body is first read, and protocol upgrades are not supported. HTTP/1.0 has no informational
+	// responses: a caller would take one for the final response.
+	if hints.stopped || status == http.StatusContinue || status == http.StatusSwitchingProtocols || !hints.call.request.ProtoAtLeast(1, 1) {
 		return nil
 	}
 	if !hints.call.handler.options.Dialect.belongsTo(hints.call.id, http.Header(received)) {
--- a/internal/caller/response_test.go
+++ b/internal/caller/response_test.go
@@ -339,3 +339,22 @@
 		require.NoError(t, <-results, "events: %s", fixture.registry.Events.String())
 	}
 }
+
+// Guards against informational responses that reach callers of HTTP/1.0, which take them for the final response.
+func TestHintsAreNotForwardedToHTTP10(t *testing.T) {
+	fixture := newFixture(t, fixtureService(), startRawBackend(t, func(connection net.Conn) {
+		defer connection.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(connection)); err == nil {
+			_, _ = io.WriteString(connection, "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	}))
+	connection, err := net.Dial("tcp", fixture.address)
+	require.NoError(t, err)
+	defer connection.Close()
+	_, err = io.WriteString(connection, "GET /slots HTTP/1.0\r\nHost: "+fixtureHost+"\r\n\r\n")
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	require.Equal(t, http.StatusOK, response.StatusCode)
+}
