--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -159,7 +159,11 @@
 	configuration := controller.view.Configuration
 	changed := map[settings.ServiceName]bool{}
 	set := func(name settings.ServiceName) {
-		controller.isolate("service", func() { changed[name] = controller.setService(name, configuration.Services[name]) || changed[name] })
+		limits, found := configuration.Services[name]
+		if !found {
+			limits.MaxConnections = catalog.DefaultMaxConnections
+		}
+		controller.isolate("service", func() { changed[name] = controller.setService(name, limits) || changed[name] })
 	}
 	for index := range configuration.Routes {
 		for _, part := range configuration.Routes[index].Split {
