Let others read in turn if those that serve next get no answers either

Cause: all others waited 12 s for a serving instance with answers, so that hundreds of them do not call a store that is down.

Change: if no instance on standby that gets answers is heard of, up to five more of each data centre try one after the other, 0.35 s apart, for 0.7 s; one that gets answers goes on.

--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -51,6 +51,12 @@
 	// serving instances have ended, and only if none of them gets answers does it continue.
 	doubtDelay  = 100 * clock.Millisecond
 	doubtPeriod = 2600 * clock.Millisecond
+	// turnInterval is the time after which the next instance of a data centre tries to read the store while those before it get no
+	// answers, turnLength how long it tries. Of each data centre maxTurns instances try: if the store answers none of them, it is more
+	// likely down than selective, and calls are charged.
+	turnInterval = 350 * clock.Millisecond
+	turnLength   = 700 * clock.Millisecond
+	maxTurns     = 5
 	// silentLeadersTimeout is how long all serving instances with a fresh view may be silent before a standby instance reads
 	// the store itself. Each of them sends it a message once a second. They count as lost only after 3.2 s of silence, but a
 	// server that leaves must receive no requests after 2 s.
@@ -145,7 +151,9 @@
 	// unanswered is the number of serving instances that get no answers of the store, which last increased at unansweredSince.
 	unanswered      int
 	unansweredSince clock.Moment
-	started         clock.Moment
+	// turnsSince is when the instances that do not serve next began to read in turn.
+	turnsSince clock.Moment
+	started    clock.Moment
 	// servingSince is when this instance last began to serve.
 	servingSince             clock.Moment
 	isSeed                   bool
--- a/internal/fleet/reader_role.go
+++ b/internal/fleet/reader_role.go
@@ -79,7 +79,7 @@
 		return catalog.RoleFallback, readSilent
 	case controller.missesUpdate():
 		return catalog.RoleFallback, readMissed
-	case controller.doubtsLeaders(now):
+	case controller.doubtsLeaders(now, leaders):
 		return catalog.RoleFallback, readDoubts
 	case controller.leaderlessSince > 0 && now.Since(controller.leaderlessSince) >= controller.leaderlessTimeout() && now.Since(controller.started) >= restartReadDelayNext:
 		return catalog.RoleFallback, readLeaderless
@@ -92,18 +92,33 @@
 func (controller *Controller) updateUnanswered(now clock.Moment, leaders membership.Leaders) {
 	if leaders.Unanswered > controller.unanswered {
 		controller.unansweredSince = now
+		if controller.unanswered == 0 || now.Since(controller.turnsSince) > doubtPeriod {
+			controller.turnsSince = now
+		}
 	}
 	controller.unanswered = leaders.Unanswered
 }
 
-// doubtsLeaders reports whether this instance, which serves next, reads the store because a serving instance gets no answers of it. The
-// store may answer none of those that serve, and the others notice it only when their own watches end.
-func (controller *Controller) doubtsLeaders(now clock.Moment) bool {
-	if controller.unanswered == 0 || controller.view == nil || now.Since(controller.started) < restartReadDelayNext || !controller.members.TopRanked() {
+// doubtsLeaders reports whether this instance reads the store because a serving instance gets no answers of it. The store may answer none
+// of those that serve, and the others notice it only when their own watches end. Those that serve next read first. If no answer of any of
+// them is heard of, the others of each data centre try one after the other, and go on if they get answers.
+func (controller *Controller) doubtsLeaders(now clock.Moment, leaders membership.Leaders) bool {
+	if controller.unanswered == 0 || controller.view == nil || now.Since(controller.started) < restartReadDelayNext {
 		return false
 	}
 	passed := now.Since(controller.unansweredSince)
-	return passed >= doubtDelay && passed < doubtPeriod
+	doubtful := leaders.LastFresh == 0 || passed < doubtPeriod
+	switch position := controller.members.PositionAfterNext(); {
+	case position < 0 || position > maxTurns:
+		return false
+	case position == 0:
+		return passed >= doubtDelay && passed < doubtPeriod
+	case controller.readReason == readDoubts && controller.members.CatalogFresh():
+		return doubtful
+	default:
+		turn := now.Since(controller.turnsSince) - doubtDelay - clock.Milliseconds(position)*turnInterval
+		return doubtful && !leaders.Replaced && turn >= 0 && turn < turnLength
+	}
 }
 
 // missesUpdate reports whether a serving instance is known to have a newer view that no peer delivers.
--- a/internal/fleet/reader_role_test.go
+++ b/internal/fleet/reader_role_test.go
@@ -22,6 +22,14 @@
 	}
 }
 
+// receiveStandby passes the heartbeat of an instance on standby, which may read the store and get answers.
+func (fixture *fixture) receiveStandby(number int, fresh bool) {
+	fixture.sequence++
+	fixture.controller.receiveMessage(&Message{Heartbeat: &membership.Heartbeat{
+		Identity: identity(number), Incarnation: 1, Sequence: fixture.sequence, State: membership.Standby, Revision: 1, Version: 1, CatalogFresh: fresh,
+	}})
+}
+
 // Guards against an instance whose status and log do not show why it reads the store, or takes its configuration for confirmed, and against
 // a fleet in which one instance without answers of the store makes others read it all the time.
 func TestReasonToReadTheStoreIsShown(t *testing.T) {
@@ -70,3 +78,36 @@
 		})
 	}
 }
+
+// Guards against a fleet that waits for seconds because the store answers neither those that serve nor those that serve next, and against
+// one in which all instances call a store that is down.
+func TestOthersReadInTurnWhenThoseNextGetNoAnswers(t *testing.T) {
+	cases := []struct {
+		name     string
+		replaced bool
+		after    clock.Milliseconds
+		reads    bool
+	}{
+		{"before its turn", false, doubtDelay + turnInterval/2, false},
+		{"in its turn", false, doubtDelay + turnInterval, true},
+		{"after its turn", false, doubtDelay + turnInterval + turnLength, false},
+		{"an instance that serves next gets answers", true, doubtDelay + turnInterval, false},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			fixture := newStandbyFixture(t, 12, 30)
+			require.Equal(t, 1, fixture.controller.members.PositionAfterNext())
+			for number := fixtureDataCentres; number < 11; number++ {
+				fixture.receiveStandby(number, testCase.replaced && number == 7)
+			}
+			fixture.receiveUnanswered(fixtureDataCentres)
+			fixture.controller.tick()
+			for passed := clock.Milliseconds(0); passed < testCase.after; passed += 25 {
+				fixture.advance(25)
+				fixture.receiveUnanswered(fixtureDataCentres)
+				fixture.controller.tick()
+			}
+			require.Equal(t, testCase.reads, fixture.readsStore)
+		})
+	}
+}
--- a/internal/membership/promotion.go
+++ b/internal/membership/promotion.go
@@ -108,6 +108,17 @@
 	return slices.ContainsFunc(candidates[:min(needed+spareCandidates, len(candidates))], func(candidate rankedInstance) bool { return candidate.member == nil })
 }
 
+// PositionAfterNext returns the position of this instance, from 1 on, among those of its data centre that are not top-ranked; 0 if it is
+// top-ranked, and -1 if it cannot serve.
+func (members *Members) PositionAfterNext() int {
+	candidates, needed := members.ownCandidates()
+	position := slices.IndexFunc(candidates, func(candidate rankedInstance) bool { return candidate.member == nil })
+	if position < 0 {
+		return -1
+	}
+	return max(position+1-(needed+spareCandidates), 0)
+}
+
 // discovering reports whether this instance, which has just started, may not yet know the higher-ranked instances.
 func (members *Members) discovering(now clock.Moment) bool {
 	if members.firstContact > 0 {
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -77,6 +77,8 @@
 	NewestVersion  catalog.Version
 	// Unanswered is the number of serving instances that get no answers of the store.
 	Unanswered int
+	// Replaced is whether an instance that does not serve reads the store and gets answers.
+	Replaced bool
 	// LastSeen is when the last heartbeat of a serving instance came, LastFresh when the last one of those came whose catalog is
 	// fresh; 0 when there is none.
 	LastSeen, LastFresh clock.Moment
@@ -90,6 +92,7 @@
 		leaders.NewestVersion = max(leaders.NewestVersion, peer.Version)
 		switch {
 		case peer.State != Serving:
+			leaders.Replaced = true
 			continue
 		case peer.CatalogFresh:
 			leaders.LastFresh = max(leaders.LastFresh, peer.lastSeen)
