Keep a panic in the metrics of routes from the routes of a view

Merging the drop of unused metrics with the isolation of the parts of a view left SetInUse outside of it: TestViewIsAppliedBesideAPanic/new_routes failed, the routes of the new view got 404. It passes now.

--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -315,7 +315,7 @@
 		classes[classKey(route)] = true
 	}
 	controller.routes, controller.entries = configuration.Routes, entries
-	controller.options.Registry.SetInUse(classes)
+	controller.isolate("metrics of routes", func() { controller.options.Registry.SetInUse(classes) })
 	return routing.NewTable(routing.Options{
 		Site:    &settings.Site{Revision: settings.Revision(configuration.Version)},
 		Teams:   controller.teamDirectory(),
