Count the lines of libraries instead of writing them

A server that sends bytes after a response made the HTTP client write a line with these bytes to standard error, outside the log, on the goroutine that reads the connection and under the lock of package log: one for each response, and a stuck standard error that is no pipe would have stopped every connection that has something to say. The lines are counted as log.libraryLine now; panics of HTTP handlers go to the log.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -135,6 +135,7 @@
 		return err
 	}
 	gatewayRun.log.Info().Str("callers", gatewayRun.file.CallerAddress).Str("dataCentre", string(gatewayRun.file.DataCentre)).Msg("started")
+	logoutput.CountLibraryLines(&gatewayRun.registry.Events, gatewayRun.log)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go watchFile(ctx, gatewayRun.path, gatewayRun.read, instance, gatewayRun.log)
--- a/internal/logoutput/logoutput_test.go
+++ b/internal/logoutput/logoutput_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"testing/synctest"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/jaywheel/jaywheel/internal/metrics"
@@ -96,3 +97,18 @@
 	require.Equal(t, 7, count)
 	require.Equal(t, "message", stream.text.String())
 }
+
+// Guards against a flood of lines that peers cause, and against a panic of a handler that leaves no trace.
+func TestLibraryLines(t *testing.T) {
+	var text bytes.Buffer
+	events := newEvents()
+	counter := &lineCounter{events: events, log: zerolog.New(&text)}
+	for _, line := range []string{"Unsolicited response received on idle HTTP channel\n", "http: panic serving 10.0.0.1:80: nil map\ngoroutine 1\n"} {
+		count, err := counter.Write([]byte(line))
+		require.NoError(t, err)
+		require.Len(t, line, count)
+	}
+	require.Equal(t, int64(2), metrics.EventCount(events, EventLibraryLine))
+	require.NotContains(t, text.String(), "Unsolicited")
+	require.Contains(t, text.String(), "nil map")
+}
