Limit the length of a route's name

The name is logged with requests and counts in the metrics: one of 256 KB in a configuration made each such line as long.

--- a/internal/catalog/configuration.go
+++ b/internal/catalog/configuration.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strings"
 
 	"github.com/jaywheel/jaywheel/internal/team"
 	"github.com/jaywheel/jaywheel/pkg/clock"
@@ -107,6 +108,10 @@
 }
 
 func (route *Route) normalize() {
+	if len(route.Name) > MaxNameLength {
+		// The name is written into the log with requests.
+		route.Name = settings.ClassName(strings.ToValidUTF8(string(route.Name[:MaxNameLength]), ""))
+	}
 	route.Timeout = within(route.Timeout, 0, MaxTimeout)
 	route.SoftDeadline = within(route.SoftDeadline, 0, MaxTimeout)
 	route.Attempts = min(max(route.Attempts, 1), MaxAttempts)
