Answer the request before a panic on its connection

net/http cancels the request in progress when the read behind it ends, also when that read panics on a later, pipelined request. The read waits now until the request has been handled or the caller has left.

TestPanicOnAConnection (reading behind a request) failed before: the first request did not reach the server.

--- a/internal/caller/connection.go
+++ b/internal/caller/connection.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -103,11 +104,36 @@
 // Read implements net.Conn.
 func (guardedConnection *guardedConnection) Read(buffer []byte) (count int, err error) {
 	if panicError := guardedConnection.run(func() { count, err = guardedConnection.read(buffer) }); panicError != nil {
-		return 0, panicError
+		return 0, guardedConnection.awaitHandled(panicError)
 	}
 	return count, err
 }
 
+// awaitHandled waits until the request that has been read completely has been handled, or the caller has left, and returns the error of a
+// read behind it. net/http cancels the request when that read ends, unless it has aborted the read itself.
+func (guardedConnection *guardedConnection) awaitHandled(err error) error {
+	ticker := time.NewTicker(disconnectPollInterval.Duration())
+	defer ticker.Stop()
+	for guardedConnection.guard.complete() && !guardedConnection.disconnected() {
+		handling, aborted := guardedConnection.handlingState()
+		switch {
+		case aborted:
+			return os.ErrDeadlineExceeded
+		case !handling:
+			return err
+		}
+		<-ticker.C
+	}
+	return err
+}
+
+// handlingState reports whether a request is being handled, and whether net/http has aborted the read behind it.
+func (guardedConnection *guardedConnection) handlingState() (bool, bool) {
+	guardedConnection.mutex.Lock()
+	defer guardedConnection.mutex.Unlock()
+	return guardedConnection.handling, guardedConnection.readAborted
+}
+
 func (guardedConnection *guardedConnection) read(buffer []byte) (int, error) {
 	if guardedConnection.pipeline != nil || guardedConnection.pipelining.enabled() && guardedConnection.guard.complete() {
 		return guardedConnection.readBehind(buffer)
