--- a/internal/fleet/reader_role.go
+++ b/internal/fleet/reader_role.go
@@ -183,7 +183,7 @@
 // one watch plus some slack.
 const maxFreshResponseAge = 2800 * clock.Millisecond
 
-// checkBehind catches up with a newer revision that a serving peer has had for a while.
+// checkBehind catches up with a newer revision that a peer that serves or reads the store has had for a while.
 func (controller *Controller) checkBehind(now clock.Moment) {
 	newer, maxBehind := false, behindTimeout
 	if controller.role != catalog.RoleFollower && controller.view != nil {
@@ -200,7 +200,7 @@
 	case now.Since(controller.behindSince) > maxBehind:
 		controller.behindSince = 0
 		controller.options.Registry.Events.Add(EventBehind, 1)
-		controller.options.Log.Warn().Uint64("revision", uint64(controller.view.Revision)).Msg("a serving peer has a newer catalog revision; catching up")
+		controller.options.Log.Warn().Uint64("revision", uint64(controller.view.Revision)).Msg("a peer that reads the store has a newer catalog revision; catching up")
 		controller.catalogReader.CatchUp(controller.members.Leaders().NewestRevision)
 	}
 }
