Make the test of end checks independent of time

It relied on a server that closes its listener 20 ms after a connection to have done so before the second check, 50 ms after the first. The check itself panics now, whatever its server does.

--- a/internal/caller/panic_test.go
+++ b/internal/caller/panic_test.go
@@ -241,7 +241,13 @@
 	fixture := newFixture(t, fixtureService(), startEndingBackend(t, &ended))
 	fixture.guard()
 	fixture.handler.options.Quarantine = quarantine.New(quarantine.Options{Clock: fixture.handler.options.Clock})
-	fixture.handler.options.OnServerEnd = func(settings.TargetName, int) { panic("on purpose") }
+	var dials atomic.Int64
+	fixture.handler.options.Servers.OnConnect = func(settings.TargetName, error) {
+		// The first connection is that of the request.
+		if dials.Add(1) > 1 {
+			panic("on purpose")
+		}
+	}
 	require.Equal(t, http.StatusBadGateway, fixture.send(t, fixture.newRequest(t, http.MethodPost, "/payments/end", http.NoBody)).status)
 	var check *endCheck
 	fixture.handler.endChecks.mutex.Lock()
