Keep the servers of the hedge test warm while it waits

Their state was observed once, and is out of date before a slow process hedges: the test would then wait for its limit of a minute. One of eight runs with one processor each beside load reached a limit of 60 s without a line of output; the cause is inferred, not seen.

--- a/internal/caller/panic_test.go
+++ b/internal/caller/panic_test.go
@@ -137,8 +137,9 @@
 	require.EqualValues(t, 1, fixture.panics())
 }
 
-// useHedging lets the fixture's instance hedge each lookup at once, between warm targets at the given addresses.
-func (fixture *fixture) useHedging(addresses ...string) *routing.Service {
+// useHedging lets the fixture's instance hedge lookups between warm targets at the given addresses. The returned function observes again
+// that they are warm.
+func (fixture *fixture) useHedging(addresses ...string) (*routing.Service, func()) {
 	booking := fixture.useScheduler(addresses[0])
 	var targets []service.TargetConfig
 	for _, address := range addresses {
@@ -149,11 +150,14 @@
 		})
 	}
 	booking.Scheduler.SetTargets(targets)
-	now := fixture.handler.options.Clock.Now()
-	for index := range targets {
-		booking.Scheduler.Observe(targets[index].Name, service.LoadReading{At: now, Slots: 4, Slowdown: 1, ColdKnown: true, Source: service.FromPeer})
+	observe := func() {
+		now := fixture.handler.options.Clock.Now()
+		for index := range targets {
+			booking.Scheduler.Observe(targets[index].Name, service.LoadReading{At: now, Slots: 4, Slowdown: 1, ColdKnown: true, Source: service.FromPeer})
+		}
 	}
-	return booking
+	observe()
+	return booking, observe
 }
 
 // Guards against a hedged request of which an attempt panics: the process must live, the request be answered, and the permits and
@@ -198,7 +202,7 @@
 			}
 			fixture := newFixture(t, fixtureService())
 			fixture.guard()
-			booking := fixture.useHedging(startBackend(t, handler), startBackend(t, handler))
+			booking, observe := fixture.useHedging(startBackend(t, handler), startBackend(t, handler))
 			dialect := *fixture.handler.options.Dialect
 			var count atomic.Int64
 			testCase.fail(&dialect, &count)
@@ -211,7 +215,10 @@
 				got, _ := sendWhole(request)
 				answered <- got
 			}()
-			require.Eventually(t, func() bool { return inFlightOf(booking) == 2 || fixture.panics() > 0 }, maxWait, pollInterval)
+			require.Eventually(t, func() bool {
+				observe()
+				return inFlightOf(booking) == 2 || fixture.panics() > 0
+			}, maxWait, pollInterval)
 			close(release)
 			got := <-answered
 			require.Contains(t, []int{http.StatusOK, http.StatusBadGateway}, got.status)
@@ -219,6 +226,7 @@
 			require.Eventually(t, func() bool { return inFlightOf(booking) == 0 }, maxWait, pollInterval, "all permits are released")
 			require.Zero(t, fixture.handler.InFlight())
 			fixture.handler.options.Dialect = working
+			observe()
 			require.Equal(t, http.StatusOK, fixture.send(t, fixture.newRequest(t, http.MethodGet, "/look", http.NoBody)).status)
 			require.Eventually(t, func() bool { return inFlightOf(booking) == 0 }, maxWait, pollInterval)
 		})
