--- a/internal/backendserver/panic_test.go
+++ b/internal/backendserver/panic_test.go
@@ -39,6 +39,7 @@
 // which the connection counts as open for ever. A request of which bytes may have been sent must not count as not written.
 func TestPanicOnAConnection(t *testing.T) {
 	working, failNow := func() {}, func() { panic("on purpose") }
+	begun := make(chan struct{}, 1)
 	dialWith := func(read, write func()) DialFunc {
 		return func(ctx context.Context, network, address string) (net.Conn, error) {
 			var dialer net.Dialer
@@ -61,7 +62,14 @@
 			servers.Dial = func(context.Context, string, string) (net.Conn, error) { panic("on purpose") }
 		}, check, false, false},
 		{"result of the dial", func(servers *Servers) { servers.OnConnect = func(settings.TargetName, error) { failNow() } }, check, true, false},
-		{"read", func(servers *Servers) { servers.Dial = dialWith(failNow, working) }, check, false, true},
+		{"read", func(servers *Servers) {
+			// net/http reads before it writes, and nothing would be written after the panic.
+			readAfterWrite := func() {
+				<-begun
+				failNow()
+			}
+			servers.Dial = dialWith(readAfterWrite, func() { begun <- struct{}{} })
+		}, check, false, true},
 		{"write", func(servers *Servers) { servers.Dial = dialWith(working, failNow) }, check, false, true},
 		{"check before the write", func(*Servers) {}, WithWriteCheck(check, func() error { panic("on purpose") }), false, false},
 	}
