Drop services that no configuration names any more

A service stayed for ever once a configuration had named it, so the limit of 1,000 services held for one configuration only: ten configurations with 900 new names each left 9,003 services, and a tick took 19 ms in place of 1 ms.

--- a/internal/fleet/range_test.go
+++ b/internal/fleet/range_test.go
@@ -97,3 +97,39 @@
 	require.Less(t, after.HeapAlloc, before.HeapAlloc+maxMemory)
 	runtime.KeepAlive(fixture)
 }
+
+// Guards against services that are kept of each name that any configuration has ever had: each tick visits all of them.
+func TestServicesOfEarlierConfigurationsAreDropped(t *testing.T) {
+	const versions, added = 5, 600
+	fixture := newServingFixture(t, 6, 30)
+	for version := range versions {
+		view := newView(30, fixtureDataCentres)
+		view.Revision += catalog.Revision(10 + version)
+		view.Configuration.Version += catalog.Version(10 + version)
+		edits := catalog.ServerEdits{}
+		for number := range added {
+			name := settings.ServiceName(fmt.Sprintf("service-%d-%d", version, number))
+			view.Configuration.Services[name] = catalog.ServiceLimits{ProbePath: "/health", MaxConnections: 8}
+		}
+		// One server stays listed under a service that only the first configuration names.
+		edits["listed"] = &catalog.Server{
+			Name: "listed", Service: "service-0-0", Address: "10.9.0.1:80", DataCentre: "dc-0", Slots: 2, State: catalog.ServerReady,
+		}
+		view.Servers = view.Servers.Edit(edits)
+		fixture.controller.applyView(view)
+		fixture.advanceSecond()
+		require.LessOrEqual(t, len(fixture.controller.services), catalog.MaxServices)
+		for name := range view.Configuration.Services {
+			require.Contains(t, fixture.controller.services, name)
+		}
+		for name, server := range fixture.controller.knownServers {
+			require.Contains(t, fixture.controller.services, server.Service, name)
+		}
+		for _, ref := range fixture.controller.targets {
+			require.Contains(t, fixture.controller.services, ref.service, ref.name)
+		}
+		_, err := fixture.controller.table.Load().Route("example", "GET", "/1/1")
+		require.NoError(t, err)
+	}
+	require.NotContains(t, fixture.controller.knownServers, settings.TargetName("listed"))
+}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -83,6 +83,10 @@
 	if view.Configuration != before.Configuration {
 		controller.setTeams()
 		changes.services = controller.setServices()
+		if controller.dropServices() {
+			controller.publish()
+			return
+		}
 	}
 	changes.evacuated = changedEvacuations(before.Evacuated, view.Evacuated)
 	controller.changeServers(before.Servers, changes)
@@ -148,6 +152,7 @@
 	}
 	controller.isolate("teams", controller.setTeams)
 	controller.setServices()
+	controller.dropServices()
 	controller.isolate("owners", func() { controller.owned = controller.ownedServers() })
 	controller.setTargets()
 	controller.isolate("table", func() { controller.setTable(controller.newTable()) })
@@ -177,6 +182,35 @@
 	return changed
 }
 
+// dropServices drops services that the configuration no longer names, and reports whether there were any. They are kept up to
+// catalog.MaxServices in all, with what has been learned of their servers, since a later configuration may name them again; beyond that each
+// tick would take longer with every name that a configuration has ever had.
+func (controller *Controller) dropServices() bool {
+	surplus := len(controller.services) - catalog.MaxServices
+	if surplus <= 0 {
+		return false
+	}
+	configuration := controller.view.Configuration
+	named := map[settings.ServiceName]bool{}
+	for name := range configuration.Services {
+		named[name] = true
+	}
+	for index := range configuration.Routes {
+		for _, part := range configuration.Routes[index].Split {
+			named[part.Service] = true
+		}
+	}
+	dropped := false
+	for _, name := range slices.Sorted(maps.Keys(controller.services)) {
+		if surplus > 0 && !named[name] {
+			delete(controller.services, name)
+			surplus--
+			dropped = true
+		}
+	}
+	return dropped
+}
+
 // setService creates or updates the state of a service, and reports whether its targets have to be configured anew.
 func (controller *Controller) setService(name settings.ServiceName, limits catalog.ServiceLimits) bool {
 	state, known := controller.services[name]
