Ignore a version out of range that another instance reports

An instance of an earlier release may have a configuration with a version above 32 bits in force. Instances that reject it took themselves for behind it: they answered 503 to unknown routes and keys, and tried to catch up, for as long as it lived.

--- a/internal/fleet/range_test.go
+++ b/internal/fleet/range_test.go
@@ -11,7 +11,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jaywheel/jaywheel/internal/catalog"
+	"github.com/jaywheel/jaywheel/internal/membership"
 	"github.com/jaywheel/jaywheel/internal/metrics"
+	"github.com/jaywheel/jaywheel/internal/team"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
@@ -158,3 +160,19 @@
 	}
 	require.Less(t, clock.Of(time.Since(started)), maxDuration)
 }
+
+// Guards against an instance that answers 503 to unknown routes and keys for ever, because one of an earlier release has a configuration in
+// force whose version is out of range.
+func TestVersionOutOfRangeIsNotFollowed(t *testing.T) {
+	for _, version := range []catalog.Version{catalog.MaxVersion, catalog.MaxVersion + 1, math.MaxUint64} {
+		fixture := newServingFixture(t, 6, 30)
+		fixture.controller.tick()
+		require.Equal(t, team.KeysCurrent, fixture.controller.KeyStatus())
+		fixture.sequence++
+		fixture.controller.receiveMessage(&Message{Heartbeat: &membership.Heartbeat{
+			Identity: identity(1), Incarnation: 1, Sequence: fixture.sequence, State: membership.Serving, Revision: 1, Version: version, CatalogFresh: true,
+		}})
+		fixture.controller.tick()
+		require.Equal(t, version == catalog.MaxVersion, fixture.controller.KeyStatus() != team.KeysCurrent, "version %d", version)
+	}
+}
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"net/netip"
 
+	"github.com/jaywheel/jaywheel/internal/catalog"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 )
 
@@ -73,6 +74,10 @@
 	member.Sequence = heartbeat.Sequence
 	member.Revision = heartbeat.Revision
 	member.Version = heartbeat.Version
+	if heartbeat.Version > catalog.MaxVersion {
+		// An instance of an earlier release may have such a configuration in force. No other instance accepts it, and none could catch up.
+		member.Version = 0
+	}
 	member.CatalogFresh = heartbeat.CatalogFresh
 	member.Promoted = heartbeat.Promoted
 }
