--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -193,6 +193,32 @@
 			problems = append(problems, Problem{File: file, Path: entry.path, Reason: "not an IP address and port: " + strconv.Quote(entry.address)})
 		}
 	}
+	return append(problems, gateway.checkShared(file)...)
+}
+
+// checkShared returns a problem for each listening address that another server has already. It could never be bound, and the start would
+// wait for it. Port 0 stands for any port.
+func (gateway *Gateway) checkShared(file string) []Problem {
+	listening := []struct{ path, address string }{
+		{"callerAddress", gateway.CallerAddress},
+		{"readyAddress", gateway.ReadyAddress},
+		{"directoryAddress", gateway.DirectoryAddress},
+		{"peerAddress", gateway.PeerAddress},
+		{"operatorAddress", gateway.OperatorAddress},
+	}
+	var problems []Problem
+	pathOf := map[netip.AddrPort]string{}
+	for _, entry := range listening {
+		address, err := netip.ParseAddrPort(entry.address)
+		if err != nil || address.Port() == 0 {
+			continue
+		}
+		if path, shared := pathOf[address]; shared {
+			problems = append(problems, Problem{File: file, Path: entry.path, Reason: "the same address as " + path})
+			continue
+		}
+		pathOf[address] = entry.path
+	}
 	return problems
 }
 
--- a/pkg/settings/gateway_test.go
+++ b/pkg/settings/gateway_test.go
@@ -20,6 +20,8 @@
 	}{
 		{"valid", "", "", ""},
 		{"host name for an IP address", "10.9.0.1:80", "store:80", "storeAddress"},
+		{"two servers at one address", "10.0.0.1:82", "10.0.0.1:81", "directoryAddress: the same address as readyAddress"},
+		{"any port twice", "10.0.0.1:81\",\n\"directoryAddress\":\"10.0.0.1:82", "10.0.0.1:0\",\n\"directoryAddress\":\"10.0.0.1:0", ""},
 		{"seed without a port", "10.0.0.2:83", "10.0.0.2", "seeds.0"},
 		{"misspelled field that is required", `"seeds"`, `"sedes"`, "missing property 'seeds'"},
 		{"duplicated field", `"seeds"`, `"instance":"entry-2","seeds"`, "instance: the key is duplicated"},
