--- a/internal/fleet/virtual_readers_test.go
+++ b/internal/fleet/virtual_readers_test.go
@@ -195,12 +195,12 @@
 		before := 0
 		for step := range uncounted + int(length/virtualStep) {
 			if step == uncounted {
-				before = fleet.store.calls
+				before = fleet.store.callCount()
 			}
 			fleet.runUntil(fleet.clock.Now().Add(virtualStep))
 			between(fleet, step)
 		}
-		calls = fleet.store.calls - before
+		calls = fleet.store.callCount() - before
 	})
 	return float64(calls) / float64(length/clock.Second)
 }
--- a/internal/fleet/virtual_store_test.go
+++ b/internal/fleet/virtual_store_test.go
@@ -200,6 +200,12 @@
 	store.calls++
 }
 
+func (store *virtualStore) callCount() int {
+	store.fleet.mutex.Lock()
+	defer store.fleet.mutex.Unlock()
+	return store.calls
+}
+
 // admit accepts a call that began at the given time, refuses it, or lets it hang.
 func (store *virtualStore) admit(ctx context.Context, process *process, began clock.Moment) error {
 	if err := process.awaitCall(ctx, halfCallTime); err != nil {
