Bound the memory that the heads of requests take together

Callers saw: an instance that ran out of memory and ended while clients sent requests of legal size with very many short lines.

Cause: as a map of strings, a line of a head takes about 100 bytes, and once more in the copy for the backend server; a head of 16,000 bytes of short lines takes 250 KB for each (measured with net/http alone). Nothing counted what all heads together take: neither complete ones, nor those that never end, nor those behind others of a pipeline, each of which also has goroutines and buffers of its own. The runtime did not know what the machine has, so that the heap doubled before it was collected.

Change: package headmemory counts 320 bytes a line and twice the length for each head while it is read and until its request has ended, at the connection, before net/http parses it. Heads up to 8 KiB by this measure are not counted, so that ordinary callers are served whatever others send. Beyond the budget a request is refused at once with 503 and Retry-After; it has not been passed on and never is. A request behind others waits until they have been answered instead, and is read in its turn. The new setting memoryMost (filled in from the machine's size, 256 MiB by default) divides the memory: a sixth for callers' heads, a twenty-fourth for those of other instances, half for connections of 40 KiB each, a twelfth each for buffered bodies and responses; the runtime collects at once above three quarters of it.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -40,6 +40,9 @@
 	// gcPercent is the growth of the heap between two garbage collections, in percent. It is not higher because memory
 	// costs more here than the processor time that fewer collections would save.
 	gcPercent = 100
+	// runtimeMemoryShare is the part of the process's memory above which garbage is collected at once. The rest is for the program's text and
+	// for what the runtime does not count.
+	runtimeMemoryShare = 0.75
 )
 
 type gatewayCommand struct {
@@ -60,6 +63,7 @@
 		return withInvalidCode(err)
 	}
 	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(runtimeMemoryShare * float64(gatewayRun.file.MaxMemory)))
 	return gatewayRun.run()
 }
 
--- a/internal/caller/connection.go
+++ b/internal/caller/connection.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/jaywheel/jaywheel/internal/headmemory"
 	"github.com/jaywheel/jaywheel/internal/linger"
 	"github.com/jaywheel/jaywheel/internal/pipeline"
 )
@@ -33,12 +34,22 @@
 	onUnfinished func()
 	// unhandledBytes means that bytes have been read that do not belong to a handled request.
 	unhandledBytes atomic.Bool
+	// headMemory is what the head of the current request takes; handled means that it has been read completely.
+	headMemory *headmemory.Share
+	handled    atomic.Bool
+	// headError is the error of all reads after the head of a request has been refused. It belongs to the goroutine that reads.
+	headError error
+	// refused means that the head of a request has been refused, after which nothing that net/http writes is sent: it takes the part of the
+	// head that it has for a malformed request.
+	refused atomic.Bool
 	// multiplexed means that the connection carries several requests at once (HTTP/2).
 	multiplexed atomic.Bool
 
 	// pipelining and server serve requests that the caller sends before earlier ones have been answered.
 	pipelining *pipelining
 	server     *http.Server
+	// refusal is the response to a request whose head cannot be kept.
+	refusal []byte
 
 	mutex   sync.Mutex
 	state   http.ConnState
@@ -63,6 +74,7 @@
 // beginRequest records that a request is being handled.
 func (guardedConnection *guardedConnection) beginRequest(request *http.Request) {
 	guardedConnection.unhandledBytes.Store(false)
+	guardedConnection.handled.Store(true)
 	if request.ProtoMajor > 1 {
 		guardedConnection.markMultiplexed()
 		return
@@ -135,10 +147,19 @@
 }
 
 func (guardedConnection *guardedConnection) read(buffer []byte) (int, error) {
+	if guardedConnection.headError != nil {
+		return 0, guardedConnection.headError
+	}
+	read := guardedConnection.readRequest
 	if guardedConnection.pipeline != nil || guardedConnection.pipelining.enabled() && guardedConnection.guard.complete() {
-		return guardedConnection.readBehind(buffer)
+		read = guardedConnection.readBehind
+	}
+	count, err := read(buffer)
+	if count > 0 && !guardedConnection.reserveHead() {
+		guardedConnection.headError = guardedConnection.refuseHead()
+		return 0, guardedConnection.headError
 	}
-	return guardedConnection.readRequest(buffer)
+	return count, err
 }
 
 // readRequest reads bytes of the current request. Bytes behind its end are kept for later if requests may be pipelined.
@@ -165,6 +186,10 @@
 // Write implements net.Conn. net/http also writes while it recovers from a panic.
 func (guardedConnection *guardedConnection) Write(buffer []byte) (count int, err error) {
 	if panicError := guardedConnection.connections.Guard.Run("caller's connection", func() {
+		if guardedConnection.refused.Load() {
+			count = len(buffer)
+			return
+		}
 		count, err = guardedConnection.TCPConn.Write(buffer)
 		guardedConnection.onSent(int64(count))
 	}); panicError != nil {
@@ -262,6 +287,8 @@
 	if state == http.StateIdle && !guardedConnection.multiplexed.Load() {
 		// The next bytes are the head of a request.
 		guardedConnection.guard.reset()
+		guardedConnection.handled.Store(false)
+		guardedConnection.headMemory.Release()
 		if guardedConnection.endHandling() {
 			defer guardedConnection.sendResponses()
 		}
@@ -313,6 +340,7 @@
 	if !first {
 		return nil
 	}
+	guardedConnection.headMemory.Close()
 	if lingers {
 		guardedConnection.track()
 		guardedConnection.connections.Guard.Go("end of a caller's connection", guardedConnection.lingerAndClose)
@@ -325,6 +353,7 @@
 func (guardedConnection *guardedConnection) end() error {
 	defer guardedConnection.untrack()
 	defer guardedConnection.release()
+	guardedConnection.headMemory.Close()
 	return guardedConnection.TCPConn.Close()
 }
 
@@ -343,9 +372,13 @@
 			guardedConnection.pipelining.events.Add(EventPipelineUnread, 1)
 		}
 		guardedConnection.abandonLocked()
+		guardedConnection.setUnread(nil)
 	}
-	if guardedConnection.resetting {
+	switch {
+	case guardedConnection.resetting:
 		return true, false
+	case guardedConnection.refused.Load():
+		return true, true
 	}
 	answered := guardedConnection.state == http.StateActive && !guardedConnection.disconnected()
 	return true, answered || linger.Needed(guardedConnection.TCPConn)
--- a/internal/caller/connections.go
+++ b/internal/caller/connections.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jaywheel/jaywheel/internal/headmemory"
 	"github.com/jaywheel/jaywheel/internal/supervisor"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 	"github.com/jaywheel/jaywheel/pkg/settings"
@@ -38,7 +39,9 @@
 
 	limit, reserve        int64
 	open, active, refused atomic.Int64
-	events                *expvar.Map
+	// headMemory is the memory that the heads of requests may take together.
+	headMemory *headmemory.Budget
+	events     *expvar.Map
 	// released is signalled when a connection ends.
 	released chan struct{}
 }
@@ -46,7 +49,10 @@
 // NewConnections returns a count of connections of which at most limits.MaxConnections may be open.
 func NewConnections(limits settings.Callers, events *expvar.Map) *Connections {
 	reserve := int64(reservedConnectionShare * float64(limits.MaxConnections))
-	return &Connections{limit: int64(limits.MaxConnections) - reserve, reserve: max(reserve, 1), events: events, released: make(chan struct{}, 1)}
+	return &Connections{
+		limit: int64(limits.MaxConnections) - reserve, reserve: max(reserve, 1), events: events, released: make(chan struct{}, 1),
+		headMemory: headmemory.NewBudget(limits.MaxHeadMemory),
+	}
 }
 
 // ConnectionUse is how many connections of callers are open.
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -42,6 +42,8 @@
 	Clock *clock.Clock
 	// Instance is this instance's name, which is added to Via.
 	Instance settings.InstanceName
+	// MaxBufferMemory is the memory for buffered request bodies, and that for buffered responses; 0, and more than 32 MiB, mean 32 MiB.
+	MaxBufferMemory settings.Bytes
 	// MaxStall bounds each read of a request's body and each write of a response.
 	MaxStall clock.Milliseconds
 	// Dialect defines headers and reserved paths; nil means NewDialect().
@@ -83,6 +85,9 @@
 	}
 	handler := &Handler{options: options}
 	handler.bufferedBodies.limit, handler.bufferedResponses.limit = maxBufferedBodyBytes, maxBufferedResponsesBytes
+	if most := int64(options.MaxBufferMemory); most > 0 {
+		handler.bufferedBodies.limit, handler.bufferedResponses.limit = min(most, maxBufferedBodyBytes), min(most, maxBufferedResponsesBytes)
+	}
 	handler.baseContext, handler.cancelAll = context.WithCancelCause(context.Background())
 	return handler
 }
--- a/internal/caller/headguard.go
+++ b/internal/caller/headguard.go
@@ -42,6 +42,10 @@
 	lines                int
 	linePrefix           [maxLinePrefix]byte
 	linePrefixLength     int
+	// headBytes is the length of what has been read of the current request's head, and headLines the number of its lines.
+	headBytes, headLines int
+	// uninspected is the length of the latest read of a connection that is not inspected, and uninspectedLines the number of its lines.
+	uninspected, uninspectedLines int
 }
 
 // maxLinePrefix is the stored length of a line's start: a Content-Length of any body that is accepted fits into it.
@@ -55,6 +59,9 @@
 	headGuard.bodyLength, headGuard.bodyLeft = 0, 0
 	headGuard.lines = 0
 	headGuard.linePrefixLength = 0
+	// The start of the next head may be among the bytes that were read last.
+	headGuard.headBytes, headGuard.headLines = headGuard.uninspected, headGuard.uninspectedLines
+	headGuard.uninspected, headGuard.uninspectedLines = 0, 0
 }
 
 // observe inspects bytes as they are read, and returns how many of them belong to the current request. All bytes count as part of
@@ -65,10 +72,13 @@
 		end := bytes.IndexByte(data, '\n')
 		if end < 0 {
 			headGuard.appendPrefix(data)
+			headGuard.headBytes += len(data)
 			return count
 		}
 		headGuard.appendPrefix(data[:end])
 		headGuard.endLine()
+		headGuard.headBytes += end + 1
+		headGuard.headLines++
 		data = data[end+1:]
 	}
 	if len(data) == 0 {
@@ -76,6 +86,7 @@
 	}
 	if headGuard.desynchronized || headGuard.unknownLength || headGuard.sawPreface {
 		headGuard.desynchronized = true
+		headGuard.uninspected, headGuard.uninspectedLines = len(data), bytes.Count(data, []byte("\n"))
 		return count
 	}
 	body := min(int64(len(data)), headGuard.bodyLeft)
@@ -83,6 +94,12 @@
 	return count - len(data) + int(body)
 }
 
+// countUninspected adds the latest read to the current head, on a connection that is not inspected and waits for the end of a head.
+func (headGuard *headGuard) countUninspected() {
+	headGuard.headBytes += headGuard.uninspected
+	headGuard.headLines += headGuard.uninspectedLines
+}
+
 // complete reports whether the current request is known to have been read to its end.
 func (headGuard *headGuard) complete() bool {
 	return !headGuard.scanning && !headGuard.desynchronized && !headGuard.unknownLength && !headGuard.sawPreface && headGuard.bodyLeft == 0
--- a/internal/caller/listener.go
+++ b/internal/caller/listener.go
@@ -119,7 +119,7 @@
 	guarded := &guardedConnection{
 		TCPConn: connection, connections: listener.connections, pipelining: listener.pipelining, onUnfinished: listener.onUnfinished,
 		onSent: listener.onSent, release: sync.OnceFunc(listener.connections.release), since: time.Now(),
-		beyondLimit: listener.connections.overLimit(),
+		beyondLimit: listener.connections.overLimit(), headMemory: listener.connections.headMemory.NewShare(),
 	}
 	guarded.track = func() { listener.addOpen(guarded) }
 	guarded.untrack = func() { listener.untrack(guarded) }
--- a/internal/caller/pipelinedrequest.go
+++ b/internal/caller/pipelinedrequest.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"github.com/jaywheel/jaywheel/internal/headmemory"
 	"github.com/jaywheel/jaywheel/internal/pipeline"
 	"github.com/jaywheel/jaywheel/pkg/clock"
 )
@@ -16,6 +17,8 @@
 	connection *guardedConnection
 	pipeline   *requestPipeline
 	number     pipeline.Number
+	// memory is what the request takes of the memory of heads.
+	memory *headmemory.Share
 	// unread is the part of the request that the HTTP server has not read.
 	unread []byte
 	// held is the part of the response that has not been sent; sending is the length of the part that is being sent.
@@ -144,6 +147,7 @@
 		return false
 	}
 	request.finished = true
+	request.memory.Close()
 	if request.aborted {
 		result = pipeline.Aborted
 	}
--- a/internal/caller/pipelining.go
+++ b/internal/caller/pipelining.go
@@ -17,13 +17,17 @@
 	EventPipelined = "caller.pipelined"
 	// EventPipelineFull counts how often a connection was not read on because it had as many requests in progress as are allowed.
 	EventPipelineFull = "caller.pipelineFull"
+	// EventPipelineScarce counts the requests that waited for earlier ones of their connection because too much memory was in use.
+	EventPipelineScarce = "caller.pipelineScarce"
 	// EventPipelineUnread counts the connections that were closed with requests on them that were not read.
 	EventPipelineUnread = "caller.pipelineUnread"
 )
 
 const (
-	// maxUnreadBytes is the length of requests that have been received but not started at which a connection is not read on.
-	maxUnreadBytes = 32 << 10
+	// maxUnreadBytes is the length of requests that have been received but not started at which a connection is not read on, and
+	// maxScarceUnreadBytes the same while memory is scarce.
+	maxUnreadBytes       = 32 << 10
+	maxScarceUnreadBytes = 4 << 10
 	// pipelineReadBytes is the size of the buffer with which requests behind the one in progress are read.
 	pipelineReadBytes = 4 << 10
 	// maxHeldBytes is the length of the responses that all connections together hold. An instance has a few hundred megabytes of memory.
@@ -111,8 +115,27 @@
 func (guardedConnection *guardedConnection) holdBack(data []byte) {
 	guardedConnection.mutex.Lock()
 	defer guardedConnection.mutex.Unlock()
+	if guardedConnection.closed {
+		return
+	}
 	requestPipeline := guardedConnection.newPipeline()
-	requestPipeline.unread = append(requestPipeline.unread, data...)
+	guardedConnection.setUnread(append(requestPipeline.unread, data...))
+}
+
+// setUnread replaces the bytes that belong to no request that has been started, and counts them among the memory of heads. The mutex must be
+// held.
+func (guardedConnection *guardedConnection) setUnread(unread []byte) {
+	requestPipeline := guardedConnection.pipeline
+	guardedConnection.connections.headMemory.Hold(len(unread) - len(requestPipeline.unread))
+	requestPipeline.unread = unread
+}
+
+// maxUnread returns the length of requests that have been received but not started at which the connection is not read on.
+func (guardedConnection *guardedConnection) maxUnread() int {
+	if guardedConnection.connections.headMemory.Scarce() {
+		return maxScarceUnreadBytes
+	}
+	return maxUnreadBytes
 }
 
 // endHandling records that the HTTP server has sent the response to the request that it has read from the connection. It reports whether
--- a/internal/caller/readbehind.go
+++ b/internal/caller/readbehind.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"os"
@@ -86,7 +87,7 @@
 func (guardedConnection *guardedConnection) nextStepUnread() step {
 	requestPipeline := guardedConnection.pipeline
 	switch {
-	case guardedConnection.guard.complete() && !guardedConnection.accepted, requestPipeline.sequential, len(requestPipeline.unread) >= maxUnreadBytes:
+	case guardedConnection.guard.complete() && !guardedConnection.accepted, requestPipeline.sequential, len(requestPipeline.unread) >= guardedConnection.maxUnread():
 		return stepWait
 	case requestPipeline.sequence.MayStart():
 		requestPipeline.full = false
@@ -109,7 +110,7 @@
 	}
 	count := copy(buffer, requestPipeline.unread)
 	count = guardedConnection.guard.observe(buffer[:count])
-	requestPipeline.unread = requestPipeline.unread[count:]
+	guardedConnection.setUnread(requestPipeline.unread[count:])
 	requestPipeline.sequential = false
 	if requestPipeline.idle() {
 		guardedConnection.pipeline = nil
@@ -193,11 +194,17 @@
 		if framing != pipeline.Concurrent {
 			break
 		}
-		number, _ := requestPipeline.sequence.Start()
-		request := &pipelinedRequest{
-			connection: guardedConnection, pipeline: requestPipeline, number: number, unread: slices.Clone(requestPipeline.unread[:length]),
+		text := requestPipeline.unread[:length]
+		memory := guardedConnection.connections.headMemory.NewShare()
+		if !memory.ReserveRequest(length, bytes.Count(text, lineFeed)) {
+			// It is read when all before it have been answered, as if it had been sent then.
+			requestPipeline.sequential = true
+			guardedConnection.pipelining.events.Add(EventPipelineScarce, 1)
+			break
 		}
-		requestPipeline.unread = requestPipeline.unread[length:]
+		number, _ := requestPipeline.sequence.Start()
+		request := &pipelinedRequest{connection: guardedConnection, pipeline: requestPipeline, number: number, unread: slices.Clone(text), memory: memory}
+		guardedConnection.setUnread(requestPipeline.unread[length:])
 		requestPipeline.behind = append(requestPipeline.behind, request)
 		started = append(started, request)
 	}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -13,7 +13,7 @@
 // NewServer returns an HTTP server for callers that serves HTTP/1.1 and unencrypted HTTP/2, with limits that keep slow or hostile
 // callers from affecting others.
 func NewServer(handler *Handler, limits settings.Callers, events *expvar.Map) *http.Server {
-	return newServer(handler.baseContext, handler, limits, events)
+	return newServer(handler, handler, limits, events)
 }
 
 // NewPeerServer returns an HTTP server for other instances, which relay callers' requests to it. It passes all other requests to next.
@@ -25,15 +25,16 @@
 		}
 		next.ServeHTTP(writer, request)
 	}
-	return newServer(handler.baseContext, http.HandlerFunc(relayedOrNext), limits, events)
+	return newServer(handler, http.HandlerFunc(relayedOrNext), limits, events)
 }
 
-func newServer(baseContext context.Context, handler http.Handler, limits settings.Callers, events *expvar.Map) *http.Server {
+func newServer(handler *Handler, served http.Handler, limits settings.Callers, events *expvar.Map) *http.Server {
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
+	refusal := handler.options.Dialect.headRefusal()
 	return &http.Server{
-		Handler:           handler,
+		Handler:           served,
 		Protocols:         protocols,
 		ReadHeaderTimeout: limits.HeaderTimeout.Duration(),
 		IdleTimeout:       limits.IdleTimeout.Duration(),
@@ -41,11 +42,12 @@
 		ConnContext: func(ctx context.Context, connection net.Conn) context.Context {
 			if guarded, isGuarded := connection.(*guardedConnection); isGuarded {
 				guarded.server, _ = ctx.Value(http.ServerContextKey).(*http.Server)
+				guarded.refusal = refusal
 			}
 			return context.WithValue(ctx, connectionKey{}, connection)
 		},
 		ConnState:   handleConnState,
-		BaseContext: func(net.Listener) context.Context { return baseContext },
+		BaseContext: func(net.Listener) context.Context { return handler.baseContext },
 		ErrorLog:    log.New(errorCounter{events: events}, "", 0),
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,14 @@
 	callerConnectionShare = 0.6
 	// peerConnectionShare is the same for connections of other instances.
 	peerConnectionShare = 0.15
+	// connectionMemoryShare is the share of the memory for callers' connections, each of which takes connectionMemory while it is used.
+	connectionMemoryShare = 0.5
+	connectionMemory      = 40 << 10
+	// headMemoryShare is the share of the memory for the heads of callers' requests; otherHeadMemoryShare that for those of other instances.
+	headMemoryShare      = 1.0 / 6
+	otherHeadMemoryShare = 1.0 / 24
+	// bufferMemoryShare is the share of the memory for each of buffered request bodies and buffered responses.
+	bufferMemoryShare = 1.0 / 12
 )
 
 // Platform is the platform-specific behaviour of an instance: reading the store, the HTTP headers and paths used with
@@ -220,12 +228,14 @@
 	peerLimits := limits
 	peerLimits.MaxPipelined = 0
 	peerLimits.MaxConnections = int(peerConnectionShare * float64(gatewaySettings.MaxDescriptors))
+	peerLimits.MaxHeadMemory = partOf(gatewaySettings.MaxMemory, otherHeadMemoryShare)
 	gateway.handler = caller.NewHandler(caller.Options{
 		Table: gateway.controller.Table, AwaitTable: gateway.controller.AwaitTable, Servers: gateway.servers, Registry: gateway.registry, Traces: gateway.traces,
 		Quota: gateway.quota, KeyFreshness: gateway.controller.KeyStatus,
 		Clock: gateway.clock, Instance: gatewaySettings.Instance, MaxStall: maxStall, Dialect: gateway.options.Platform.Dialect,
-		Relay:      &caller.Relay{Client: gateway.relay, Unreachable: gateway.controller.Unreachable, Doubtful: gateway.controller.Doubtful},
-		Quarantine: gateway.quarantine, OnServerEnd: gateway.recordServerEnd,
+		MaxBufferMemory: partOf(gatewaySettings.MaxMemory, bufferMemoryShare),
+		Relay:           &caller.Relay{Client: gateway.relay, Unreachable: gateway.controller.Unreachable, Doubtful: gateway.controller.Doubtful},
+		Quarantine:      gateway.quarantine, OnServerEnd: gateway.recordServerEnd,
 		OnStatement: gateway.controller.RecordStatement, Lateness: gateway.controller.Lateness,
 		OnRequestDone: newRequestLog(gateway.options.Log, gateway.clock, &gateway.registry.Events).write, Guard: gateway.guard,
 	})
@@ -260,12 +270,19 @@
 
 // callerLimits returns the limits of callers' connections.
 func callerLimits(gatewaySettings *settings.Gateway) settings.Callers {
+	memory := gatewaySettings.MaxMemory
 	return settings.Callers{
-		MaxConnections: int(callerConnectionShare * float64(gatewaySettings.MaxDescriptors)), MaxHeaderSize: maxHeaderBytes, HeaderTimeout: headerTimeout,
+		MaxConnections: min(int(callerConnectionShare*float64(gatewaySettings.MaxDescriptors)), int(partOf(memory, connectionMemoryShare)/connectionMemory)),
+		MaxHeaderSize:  maxHeaderBytes, HeaderTimeout: headerTimeout, MaxHeadMemory: partOf(memory, headMemoryShare),
 		IdleTimeout: idleTimeout, MaxStall: maxStall, MaxPipelined: gatewaySettings.MaxPipelined, MaxPipelinedHeld: gatewaySettings.MaxPipelinedHeld,
 	}
 }
 
+// partOf returns a share of the memory.
+func partOf(memory settings.Bytes, share float64) settings.Bytes {
+	return settings.Bytes(share * float64(memory))
+}
+
 // peerServerIndex is the position of the server for other instances among the HTTP servers.
 const peerServerIndex = 3
 
--- a/pkg/settings/defaults.go
+++ b/pkg/settings/defaults.go
@@ -65,5 +65,6 @@
 	setDefault(&process.Callers.IdleTimeout, 2*clock.Minute)
 	setDefault(&process.Callers.MaxStall, 10*clock.Second)
 	setDefault(&process.Callers.MaxPipelinedHeld, defaultPipelinedHeld)
+	setDefault(&process.Callers.MaxHeadMemory, 64<<20)
 	setDefault(&process.LogLevel, "info")
 }
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -46,6 +46,9 @@
 	LinkMegabits float64 `json:"linkMegabits,omitempty" jsonschema:"minimum=0"`
 	// MaxDescriptors (descriptorsMost) is the number of file descriptors that the process may use.
 	MaxDescriptors int `json:"descriptorsMost,omitempty" jsonschema:"minimum=64,default=4096"`
+	// MaxMemory (memoryMost) is the memory that the process may use. The memory for the heads of requests, bodies and responses of callers,
+	// and the number of their connections are limited to parts of it.
+	MaxMemory Bytes `json:"memoryMost,omitempty" jsonschema:"default=256MiB"`
 	// MaxPipelined (pipelinedMost) is the largest number of requests of one caller's connection that are served at the same time. With 0
 	// or 1, a request is read only when the one before it has been answered.
 	MaxPipelined int `json:"pipelinedMost,omitempty" jsonschema:"minimum=0,maximum=1000"`
@@ -162,6 +165,7 @@
 func (gateway *Gateway) ApplyDefaults() {
 	setDefault(&gateway.Cores, 1)
 	setDefault(&gateway.MaxDescriptors, 4096)
+	setDefault(&gateway.MaxMemory, 256<<20)
 	setDefault(&gateway.MaxPipelinedHeld, defaultPipelinedHeld)
 	setDefault(&gateway.Bounds.DrainTimeout, 6*clock.Second)
 	setDefault(&gateway.Bounds.MaxAddressTTL, 5*clock.Second)
--- a/pkg/settings/text_fields.go
+++ b/pkg/settings/text_fields.go
@@ -16,6 +16,8 @@
 	integerField
 	durationField
 	booleanField
+	// sizeField is a size in bytes with the unit MiB, which may be a fraction.
+	sizeField
 )
 
 // textField is a field that a deployment template may fill in as text. The platform decides the format of the text, which may
@@ -36,6 +38,9 @@
 	maxRatio        = 10
 	maxProbes       = 1e4
 	maxSeconds      = 3600
+	// minMemory and maxMemory are in MiB. The process itself takes some 30 MiB.
+	minMemory = 64
+	maxMemory = 1 << 24
 	// minPositive is the minimum of fields that must be greater than 0, in the unit of the field.
 	minPositive = 1e-3
 )
@@ -45,6 +50,7 @@
 	{"", "cores", numberField, minPositive, maxCores},
 	{"", "linkMegabits", numberField, 0, maxLinkMegabits},
 	{"", "descriptorsMost", integerField, 64, maxDescriptors},
+	{"", "memoryMost", sizeField, minMemory, maxMemory},
 	{"", "fleetStarts", booleanField, 0, 0},
 	{"bounds", "leaveMost", durationField, minPositive, maxSeconds},
 	{"bounds", "answerKeptMost", durationField, minPositive, maxSeconds},
@@ -107,7 +113,7 @@
 // empty reports whether the template filled in no value, or only the unit.
 func (textField textField) empty(given string) bool {
 	given = strings.TrimSpace(given)
-	return given == "" || textField.kind == durationField && given == "s"
+	return given == "" || textField.kind == durationField && given == "s" || textField.kind == sizeField && given == sizeUnit
 }
 
 // parse converts the text to the type of the field and reports whether it was understood.
@@ -117,8 +123,11 @@
 		value, err := strconv.ParseBool(strings.ToLower(given))
 		return value, err == nil
 	}
-	if textField.kind == durationField {
+	switch textField.kind {
+	case durationField:
 		return textField.parseDuration(given)
+	case sizeField:
+		return textField.parseSize(given)
 	}
 	number, err := strconv.ParseFloat(given, 64)
 	if err != nil || math.IsNaN(number) || math.IsInf(number, 0) {
@@ -131,6 +140,24 @@
 	return number, true
 }
 
+// sizeUnit is the unit of size fields, in whose number of bytes they are filled in.
+const sizeUnit = "MiB"
+
+// parseSize converts a size to a whole number of bytes, which the schema accepts.
+func (textField textField) parseSize(given string) (any, bool) {
+	var size Bytes
+	if size.UnmarshalText([]byte(given)) == nil {
+		given = strconv.FormatInt(int64(size>>20), 10) + sizeUnit
+	}
+	digits, hasUnit := strings.CutSuffix(given, sizeUnit)
+	number, err := strconv.ParseFloat(digits, 64)
+	if !hasUnit || err != nil || math.IsNaN(number) || math.IsInf(number, 0) || number <= 0 {
+		return nil, false
+	}
+	number = min(max(number, textField.minimum), textField.maximum)
+	return strconv.FormatInt(int64(number*(1<<20)), 10) + "B", true
+}
+
 // parseDuration converts a duration with its unit to seconds, which the schema accepts. Seconds may have an exponent.
 func (textField textField) parseDuration(given string) (any, bool) {
 	length, err := time.ParseDuration(given)
--- a/pkg/settings/text_fields_test.go
+++ b/pkg/settings/text_fields_test.go
@@ -100,3 +100,37 @@
 		require.GreaterOrEqual(t, gateway.Bounds.RetrySlack, 0)
 	}
 }
+
+// Guards against a process that uses more memory than its machine has, or does not start, because of how a deployment fills in its size.
+func TestMemoryOfAnyForm(t *testing.T) {
+	for _, testCase := range []struct {
+		text     string
+		expected Bytes
+		warnings int
+	}{
+		{"284MiB", 284 << 20, 0},
+		{"284.0MiB", 284 << 20, 0},
+		{"284.5MiB", 284<<20 + 1<<19, 0},
+		{"1GiB", 1 << 30, 0},
+		{"MiB", 256 << 20, 0},
+		{"", 256 << 20, 0},
+		{"1MiB", minMemory << 20, 0},
+		{"1e30MiB", maxMemory << 20, 0},
+		{"284", 256 << 20, 1},
+		{"manyMiB", 256 << 20, 1},
+		{"-284MiB", 256 << 20, 1},
+		{"NaNMiB", 256 << 20, 1},
+	} {
+		t.Run(testCase.text, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "gateway.json")
+			text := fmt.Sprintf(`{"instance": "front-1", "dataCentre": "sofia-a", "callerAddress": "10.0.0.1:1", "readyAddress": "10.0.0.1:2",
+				"directoryAddress": "10.0.0.1:3", "operatorAddress": "10.0.0.1:4", "peerAddress": "10.0.0.1:5", "seeds": [], "storeAddress": "10.0.0.1:6",
+				"memoryMost": %q}`, testCase.text)
+			require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+			gateway, err := LoadGateway(path)
+			require.NoError(t, err)
+			require.Equal(t, testCase.expected, gateway.MaxMemory)
+			require.Len(t, gateway.Warnings, testCase.warnings)
+		})
+	}
+}
--- a/pkg/settings/types.go
+++ b/pkg/settings/types.go
@@ -245,4 +245,8 @@
 	// MaxPipelinedHeld (pipelinedHeldMost) is the largest size of the responses that one connection holds until earlier ones have been
 	// sent.
 	MaxPipelinedHeld Bytes `json:"pipelinedHeldMost,omitempty" jsonschema:"default=256KiB"`
+	// MaxHeadMemory (headMemoryMost) is the memory that the heads of all requests may take together. Requests with a long head are
+	// rejected beyond it, with outcome notRun. A head takes 320 bytes for each line and twice its length; heads up to 8 KiB by this
+	// measure are not counted.
+	MaxHeadMemory Bytes `json:"headMemoryMost,omitempty" jsonschema:"default=64MiB"`
 }
