Offer no HTTP/2 on the users' platform, and bound it elsewhere

Callers saw: an instance that ran out of memory because of clients that open 250 streams on each of a few HTTP/2 connections (7.9 GB with 500 clients in the users' measurement).

Cause: the server spoke unencrypted HTTP/2 on the ports for callers and for other instances, although the platform's clients and the instances speak HTTP/1.1 only. Each connection may have 250 requests in progress, whose heads are compressed, so that they cannot be counted as they are read.

Change: an instance on the platform does not offer HTTP/2. An instance of `jaywheel serve` still does: the setting callers.streamsMost (100) limits the requests of one connection, and the head of each is counted when its handler starts; beyond the budget the request is refused with 503 and Retry-After and has not run. The limits in the tests' fixtures name the number of streams, without which HTTP/2 is off.

--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jaywheel/jaywheel/internal/headmemory"
 	"github.com/jaywheel/jaywheel/internal/quarantine"
 	"github.com/jaywheel/jaywheel/internal/relay"
 	"github.com/jaywheel/jaywheel/internal/routing"
@@ -54,6 +55,8 @@
 	digestOnce    sync.Once
 	// endChecks are the checks of servers that did not answer.
 	endChecks []*endCheck
+	// headMemory is what the request's head takes if it came over HTTP/2, nil for others.
+	headMemory *headmemory.Share
 	// counted means that the request has been counted towards the retry budget.
 	counted bool
 	// retryDenied means that the retry budget did not allow another attempt.
@@ -84,6 +87,7 @@
 func (call *call) serve() {
 	// Without this, a panic, which the HTTP server recovers from, would leak the permit.
 	defer call.release(service.Cancelled)
+	defer call.releaseHead()
 	call.begin()
 	if errorResponse := call.accept(); errorResponse != nil {
 		defer call.setUnreadBodyDeadline()
@@ -125,6 +129,9 @@
 	if errorResponse := call.checkConnections(); errorResponse != nil {
 		return errorResponse
 	}
+	if errorResponse := call.reserveMultiplexedHead(); errorResponse != nil {
+		return errorResponse
+	}
 	if call.table == nil {
 		return &errorResponse{status: http.StatusServiceUnavailable, reason: outcome.ReasonNoSettings, retryAfter: noSettingsRetryAfter}
 	}
--- a/internal/caller/connection.go
+++ b/internal/caller/connection.go
@@ -42,8 +42,9 @@
 	// refused means that the head of a request has been refused, after which nothing that net/http writes is sent: it takes the part of the
 	// head that it has for a malformed request.
 	refused atomic.Bool
-	// multiplexed means that the connection carries several requests at once (HTTP/2).
-	multiplexed atomic.Bool
+	// multiplexing means that the connection may carry several requests at once (HTTP/2), and multiplexed that it does.
+	multiplexing bool
+	multiplexed  atomic.Bool
 
 	// pipelining and server serve requests that the caller sends before earlier ones have been answered.
 	pipelining *pipelining
@@ -176,7 +177,7 @@
 	if count > 0 {
 		guardedConnection.unhandledBytes.Store(true)
 	}
-	if guardedConnection.guard.sawPreface {
+	if guardedConnection.guard.sawPreface && guardedConnection.multiplexing {
 		// The connection may never carry a request, which would otherwise mark it.
 		guardedConnection.markMultiplexed()
 	}
--- a/internal/caller/drain_test.go
+++ b/internal/caller/drain_test.go
@@ -39,7 +39,7 @@
 		_, _ = io.WriteString(writer, "whole")
 	})
 	drainFixture.fixture = newUnservedFixture(t, fixtureService(), address)
-	limits := settings.Callers{MaxConnections: 100, MaxHeaderSize: 8 << 10, HeaderTimeout: 30 * 1000, IdleTimeout: 60 * 1000}
+	limits := settings.Callers{MaxConnections: 100, MaxHeaderSize: 8 << 10, HeaderTimeout: 30 * 1000, IdleTimeout: 60 * 1000, MaxStreams: 100}
 	listener, err := Listen("127.0.0.1:0", limits, &drainFixture.registry.Events)
 	require.NoError(t, err)
 	drainFixture.listener = listener
--- a/internal/caller/fixture_test.go
+++ b/internal/caller/fixture_test.go
@@ -56,7 +56,9 @@
 // newFixture starts an instance whose service has backend servers at the given addresses.
 func newFixture(t testing.TB, serviceSettings *settings.Service, addresses ...string) *fixture {
 	fixture := newUnservedFixture(t, serviceSettings, addresses...)
-	limits := settings.Callers{MaxConnections: fixtureMaxConnections, MaxHeaderSize: 8 << 10, HeaderTimeout: 30 * 1000, IdleTimeout: 60 * 1000, MaxStall: 30 * 1000}
+	limits := settings.Callers{
+		MaxConnections: fixtureMaxConnections, MaxHeaderSize: 8 << 10, HeaderTimeout: 30 * 1000, IdleTimeout: 60 * 1000, MaxStall: 30 * 1000, MaxStreams: 100,
+	}
 	listener, err := Listen("127.0.0.1:0", limits, &fixture.registry.Events)
 	require.NoError(t, err)
 	server := NewServer(fixture.handler, limits, &fixture.registry.Events)
--- a/internal/caller/headrefusal.go
+++ b/internal/caller/headrefusal.go
@@ -52,6 +52,34 @@
 	return &net.OpError{Op: "read", Net: "tcp", Err: errHeadMemory}
 }
 
+// reserveMultiplexedHead counts the head of a request that came over HTTP/2, and rejects the request if that takes more memory than is left.
+// Such a head is not seen before it has been read completely, one at a time for each connection.
+func (call *call) reserveMultiplexedHead() *errorResponse {
+	guarded, isGuarded := call.request.Context().Value(connectionKey{}).(*guardedConnection)
+	if !isGuarded || call.request.ProtoMajor == 1 {
+		return nil
+	}
+	length, lines := 0, 0
+	for name, values := range call.request.Header {
+		for _, value := range values {
+			length += len(name) + len(value)
+			lines++
+		}
+	}
+	call.headMemory = guarded.connections.headMemory.NewShare()
+	if call.headMemory.ReserveHead(length, lines) {
+		return nil
+	}
+	guarded.pipelining.events.Add(EventHeadRefused, 1)
+	return &errorResponse{status: http.StatusServiceUnavailable, reason: outcome.ReasonOverloaded, retryAfter: headRetryAfter, cause: errHeadMemory}
+}
+
+func (call *call) releaseHead() {
+	if call.headMemory != nil {
+		call.headMemory.Close()
+	}
+}
+
 // headRefusal returns the response to a request whose head cannot be kept.
 func (dialect *Dialect) headRefusal() []byte {
 	text := string(outcome.NotRun) + ": " + string(outcome.ReasonOverloaded) + "\n"
--- a/internal/caller/headrefusal_test.go
+++ b/internal/caller/headrefusal_test.go
@@ -146,3 +146,55 @@
 		fixture.requireHeadMemoryReturned(t)
 	}
 }
+
+// Guards against an instance that runs out of memory because of many requests with long heads on one HTTP/2 connection.
+func TestMultiplexedHeadsBeyondTheMemoryAreRefused(t *testing.T) {
+	gate := newGate()
+	fixture := newHeadFixture(t, gate)
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{Protocols: protocols}
+	defer transport.CloseIdleConnections()
+	newLong := func(path string) *http.Request {
+		request := fixture.newRequest(t, http.MethodGet, path, nil)
+		for number := range longHeadLines / 4 {
+			request.Header.Set(fmt.Sprintf("p%d", number), "")
+		}
+		return request
+	}
+	const held = 6
+	for number := range held {
+		go func() {
+			response, err := transport.RoundTrip(newLong(fmt.Sprintf("/%d", number)))
+			if err == nil {
+				response.Body.Close()
+			}
+		}()
+	}
+	gate.awaitArrived(t, held)
+	response, err := transport.RoundTrip(newLong("/refused"))
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+	for number := range held {
+		gate.release(fmt.Sprintf("/%d", number))
+	}
+	fixture.requireHeadMemoryReturned(t)
+}
+
+// Guards against HTTP/2 at an instance that does not offer it, where its requests would not be counted.
+func TestMultiplexingIsOffered(t *testing.T) {
+	limits := pipelinedLimits()
+	limits.MaxStreams = 0
+	fixture := newPipelinedFixture(t, limits, newGate("/1").serve)
+	caller := fixture.dialPipelined(t)
+	caller.send("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")
+	got, err := caller.receive()
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, got.status, http.StatusBadRequest)
+	require.True(t, got.closes)
+	ordinary := fixture.dialPipelined(t)
+	ordinary.send(lookup("/1"))
+	ordinary.requireBody("/1")
+}
--- a/internal/caller/pipelining_test.go
+++ b/internal/caller/pipelining_test.go
@@ -25,7 +25,7 @@
 func pipelinedLimits() settings.Callers {
 	return settings.Callers{
 		MaxConnections: 100, MaxHeaderSize: 8 << 10, HeaderTimeout: 30 * clock.Second, IdleTimeout: clock.Minute, MaxStall: 30 * clock.Second,
-		MaxPipelined: 8, MaxPipelinedHeld: 256 << 10,
+		MaxPipelined: 8, MaxPipelinedHeld: 256 << 10, MaxStreams: 100,
 	}
 }
 
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -10,8 +10,8 @@
 	"github.com/jaywheel/jaywheel/pkg/settings"
 )
 
-// NewServer returns an HTTP server for callers that serves HTTP/1.1 and unencrypted HTTP/2, with limits that keep slow or hostile
-// callers from affecting others.
+// NewServer returns an HTTP server for callers that serves HTTP/1.1, and unencrypted HTTP/2 if limits.MaxStreams is not 0, with limits that
+// keep slow or hostile callers from affecting others.
 func NewServer(handler *Handler, limits settings.Callers, events *expvar.Map) *http.Server {
 	return newServer(handler, handler, limits, events)
 }
@@ -31,7 +31,7 @@
 func newServer(handler *Handler, served http.Handler, limits settings.Callers, events *expvar.Map) *http.Server {
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
+	protocols.SetUnencryptedHTTP2(limits.MaxStreams > 0)
 	refusal := handler.options.Dialect.headRefusal()
 	return &http.Server{
 		Handler:           served,
@@ -42,11 +42,12 @@
 		ConnContext: func(ctx context.Context, connection net.Conn) context.Context {
 			if guarded, isGuarded := connection.(*guardedConnection); isGuarded {
 				guarded.server, _ = ctx.Value(http.ServerContextKey).(*http.Server)
-				guarded.refusal = refusal
+				guarded.refusal, guarded.multiplexing = refusal, limits.MaxStreams > 0
 			}
 			return context.WithValue(ctx, connectionKey{}, connection)
 		},
 		ConnState:   handleConnState,
+		HTTP2:       &http.HTTP2Config{MaxConcurrentStreams: limits.MaxStreams},
 		BaseContext: func(net.Listener) context.Context { return handler.baseContext },
 		ErrorLog:    log.New(errorCounter{events: events}, "", 0),
 	}
--- a/pkg/settings/defaults.go
+++ b/pkg/settings/defaults.go
@@ -66,5 +66,6 @@
 	setDefault(&process.Callers.MaxStall, 10*clock.Second)
 	setDefault(&process.Callers.MaxPipelinedHeld, defaultPipelinedHeld)
 	setDefault(&process.Callers.MaxHeadMemory, 64<<20)
+	setDefault(&process.Callers.MaxStreams, 100)
 	setDefault(&process.LogLevel, "info")
 }
--- a/pkg/settings/types.go
+++ b/pkg/settings/types.go
@@ -249,4 +249,6 @@
 	// rejected beyond it, with outcome notRun. A head takes 320 bytes for each line and twice its length; heads up to 8 KiB by this
 	// measure are not counted.
 	MaxHeadMemory Bytes `json:"headMemoryMost,omitempty" jsonschema:"default=64MiB"`
+	// MaxStreams (streamsMost) is the largest number of requests of one HTTP/2 connection that are served at the same time.
+	MaxStreams int `json:"streamsMost,omitempty" jsonschema:"minimum=1,maximum=1000,default=100"`
 }
