Limit the connections and heads of the directory, readiness and operators

Callers saw: 1,500 connections to the three ports that need only a path took 2,046 descriptors, of 1,024 that the process may use, and 449 MB. At the limit of the process, no port accepts connections any more.

Cause: their listeners counted neither connections nor what the heads on them take.

Change: each of the three may have a twenty-fifth of the descriptors as connections. A further one displaces the connection on which nothing has been sent for the longest time, so that whoever comes is answered while others hold theirs open. Heads are counted as those of callers are, in a twenty-fourth of the memory for the three together; a connection is closed beyond it. The listener moves to a file of its own.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -149,7 +149,7 @@
 	operatorServer := &http.Server{
 		Handler: httppart.NewGuardedHandler(entry.guard, "operators", operators), ReadHeaderTimeout: process.Callers.HeaderTimeout.Duration(),
 	}
-	entry.operators, err = httppart.New(operatorServer, process.OperatorAddress, httppart.NewListenFunc(entry.guard))
+	entry.operators, err = httppart.New(operatorServer, process.OperatorAddress, httppart.NewListenFunc(httppart.ListenOptions{Guard: entry.guard}))
 	if err != nil {
 		return errors.CombineErrors(err, entry.callers.Close())
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/jaywheel/jaywheel/internal/caller"
 	"github.com/jaywheel/jaywheel/internal/catalog"
 	"github.com/jaywheel/jaywheel/internal/fleet"
+	"github.com/jaywheel/jaywheel/internal/headmemory"
 	"github.com/jaywheel/jaywheel/internal/httppart"
 	"github.com/jaywheel/jaywheel/internal/instance"
 	"github.com/jaywheel/jaywheel/internal/membership"
@@ -58,10 +59,13 @@
 	callerConnectionShare = 0.6
 	// peerConnectionShare is the same for connections of other instances.
 	peerConnectionShare = 0.15
+	// shortConnectionShare is the same for the connections to each of the directory, readiness and operators.
+	shortConnectionShare = 0.04
 	// connectionMemoryShare is the share of the memory for callers' connections, each of which takes connectionMemory while it is used.
 	connectionMemoryShare = 0.5
 	connectionMemory      = 40 << 10
-	// headMemoryShare is the share of the memory for the heads of callers' requests; otherHeadMemoryShare that for those of other instances.
+	// headMemoryShare is the share of the memory for the heads of callers' requests; otherHeadMemoryShare that for those of other instances,
+	// and that for those to the directory, readiness and operators together.
 	headMemoryShare      = 1.0 / 6
 	otherHeadMemoryShare = 1.0 / 24
 	// bufferMemoryShare is the share of the memory for each of buffered request bodies and buffered responses.
@@ -242,7 +246,10 @@
 	events := &gateway.registry.Events
 	peerConnections := caller.NewConnections(peerLimits, events)
 	peerConnections.Guard = gateway.guard
-	listen := httppart.NewListenFunc(gateway.guard)
+	listen := httppart.NewListenFunc(httppart.ListenOptions{
+		Guard: gateway.guard, Events: &gateway.registry.Events, MaxConnections: max(int(shortConnectionShare*float64(gatewaySettings.MaxDescriptors)), 1),
+		HeadMemory: headmemory.NewBudget(partOf(gatewaySettings.MaxMemory, otherHeadMemoryShare)),
+	})
 	peerServer := caller.NewPeerServer(gateway.handler, httppart.NewGuardedHandler(gateway.guard, "peers", http.HandlerFunc(gateway.serveCatalog)), peerLimits, events)
 	serverConfigs := []struct {
 		name    string
--- a/internal/httppart/httppart.go
+++ b/internal/httppart/httppart.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	server, err := httppart.New(httpServer, "10.0.0.4:8080", httppart.NewListenFunc(guard))
+//	server, err := httppart.New(httpServer, "10.0.0.4:8080", httppart.NewListenFunc(httppart.ListenOptions{Guard: guard}))
 //	tree.Add(supervisor.Component{Name: "callers", Serve: server.Serve})
 //	...
 //	server.Shutdown(ctx) // returns when no request is in flight
@@ -17,9 +17,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/jaywheel/jaywheel/internal/linger"
 	"github.com/jaywheel/jaywheel/internal/supervisor"
-	"github.com/jaywheel/jaywheel/pkg/clock"
 )
 
 // Listener accepts a server's connections.
@@ -30,63 +28,6 @@
 	Drain func(context.Context) error
 }
 
-// NewListenFunc returns a function that listens on a TCP address. The connections are not reset before their peers have received what was
-// sent. The guard recovers panics on goroutines of the connections; nil lets them pass.
-func NewListenFunc(guard *supervisor.Guard) func(address string) (Listener, error) {
-	return func(address string) (Listener, error) {
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			return Listener{}, err
-		}
-		return Listener{Listener: lingeringListener{Listener: listener, guard: guard}}, nil
-	}
-}
-
-// maxStall is how long the peer of a closed connection may receive nothing.
-const maxStall = 10 * clock.Second
-
-type lingeringListener struct {
-	net.Listener
-
-	guard *supervisor.Guard
-}
-
-// Accept implements net.Listener.
-func (lingeringListener lingeringListener) Accept() (net.Conn, error) {
-	accepted, err := lingeringListener.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	connection, isTCP := accepted.(*net.TCPConn)
-	if !isTCP {
-		return accepted, nil
-	}
-	return &lingeringConnection{TCPConn: connection, guard: lingeringListener.guard}, nil
-}
-
-type lingeringConnection struct {
-	*net.TCPConn
-
-	guard     *supervisor.Guard
-	closeOnce sync.Once
-}
-
-// Close implements net.Conn. It returns before the peer has received everything.
-func (lingeringConnection *lingeringConnection) Close() error {
-	var err error
-	lingeringConnection.closeOnce.Do(func() {
-		if !linger.Needed(lingeringConnection.TCPConn) {
-			err = lingeringConnection.TCPConn.Close()
-			return
-		}
-		lingeringConnection.guard.Go("end of a connection", func() {
-			defer func() { _ = lingeringConnection.TCPConn.Close() }()
-			linger.Wait(lingeringConnection.TCPConn, linger.Options{MaxStall: maxStall})
-		})
-	})
-	return err
-}
-
 // Server is an HTTP server as a component of a supervisor tree. It is safe for concurrent use.
 type Server struct {
 	// Guard recovers panics of draining listeners; nil lets them pass. It must be set before the first use.
--- a/internal/httppart/httppart_test.go
+++ b/internal/httppart/httppart_test.go
@@ -12,9 +12,11 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/jaywheel/jaywheel/internal/headmemory"
 	"github.com/jaywheel/jaywheel/internal/supervisor"
 )
 
@@ -68,7 +70,7 @@
 	server, err := New(&http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		writer.Header().Set("Connection", "close")
 		_, _ = writer.Write(make([]byte, length))
-	})}, "127.0.0.1:0", NewListenFunc(nil))
+	})}, "127.0.0.1:0", NewListenFunc(ListenOptions{}))
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
@@ -139,3 +141,67 @@
 	require.ErrorAs(t, server.Shutdown(t.Context()), &panicError)
 	require.Equal(t, "1", events.Get(supervisor.EventPanic).String())
 }
+
+// startShort starts a server whose listener has the given options.
+func startShort(t *testing.T, options ListenOptions) *Server {
+	server, err := New(&http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(writer, "ready")
+	})}, "127.0.0.1:0", NewListenFunc(options))
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return server
+}
+
+func dialShort(t *testing.T, server *Server, text string) net.Conn {
+	connection, err := net.Dial("tcp", server.Address())
+	require.NoError(t, err)
+	t.Cleanup(func() { connection.Close() })
+	require.NoError(t, connection.SetDeadline(time.Now().Add(waitTimeout)))
+	_, err = io.WriteString(connection, text)
+	require.NoError(t, err)
+	return connection
+}
+
+// Guards against a server that uses up the descriptors of the process, or answers nobody, because many connections to it are held open.
+func TestNewConnectionsDisplaceOldOnes(t *testing.T) {
+	for _, held := range []string{"", "GET / HTTP/1.1\r\nHost: ", "GET / HTTP/1.1\r\nHost: readiness\r\n\r\n"} {
+		server := startShort(t, ListenOptions{MaxConnections: 4})
+		var connections []net.Conn
+		for range 20 {
+			connections = append(connections, dialShort(t, server, held))
+		}
+		response, err := http.Get("http://" + server.Address())
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		_, err = io.ReadAll(connections[0])
+		require.False(t, isTimeout(err), "the oldest connection is still open")
+	}
+}
+
+func isTimeout(err error) bool {
+	var netError net.Error
+	return errors.As(err, &netError) && netError.Timeout()
+}
+
+// Guards against a process that runs out of memory because of what is sent to a server that needs only short heads.
+func TestShortServerBoundsItsHeads(t *testing.T) {
+	budget := headmemory.NewBudget(20 << 10)
+	server := startShort(t, ListenOptions{HeadMemory: budget})
+	refused := dialShort(t, server, "GET / HTTP/1.1\r\nHost: readiness\r\n"+strings.Repeat("A:\r\n", 200))
+	_, err := io.ReadAll(refused)
+	require.False(t, isTimeout(err), "the connection is still open")
+	for range 3 {
+		response, err := http.Get("http://" + server.Address())
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		require.Equal(t, http.StatusOK, response.StatusCode)
+	}
+	require.Eventually(t, func() bool { return budget.Used() == 0 }, waitTimeout, waitTick)
+}
