Close connections whose heads do not end when others wait for one

Callers saw: beside 2,600 clients that never end the heads of their requests, an ordinary client was answered 6 of 125 times (the users' measurement; the limit was 2,460 connections).

Cause: when connections are scarce, those that have been idle for longest are closed, but one on which a part of a head has arrived counted as in use until the header timeout of 5 s. The search also ran only after a sixteenth of the connections had been accepted anew.

Change: a connection that has waited for the rest of a head for a second is closed like an idle one while all connections are in use, without an answer, because the rest may arrive at this moment. It lingers only if it has something to send. The search also runs for each new connection when all are in use, every 50 ms at most.

--- a/internal/caller/connection.go
+++ b/internal/caller/connection.go
@@ -42,6 +42,8 @@
 	// refused means that the head of a request has been refused, after which nothing that net/http writes is sent: it takes the part of the
 	// head that it has for a malformed request.
 	refused atomic.Bool
+	// headSince is since when the head of a request has been read, in nanoseconds since 1970.
+	headSince atomic.Int64
 	// multiplexing means that the connection may carry several requests at once (HTTP/2), and multiplexed that it does.
 	multiplexing bool
 	multiplexed  atomic.Bool
@@ -66,6 +68,8 @@
 	resetting bool
 	// readAborted means that reads fail at once.
 	readAborted bool
+	// displaced means that the connection is closed because its request has not arrived in time and others wait for a connection.
+	displaced bool
 	// closed means that Close has been called.
 	closed bool
 	// pipeline is nil unless requests have been received behind the one that is being handled.
@@ -175,7 +179,7 @@
 		}
 	}
 	if count > 0 {
-		guardedConnection.unhandledBytes.Store(true)
+		guardedConnection.markUnhandled()
 	}
 	if guardedConnection.guard.sawPreface && guardedConnection.multiplexing {
 		// The connection may never carry a request, which would otherwise mark it.
@@ -376,7 +380,7 @@
 		guardedConnection.setUnread(nil)
 	}
 	switch {
-	case guardedConnection.resetting:
+	case guardedConnection.resetting, guardedConnection.displaced && linger.Unsent(guardedConnection.TCPConn) == 0:
 		return true, false
 	case guardedConnection.refused.Load():
 		return true, true
--- a/internal/caller/connections.go
+++ b/internal/caller/connections.go
@@ -17,6 +17,9 @@
 const (
 	// EventConnectionsClosedIdle counts idle connections that were closed because few more could be opened.
 	EventConnectionsClosedIdle = "caller.connectionsClosedIdle"
+	// EventConnectionsDisplaced counts connections that were closed because the rest of a request's head did not arrive while others waited
+	// for a connection.
+	EventConnectionsDisplaced = "caller.connectionsDisplaced"
 	// EventConnectionsRefused counts requests that were refused because too many connections were open.
 	EventConnectionsRefused = "caller.connectionsRefused"
 	// EventConnectionsDropped counts connections that were closed at once because too many were open even for refusing a request.
@@ -31,6 +34,12 @@
 // accepted, so that a short burst is served.
 const maxFullTime = 100 * clock.Millisecond
 
+// headPatience is how long the head of a request may take to arrive while others wait for a connection.
+const headPatience = clock.Second
+
+// searchInterval is the shortest time between two searches for connections to close while all are in use.
+const searchInterval = 50 * clock.Millisecond
+
 // Connections counts the connections of an instance's callers against their limit. It is safe for concurrent use.
 type Connections struct {
 	// Guard recovers panics on goroutines of the HTTP server that read, write and close the connections; nil lets them pass. It must be set
@@ -148,7 +157,8 @@
 	listener.fullSince = time.Time{}
 }
 
-// closeLongestIdle closes the connections that have been idle for the longest time, if connections are scarce.
+// closeLongestIdle closes the connections that have been idle, or have waited for the rest of a head, for the longest time, if connections
+// are scarce.
 func (listener *Listener) closeLongestIdle() {
 	if !listener.connections.scarce() {
 		return
@@ -157,11 +167,12 @@
 	defer listener.mutex.Unlock()
 	// All connections are searched, so that this is done only once for several new ones.
 	listener.acceptedScarce++
-	if listener.acceptedScarce < listener.connections.reserve/2 {
+	now := time.Now()
+	full := listener.connections.full() && now.Sub(listener.searched) >= searchInterval.Duration()
+	if listener.acceptedScarce < listener.connections.reserve/2 && !full {
 		return
 	}
-	listener.acceptedScarce = 0
-	now := time.Now()
+	listener.acceptedScarce, listener.searched = 0, now
 	var idle []idleConnection
 	for guarded := range listener.open {
 		if since, isIdle := guarded.idleSince(now); isIdle {
@@ -169,10 +180,30 @@
 		}
 	}
 	closed := longestIdle(idle, int(listener.connections.reserve))
+	displaced := 0
 	for _, entry := range closed {
 		entry.connection.closeWhenIdle(true)
+		if entry.connection.displace(now) {
+			displaced++
+		}
+	}
+	listener.connections.events.Add(EventConnectionsClosedIdle, int64(len(closed)-displaced))
+	listener.connections.events.Add(EventConnectionsDisplaced, int64(displaced))
+}
+
+// displace closes the connection if it has been waiting for the rest of a request's head for headPatience, and reports whether it has. It is
+// not answered: the rest may arrive at this moment, and another goroutine would answer the request then.
+func (guardedConnection *guardedConnection) displace(now time.Time) bool {
+	guardedConnection.mutex.Lock()
+	defer guardedConnection.mutex.Unlock()
+	if guardedConnection.state == http.StateActive || !guardedConnection.unhandledBytes.Load() || guardedConnection.multiplexed.Load() ||
+		now.Sub(time.Unix(0, guardedConnection.headSince.Load())) <= headPatience.Duration() {
+		return false
 	}
-	listener.connections.events.Add(EventConnectionsClosedIdle, int64(len(closed)))
+	guardedConnection.displaced = true
+	// An error means that the connection is closed already.
+	_ = guardedConnection.TCPConn.SetReadDeadline(pastDeadline)
+	return true
 }
 
 // exceedsLimit reports whether the connection was accepted beyond the limit and no other one has been closed since.
--- a/internal/caller/headrefusal.go
+++ b/internal/caller/headrefusal.go
@@ -23,6 +23,13 @@
 
 var lineFeed = []byte("\n")
 
+// markUnhandled records that bytes of a request have been read that is not being handled.
+func (guardedConnection *guardedConnection) markUnhandled() {
+	if !guardedConnection.unhandledBytes.Swap(true) {
+		guardedConnection.headSince.Store(time.Now().UnixNano())
+	}
+}
+
 // reserveHead counts what has been read of the current request's head. It reports false if that takes more memory than is left.
 func (guardedConnection *guardedConnection) reserveHead() bool {
 	guard := &guardedConnection.guard
--- a/internal/caller/headrefusal_test.go
+++ b/internal/caller/headrefusal_test.go
@@ -198,3 +198,23 @@
 	ordinary.send(lookup("/1"))
 	ordinary.requireBody("/1")
 }
+
+// Guards against callers that get no connection because others do not finish the heads of their requests.
+func TestIncompleteHeadsGiveWay(t *testing.T) {
+	fixture := newScarceFixture(t, newGate("/1", "/2"))
+	for range 40 {
+		incomplete := fixture.dialPipelined(t)
+		incomplete.send(strings.TrimSuffix(lookup("/1"), "\r\n"))
+	}
+	require.Eventually(t, func() bool { return fixture.listener.connections.open.Load() >= 30 }, maxWait, pollInterval)
+	var got response
+	require.Eventually(t, func() bool {
+		caller := fixture.dialPipelined(t)
+		caller.send(lookup("/2"))
+		received, err := caller.receive()
+		got = received
+		return err == nil && received.status == http.StatusOK
+	}, maxWait/4, pollInterval)
+	require.Equal(t, "/2", got.body)
+	require.Positive(t, fixture.eventCount(EventConnectionsDisplaced))
+}
--- a/internal/caller/listener.go
+++ b/internal/caller/listener.go
@@ -44,6 +44,8 @@
 	accepting, draining bool
 	// acceptedScarce is the number of connections accepted while they were scarce since idle ones were last searched for.
 	acceptedScarce int64
+	// searched is when idle connections were last searched for.
+	searched time.Time
 	// drained is closed when the listener is draining and no connection is open.
 	drained chan struct{}
 }
--- a/internal/caller/readbehind.go
+++ b/internal/caller/readbehind.go
@@ -116,7 +116,7 @@
 		guardedConnection.pipeline = nil
 	}
 	if count > 0 {
-		guardedConnection.unhandledBytes.Store(true)
+		guardedConnection.markUnhandled()
 	}
 	return count
 }
