Keep no request lines in the traces of requests

A trace keeps the method of a request, which net/http cuts from the request line without copying it, so that each of 1,024 traces could keep 32 KB of a client's choice; the error message quoted a malformed timeout in full. Traces now copy at most 32 bytes of the method, and the message quotes at most 64 bytes (TestTracesKeepShortTexts).

--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -234,6 +234,9 @@
 	return false
 }
 
+// maxQuotedLength is the length in bytes of the longest part of a request that an error message quotes, since the ring of traces keeps it.
+const maxQuotedLength = 64
+
 // callerTimeout returns the timeout that the request states, or defaultTimeout if it states none.
 func (call *call) callerTimeout(defaultTimeout clock.Milliseconds) (clock.Milliseconds, error) {
 	name := call.handler.options.Dialect.TimeoutHeader
@@ -243,7 +246,7 @@
 	}
 	milliseconds, err := strconv.ParseInt(value, 10, 64)
 	if err != nil || milliseconds <= 0 {
-		return 0, errors.Wrapf(errTimeout, "%s: %s", name, strconv.Quote(value))
+		return 0, errors.Wrapf(errTimeout, "%s: %s", name, strconv.Quote(value[:min(len(value), maxQuotedLength)]))
 	}
 	return clock.Milliseconds(milliseconds), nil
 }
--- a/internal/caller/headrefusal_test.go
+++ b/internal/caller/headrefusal_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/jaywheel/jaywheel/internal/trace"
 	"github.com/jaywheel/jaywheel/pkg/outcome"
 )
 
@@ -218,3 +219,21 @@
 	require.Equal(t, "/2", got.body)
 	require.Positive(t, fixture.eventCount(EventConnectionsDisplaced))
 }
+
+// Guards against traces that keep a whole request line, or another long part of a request, in memory.
+func TestTracesKeepShortTexts(t *testing.T) {
+	fixture := newFixture(t, fixtureService(), startBackend(t, func(http.ResponseWriter, *http.Request) {}))
+	request := fixture.newRequest(t, strings.Repeat("G", 5000), "/", nil)
+	request.Header.Set(outcome.HeaderRequestID, "long-method")
+	fixture.send(t, request)
+	request = fixture.newRequest(t, http.MethodGet, "/", nil)
+	request.Header.Set(outcome.HeaderRequestID, "long-timeout")
+	request.Header.Set(outcome.HeaderTimeout, strings.Repeat("9", 5000))
+	fixture.send(t, request)
+	for _, id := range []trace.RequestID{"long-method", "long-timeout"} {
+		found, known := fixture.traces.Find(id)
+		require.True(t, known)
+		require.LessOrEqual(t, len(found.Method), maxMethodLength)
+		require.Less(t, len(found.Error), 1000)
+	}
+}
--- a/internal/caller/record.go
+++ b/internal/caller/record.go
@@ -1,6 +1,8 @@
 package caller
 
 import (
+	"net/http"
+	"strings"
 	"time"
 
 	"github.com/jaywheel/jaywheel/internal/trace"
@@ -16,7 +18,7 @@
 func (call *call) recordResult(status int, result outcome.Outcome, reason outcome.Reason, cause error) {
 	elapsed := call.now().Since(call.started)
 	requestTrace := trace.Request{
-		ID: call.id, Started: time.Now().Add(-elapsed.Duration()), Method: call.request.Method,
+		ID: call.id, Started: time.Now().Add(-elapsed.Duration()), Method: shortMethod(call.request.Method),
 		Attempts: call.attempts, Outcome: result, Reason: reason, Status: status, Duration: elapsed, Behind: call.behind, RetryDenied: call.retryDenied,
 	}
 	if cause != nil {
@@ -44,6 +46,21 @@
 	call.recordMetrics(elapsed, result, reason)
 }
 
+// maxMethodLength is the length in bytes of the longest method that a trace keeps.
+const maxMethodLength = 32
+
+// shortMethod returns a copy of the start of a method. The method itself is a part of the request line, all of which it would keep.
+func shortMethod(method string) string {
+	switch method {
+	case http.MethodGet:
+		return http.MethodGet
+	case http.MethodPost:
+		return http.MethodPost
+	default:
+		return strings.Clone(method[:min(len(method), maxMethodLength)])
+	}
+}
+
 // storeTrace adds the trace to the ring and passes it to OnRequestDone.
 func (call *call) storeTrace(requestTrace *trace.Request) {
 	traces := call.handler.options.Traces
