Read the heads of backend servers' responses strictly

Cause: net/http takes any status and leaves out lines that it does not understand. backendserver examined HTTP/1.0 alone.

Change: headScanner reads the bytes of each head, also of informational responses, as RFC 9112 (sections 4, 5, 6.1) and RFC 9110 (section 15) say, before net/http does: a status from 100 to 599, names that are tokens with the colon right behind, values and reason phrases without control bytes and without the start of another head in them, not both lengths. Anything else ends the attempt and its connection; the request may have run. Folded lines and line feeds alone stay valid, as the RFC allows. All responses to requests, relayed requests and probes go this way. The store's and other instances' responses are JSON and CBOR of a known status: what is cut off, or framed in another way, does not decode.

--- a/internal/backendserver/head.go
+++ b/internal/backendserver/head.go
@@ -1,7 +1,6 @@
 package backendserver
 
 import (
-	"bytes"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -26,17 +25,7 @@
 	errLongHeads   = errors.Newf("the long heads of responses together exceed %d bytes", maxLongHeadsBytes)
 )
 
-// Errors of checkFraming.
-var (
-	errProtocol         = errors.New("the response is not of HTTP/1")
-	errStatus           = errors.New("the response has a status that no final response has")
-	errTransferEncoding = errors.New("the response of HTTP/1.0 has a Transfer-Encoding")
-)
-
-// http10 is how responses of HTTP/1.0 begin.
-const http10 = "HTTP/1.0"
-
-// head counts the bytes of one response's head as they are read.
+// head counts and examines the bytes of one response's head as they are read.
 type head struct {
 	// longHeads is the length of all long heads.
 	longHeads *atomic.Int64
@@ -47,9 +36,7 @@
 	read, counted int
 	// failure is why no more may be read, nil if more may be.
 	failure error
-	// http10Text is what has been read so far if it is or may become the head of a response of HTTP/1.0; notHTTP10 means that it is none.
-	http10Text []byte
-	notHTTP10  bool
+	scanner headScanner
 }
 
 // check returns an error if nothing may be read from the connection.
@@ -68,7 +55,9 @@
 	}
 	count := len(data)
 	head.read += count
-	head.keepHTTP10(data)
+	if head.failure = head.scanner.scan(data); head.failure != nil {
+		return head.failure
+	}
 	switch {
 	case head.read <= uncountedHeadBytes:
 		return nil
@@ -83,46 +72,16 @@
 	return head.failure
 }
 
-// keepHTTP10 keeps the text of a response of HTTP/1.0. The mutex must be held.
-func (head *head) keepHTTP10(data []byte) {
-	if head.notHTTP10 || len(head.http10Text) == 0 && len(data) >= len(http10) && !bytes.HasPrefix(data, []byte(http10)) {
-		head.notHTTP10 = true
-		return
-	}
-	head.http10Text = append(head.http10Text, data...)
-	if len(head.http10Text) >= len(http10) && !bytes.HasPrefix(head.http10Text, []byte(http10)) {
-		head.notHTTP10, head.http10Text = true, nil
-	}
-}
-
-// checkFraming returns an error if it is not certain where the response ends, or if it is none that ends an exchange. In HTTP/1.0 a
-// Transfer-Encoding is a fault (RFC 9112, section 6.1). net/http ignores and removes it, so that chunks would be taken for the body, and
-// chunks that are cut off for a complete one.
-func (head *head) checkFraming(response *http.Response) error {
+// checkFraming returns an error if the response is none that ends an exchange.
+func checkFraming(response *http.Response) error {
 	switch {
 	case response.ProtoMajor != 1:
 		return errProtocol
 	case response.StatusCode < http.StatusOK:
 		return errStatus
-	case response.ProtoAtLeast(1, 1):
+	default:
 		return nil
 	}
-	head.mutex.Lock()
-	defer head.mutex.Unlock()
-	if len(head.http10Text) == 0 || bytes.HasPrefix(head.http10Text, []byte(http10+" 1")) {
-		// HTTP/1.0 has no informational responses.
-		return errProtocol
-	}
-	for line := range bytes.Lines(head.http10Text) {
-		line = bytes.TrimRight(line, "\r\n")
-		if len(line) == 0 {
-			break
-		}
-		if name, _, _ := bytes.Cut(line, []byte(":")); bytes.EqualFold(name, []byte("Transfer-Encoding")) {
-			return errTransferEncoding
-		}
-	}
-	return nil
 }
 
 // end records that the head is complete. What is read from then on belongs to the body.
@@ -137,7 +96,7 @@
 	head.mutex.Lock()
 	defer head.mutex.Unlock()
 	head.complete = true
-	head.http10Text = nil
+	head.scanner.line = nil
 	head.longHeads.Add(-int64(head.counted))
 	head.counted = 0
 }
--- a/internal/backendserver/servers.go
+++ b/internal/backendserver/servers.go
@@ -219,7 +219,7 @@
 	response, err := connection.client.RoundTrip(request.WithContext(ctx)) //nolint:bodyclose // Exchange.Close does.
 	head.end()
 	if err == nil {
-		if err = head.checkFraming(response); err != nil {
+		if err = checkFraming(response); err != nil {
 			response.Body.Close()
 		}
 	}
