Take a response for cut off if its request could not be written

The server had answered a long upload at once without a length, sent a part of the body and reset the connection while the upload was being written.

Cause: the kernel reports a reset once. If the write of the upload gets the report, the read of the response finds a plain end of the stream, and a response that is delimited by the end of its connection is complete then. The same holds for a connection that TCP_USER_TIMEOUT ends, and for HTTP/1.0.

Change: the end of a connection counts as a cut if a write on it has failed, or if one is in progress and the kernel says that the peer no longer receives. A write records its failure before it counts as ended, so that nothing is missed between the two. A server that only closes its side and reads on is still believed.

--- a/internal/backendserver/socket.go
+++ b/internal/backendserver/socket.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -24,6 +25,9 @@
 	lastRead atomic.Int64
 	// head is that of the response that is awaited or has not been forwarded completely, nil if there is none.
 	head atomic.Pointer[head]
+	// writing is the number of writes in progress, and writeFailed whether one has failed.
+	writing     atomic.Int32
+	writeFailed atomic.Bool
 	// writeCheck is called before the next write, if it is not nil.
 	writeCheck atomic.Pointer[func() error]
 }
@@ -51,9 +55,41 @@
 			return 0, err
 		}
 	}
+	if err == io.EOF && socket.mayBeReset() { //nolint:errorlint // net returns it bare.
+		err = io.ErrUnexpectedEOF
+	}
 	return count, err
 }
 
+// mayBeReset reports whether the end of the connection that a read has found may be a reset. The kernel reports a reset once, to whichever of
+// a read and a write comes first; if that is a write, reads find the end of the stream instead. A response that is delimited by the end of
+// its connection would look complete although it was cut off. A peer that has only closed its side leaves the connection writable.
+func (socket *socket) mayBeReset() bool {
+	// The failure is recorded before the write is no longer in progress, so that it is not missed between the two.
+	writing := socket.writing.Load() > 0
+	return socket.writeFailed.Load() || writing && !isWritable(socket.Conn)
+}
+
+// isWritable reports whether the peer still receives on the connection, false if that is not known.
+func isWritable(connection net.Conn) bool {
+	provider, isProvider := connection.(syscall.Conn)
+	if !isProvider {
+		return false
+	}
+	raw, err := provider.SyscallConn()
+	if err != nil {
+		return false
+	}
+	events := int16(unix.POLLHUP)
+	err = raw.Control(func(descriptor uintptr) {
+		descriptors := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLOUT}}
+		if _, pollErr := unix.Poll(descriptors, 0); pollErr == nil {
+			events = descriptors[0].Revents
+		}
+	})
+	return err == nil && events&(unix.POLLHUP|unix.POLLERR) == 0
+}
+
 // Write implements net.Conn.
 func (socket *socket) Write(buffer []byte) (count int, err error) {
 	if panicError := socket.guard.Run("write to a backend server", func() { count, err = socket.write(buffer) }); panicError != nil {
@@ -71,7 +107,13 @@
 		}
 	}
 	socket.written.Add(int64(len(buffer)))
-	return socket.Conn.Write(buffer)
+	socket.writing.Add(1)
+	defer socket.writing.Add(-1)
+	count, err := socket.Conn.Write(buffer)
+	if err != nil {
+		socket.writeFailed.Store(true)
+	}
+	return count, err
 }
 
 // sinceLastRead returns the time since data was last received, or since the connection was opened.
