Choose the route by the path as it is sent

Callers saw: a payment that ran twice.

Cause: the route was looked up by the decoded path, in which "%2F" has become a slash, while the server gets the path as it was sent. Bytes that a URL may not have were escaped on the way to the server.

Change: sentPath says what the path of a request is, for the route, for relayed requests, for the quarantine and for the server, which gets the same bytes. Classes of `jaywheel serve` are compared with the path whose escapes are decoded, except escaped slashes.

What was not tried: paths in absolute form with such bytes.

--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -140,8 +140,8 @@
 	if err != nil {
 		return newRejection(http.StatusBadRequest, outcome.ReasonAmbiguousFraming, err)
 	}
-	if hasDotSegment(call.request.URL.Path) {
-		return newRejection(http.StatusBadRequest, outcome.ReasonBadRequest, errDotSegment)
+	if err := call.checkPath(); err != nil {
+		return newRejection(http.StatusBadRequest, outcome.ReasonBadRequest, err)
 	}
 	route, err := call.findRoute()
 	if err != nil {
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -121,7 +121,7 @@
 		guarded.beginRequest(request)
 		defer guarded.endRequest()
 	}
-	if handler.options.Dialect.IsReservedPath(request.URL.Path) {
+	if handler.options.Dialect.IsReservedPath(sentPath(request)) {
 		call.responding = true
 		handler.serveAddresses(writer, request)
 		return
--- a/internal/caller/headers.go
+++ b/internal/caller/headers.go
@@ -51,7 +51,7 @@
 			header.Add("X-Forwarded-For", callerIP)
 		}
 	}
-	return call.outgoingRequest(target.Address, header)
+	return call.outgoingRequest(call.outgoingURL(target.Address, ""), header)
 }
 
 // outgoingHeader returns the header of a request to a backend server or to another instance, without what only one of them gets.
@@ -74,17 +74,12 @@
 	return header
 }
 
-// outgoingRequest returns the caller's request with the given header, for the IP address and port.
-func (call *call) outgoingRequest(address string, header http.Header) *http.Request {
+// outgoingRequest returns the caller's request with the given URL and header.
+func (call *call) outgoingRequest(outgoing *url.URL, header http.Header) *http.Request {
 	incoming := call.request
 	body, length := call.body.reader(incoming.ContentLength)
 	return &http.Request{
-		Method: incoming.Method,
-		URL: &url.URL{
-			Scheme: "http", Host: address,
-			Path: incoming.URL.Path, RawPath: incoming.URL.RawPath,
-			RawQuery: incoming.URL.RawQuery, ForceQuery: incoming.URL.ForceQuery,
-		},
+		Method: incoming.Method, URL: outgoing,
 		Host: incoming.Host, Header: header, Body: body, ContentLength: length,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Trailer: incoming.Trailer,
--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -235,17 +235,12 @@
 	if name := call.handler.options.Dialect.AttemptHeader; name != "" {
 		header.Set(name, strconv.Itoa(call.attemptNumber()+call.attemptsSent()))
 	}
-	request := call.outgoingRequest(peer.Address, header)
-	request.URL.Path = relay.Path + request.URL.Path
-	if request.URL.RawPath != "" {
-		request.URL.RawPath = relay.Path + request.URL.RawPath
-	}
-	return request
+	return call.outgoingRequest(call.outgoingURL(peer.Address, relay.Path), header)
 }
 
 // isRelayed reports whether an instance has relayed the request, by its path. Only the server for other instances asks.
 func isRelayed(request *http.Request) bool {
-	return strings.HasPrefix(request.URL.Path, relay.Path+"/")
+	return strings.HasPrefix(sentPath(request), relay.Path+"/")
 }
 
 // serveRelayed handles a request that another instance has relayed to this one.
@@ -286,9 +281,9 @@
 func (call *call) findRoute() (routing.Route, error) {
 	request := call.request
 	if call.relayed != nil {
-		if route, found := call.table.RouteTo(request.Host, request.URL.Path, call.relayed.Service); found {
+		if route, found := call.table.RouteTo(request.Host, call.sentPath(), call.relayed.Service); found {
 			return route, nil
 		}
 	}
-	return call.table.Route(request.Host, request.Method, request.URL.Path)
+	return call.table.Route(request.Host, request.Method, call.sentPath())
 }
--- a/internal/caller/serverend.go
+++ b/internal/caller/serverend.go
@@ -144,7 +144,10 @@
 			teamName = string(call.identity.team.Name)
 		}
 		request := call.request
-		uri := request.URL.RequestURI()
+		uri := call.sentPath()
+		if request.URL.ForceQuery || request.URL.RawQuery != "" {
+			uri += "?" + request.URL.RawQuery
+		}
 		call.requestDigest = quarantine.DigestOf([]byte(teamName), []byte(request.Method), []byte(request.Host), []byte(uri), call.body.buffered)
 	})
 	return call.requestDigest, true
--- a/internal/routing/package.go
+++ b/internal/routing/package.go
@@ -7,5 +7,5 @@
 // # Usage
 //
 //	table := routing.NewTable(routing.Options{Site: site, Services: services, Registry: registry})
-//	route, err := table.Route(request.Host, request.Method, request.URL.Path)
+//	route, err := table.Route(request.Host, request.Method, request.URL.EscapedPath())
 package routing
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"net"
+	"net/url"
 	"slices"
 	"strings"
 
@@ -185,11 +186,14 @@
 	return services
 }
 
-// Route returns the route of a request. The error is ErrNoService, ErrUnresolvedRoute or ErrNoClass.
+// Route returns the route of a request by its path as it was sent, with its escapes. Prefixes of entries are compared with these bytes, those
+// of services and classes with the path whose escapes are decoded, except those of slashes, which separate nothing. The error is
+// ErrNoService, ErrUnresolvedRoute or ErrNoClass.
 func (table *Table) Route(host, method, path string) (Route, error) {
 	if len(table.entries) > 0 {
 		return table.routeByEntry(host, path)
 	}
+	path = unescapePath(path)
 	for _, service := range table.hosts[hostName(host)] {
 		if !hasPathPrefix(path, service.Settings.PathPrefix) {
 			continue
@@ -204,6 +208,26 @@
 	return Route{}, ErrNoService
 }
 
+// unescapePath decodes the escapes of a path, except those of slashes and malformed ones.
+func unescapePath(path string) string {
+	if !strings.Contains(path, "%") {
+		return path
+	}
+	pieces := strings.SplitAfter(strings.ReplaceAll(path, "%2f", "%2F"), "%2F")
+	for index, piece := range pieces {
+		text, escapedSlash := strings.CutSuffix(piece, "%2F")
+		unescaped, err := url.PathUnescape(text)
+		if err != nil {
+			return path
+		}
+		if escapedSlash {
+			unescaped += "%2F"
+		}
+		pieces[index] = unescaped
+	}
+	return strings.Join(pieces, "")
+}
+
 // hostName removes the port and a trailing dot, and converts the host to lower case.
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
