Leave an upload to its server when that answers early

Cause: when a response is written, net/http reads the rest of the request's body, up to 256 KB, beside the connection to the server, and sends nothing before it has.

Change: if a part of the body is unread when a server's response is forwarded, net/http is told to read nothing, and the caller's connection is closed after the response.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -161,6 +161,16 @@
 	}
 }
 
+// keepUnreadBody keeps net/http from reading the rest of the body before it sends a response. A connection to a backend server that has
+// answered early may read that rest still, and would get a body with pieces missing; and the response would wait for the rest. The connection
+// is closed after the response: net/http may begin to wait for a disconnect when it has read the rest, and still be at it when the next
+// request comes. On HTTP/2 nothing reads the rest.
+func (call *call) keepUnreadBody() {
+	if call.request.ProtoMajor == 1 && call.hasUnreadBody() && call.controller.EnableFullDuplex() == nil {
+		call.mustClose = true
+	}
+}
+
 // setUnreadBodyDeadline limits the read of the rest of the body to MaxStall. When the request has ended, net/http reads the
 // rest to reach the next request, and would otherwise wait for it indefinitely.
 func (call *call) setUnreadBodyDeadline() {
--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -122,6 +122,7 @@
 	for name, values := range response.Header {
 		header[name] = values
 	}
+	call.keepUnreadBody()
 	call.setResponseHeaders(header, outcome.Answered, outcome.ReasonServer)
 	for name := range response.Trailer {
 		header.Add("Trailer", name)
